Lay out the parts, their shared types and the contracts between them

Cause: every part is to be built side by side, so the types that they share must stand first. Ruled out: a persistent map per package boundary and a second binary for the stand-ins.

--- /dev/null
+++ b/internal/cmd/cmd.go
@@ -0,0 +1,75 @@
+// Package cmd holds the command line of lacewingdoor, one file per command.
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+)
+
+// The exit codes of every command.
+const (
+	ExitOK      = 0 // done as asked
+	ExitFailed  = 1 // could not be done; the message says why
+	ExitUsage   = 2 // the command line, settings or files are wrong; nothing was tried
+	ExitUnknown = 3 // it may or may not have taken effect; the message says how to find out
+)
+
+// ExitError is an error that asks for an exit code of its own.
+type ExitError struct {
+	Code int
+	Err  error
+}
+
+// Error returns the message of the cause.
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// Config is the command line; every command is a field of it.
+type Config struct {
+	Version VersionCmd `cmd:"" help:"Print the version."`
+
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	c := Config{stdout: stdout, stderr: stderr}
+	exit := -1
+	p, err := kong.New(&c,
+		kong.Name("lacewingdoor"),
+		kong.Description("Schedules requests and jobs for organisations that share backend servers."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(n int) { exit = n }),
+	)
+	if err != nil {
+		fmt.Fprintf(stderr, "lacewingdoor: command line: %v\n", err)
+		return ExitFailed
+	}
+	k, err := p.Parse(args)
+	if exit >= 0 {
+		return exit
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "lacewingdoor: %v\n", err)
+		return ExitUsage
+	}
+	return report(stderr, k.Run(&c))
+}
+
+func report(stderr io.Writer, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(stderr, "lacewingdoor: %v\n", err)
+	var e *ExitError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ExitFailed
+}
