Decode the files of the configuration

Operators need every error of a file at once, each with its file, line, key, value and what is allowed. go-toml decodes strictly into structs with untyped leaves, so a wrong type is reported like a wrong value; its unstable parser gives the line of each key, for errors that are found after decoding. Typed leaves were ruled out: the library stops at the first wrong type.

The configuration gains the resolved location of a guarantee's hours, and the workers that guarantees are to be checked against.

--- /dev/null
+++ b/decoder/builder.go
@@ -0,0 +1,126 @@
+package decoder
+
+import (
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// placed is a value with the table that it came from.
+type placed[T any] struct {
+	value T
+	scope scope
+}
+
+// builder collects the organisations and services of all files.
+type builder struct {
+	organisations []placed[Organisation]
+	services      []placed[Service]
+	capacity      []WorkerGroup
+	files         []*parsed
+}
+
+// add reads the tables of one file.
+func (b *builder) add(p *parsed) {
+	b.files = append(b.files, p)
+	root := scope{file: p}
+	for _, n := range slices.Sorted(maps.Keys(p.raw.Organisation)) {
+		s := root.child("organisation").child(n)
+		b.organisations = append(b.organisations, placed[Organisation]{organisation(s, n, p.raw.Organisation[n]), s})
+	}
+	for _, n := range slices.Sorted(maps.Keys(p.raw.Service)) {
+		s := root.child("service").child(n)
+		b.services = append(b.services, placed[Service]{service(s, n, p.raw.Service[n]), s})
+	}
+	for i, r := range p.raw.Capacity {
+		b.capacity = append(b.capacity, workerGroup(root.entry("capacity", i), r))
+	}
+}
+
+const (
+	defaultWeight = 100
+	maxWeight     = 10_000
+	maxGroup      = 10_000 // racks, workers of a rack, blocks, tasks
+)
+
+func organisation(s scope, name string, r rawOrganisation) Organisation {
+	s.checkName(name)
+	o := Organisation{
+		Name:      name,
+		KeyHashes: keyHashes(s, r.KeyHashes),
+		Operator:  s.boolean("operator", r.Operator),
+		Weight:    s.integer("weight", r.Weight, defaultWeight, 1, maxWeight),
+	}
+	for i, g := range r.Guarantee {
+		e := s.entry("guarantee", i)
+		v := guarantee(e, g)
+		if v.Name != "" && slices.ContainsFunc(o.Guarantees, func(p Guarantee) bool { return p.Name == v.Name }) {
+			e.note("name", v.Name, "a name that no other guarantee of the organisation has")
+		}
+		o.Guarantees = append(o.Guarantees, v)
+	}
+	slices.SortStableFunc(o.Guarantees, func(a, b Guarantee) int { return strings.Compare(a.Name, b.Name) })
+	for _, n := range slices.Sorted(maps.Keys(r.Team)) {
+		t := s.child("team").child(n)
+		t.checkName(n)
+		o.Teams = append(o.Teams, Team{Name: n, Quota: t.resources(r.Team[n].rawResources, placer.Resources{})})
+	}
+	return o
+}
+
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// keyHashes reads the hashes of an organisation's bearer keys.
+func keyHashes(s scope, v any) []string {
+	if v == nil {
+		return nil
+	}
+	const allowed = "an array of hashes of 64 small hexadecimal digits, as lacewingdoor key prints them"
+	list, ok := v.([]any)
+	if !ok {
+		s.note("key-hashes", v, allowed)
+		return nil
+	}
+	var hashes []string
+	for i, e := range list {
+		h := s.text(fmt.Sprintf("key-hashes[%d]", i), e, "", allowed, hashPattern.MatchString)
+		hashes = append(hashes, h)
+	}
+	return hashes
+}
+
+const (
+	defaultReclaimBound = time.Minute
+	defaultGrace        = 20 * time.Second
+	maxReclaimBound     = time.Hour
+)
+
+func guarantee(s scope, r rawGuarantee) Guarantee {
+	g := Guarantee{
+		Name:         s.name("name", r.Name),
+		Blocks:       s.integer("blocks", r.Blocks, 1, 1, maxGroup),
+		Block:        s.resources(r.rawResources, placer.Resources{}),
+		Adjacency:    s.adjacency(r.Adjacency, placer.AdjacencyWorker),
+		ReclaimBound: s.duration("reclaim-bound", r.ReclaimBound, defaultReclaimBound, time.Second, maxReclaimBound),
+	}
+	g.From, g.To = s.hours("hours", r.Hours)
+	g.TimeZone, g.Location = s.timeZone("time-zone", r.TimeZone)
+	g.Grace = s.duration("grace", r.Grace, min(defaultGrace, g.ReclaimBound/2), 0, g.ReclaimBound)
+	if g.Block == (placer.Resources{}) {
+		s.note("", nil, "at least one of milli-cores, memory-mb and accelerators above 0")
+	}
+	return g
+}
+
+func workerGroup(s scope, r rawWorkerGroup) WorkerGroup {
+	return WorkerGroup{
+		Racks:          s.integer("racks", r.Racks, 1, 1, maxGroup),
+		WorkersPerRack: s.integer("workers-per-rack", r.WorkersPerRack, 1, 1, maxGroup),
+		Worker:         s.resources(r.rawResources, placer.Resources{}),
+	}
+}
--- a/decoder/config.go
+++ b/decoder/config.go
@@ -14,6 +14,14 @@
 	Revision      int64 // offset of the last change in force, 0 when there is none
 	Organisations []Organisation
 	Services      []Service
+	Capacity      []WorkerGroup // what guarantees are checked against, empty when not declared
+}
+
+// WorkerGroup declares a number of equal workers.
+type WorkerGroup struct {
+	Racks          int
+	WorkersPerRack int
+	Worker         placer.Resources // of one worker
 }
 
 // Organisation is a tenant.
@@ -35,6 +43,7 @@
 	From         time.Duration    // start, as time since local midnight
 	To           time.Duration    // end; before From when the hours pass midnight; equal for all day
 	TimeZone     string           // IANA name
+	Location     *time.Location   // of TimeZone, resolved
 	ReclaimBound time.Duration    // longest time from call to return
 	Grace        time.Duration    // time that a borrower has to checkpoint
 }
--- /dev/null
+++ b/decoder/decode_test.go
@@ -0,0 +1,67 @@
+package decoder_test
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+)
+
+// TestDecodeScripts decodes the .toml files of each script. The file "problems"
+// holds the problems that are expected, the file "config" the configuration.
+func TestDecodeScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/decode/*.txtar")
+	is.New(t).NoErr(err)
+	for _, p := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(p), ".txtar"), func(t *testing.T) { runScript(t, p) })
+	}
+}
+
+func runScript(t *testing.T, path string) {
+	is := is.New(t)
+	a, err := txtar.ParseFile(path)
+	is.NoErr(err)
+	var files []decoder.File
+	want := map[string]string{}
+	for _, f := range a.Files {
+		if strings.HasSuffix(f.Name, ".toml") {
+			files = append(files, decoder.File{Name: f.Name, Content: string(f.Data)})
+			continue
+		}
+		want[f.Name] = string(f.Data)
+	}
+	c, err := decoder.Decode(files)
+	got := ""
+	var ps decoder.Problems
+	if errors.As(err, &ps) {
+		got = ps.Error() + "\n"
+	}
+	is.Equal(got, want["problems"]) // problems
+	if w, ok := want["config"]; ok {
+		is.Equal(describe(c), w) // configuration
+	}
+}
+
+// describe formats a configuration, one organisation or service a line.
+func describe(c decoder.Config) string {
+	var b strings.Builder
+	for _, o := range c.Organisations {
+		fmt.Fprintf(&b, "%s weight %d operator %v keys %d teams %v\n", o.Name, o.Weight, o.Operator, len(o.KeyHashes), o.Teams)
+		for _, g := range o.Guarantees {
+			fmt.Fprintf(&b, "  %s %d x %v %s %v-%v %s %v/%v\n", g.Name, g.Blocks, g.Block, g.Adjacency, g.From, g.To, g.Location, g.Grace, g.ReclaimBound)
+		}
+	}
+	for _, s := range c.Services {
+		fmt.Fprintf(&b, "%s of %s share %d retry %d%% queue %d job %+v\n", s.Name, s.Organisation, s.Share, s.RetryPercent, s.QueueLimit, s.Job)
+		for _, r := range s.Routes {
+			fmt.Fprintf(&b, "  %s %s once %v deadline %v run %v body %d\n", r.Path, r.Class, r.NonIdempotent, r.Deadline, r.DeclaredRun, r.MaxBody)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/decoder/scope.go
@@ -0,0 +1,183 @@
+package decoder
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// scope is a table of a file, from which values are read. A value that is not
+// allowed is noted as a problem, and the default is taken in its place.
+type scope struct {
+	file *parsed
+	path string
+}
+
+// parsed is a file while it is decoded.
+type parsed struct {
+	name     string
+	raw      rawFile
+	lines    lineMap
+	problems Problems
+}
+
+func (s scope) child(key string) scope { return scope{file: s.file, path: join(s.path, key)} }
+
+func (s scope) entry(key string, i int) scope {
+	return s.child(fmt.Sprintf("%s[%d]", key, i))
+}
+
+// note records that value at key is not allowed. An empty key is the table
+// itself.
+func (s scope) note(key string, value any, allowed string) {
+	path := s.path
+	if key != "" {
+		path = join(path, key)
+	}
+	s.file.problems = append(s.file.problems, Problem{
+		File:    s.file.name,
+		Line:    s.file.lines.at(path),
+		Key:     path,
+		Value:   show(value),
+		Allowed: allowed,
+	})
+}
+
+// maxShown is the longest value that a problem repeats, in bytes.
+const maxShown = 80
+
+// show formats a value as it would stand in a file.
+func show(v any) string {
+	var text string
+	switch t := v.(type) {
+	case nil:
+		return ""
+	case string:
+		text = fmt.Sprintf("%q", t)
+	case time.Duration:
+		text = fmt.Sprintf("%q", t)
+	case map[string]any:
+		text = "a table"
+	case []any:
+		text = "an array"
+	default:
+		text = fmt.Sprint(v)
+	}
+	if len(text) > maxShown {
+		text = strings.ToValidUTF8(text[:maxShown], "") + "..."
+	}
+	return text
+}
+
+// integer reads a whole number between low and high.
+func (s scope) integer(key string, v any, def, low, high int) int {
+	if v == nil {
+		return def
+	}
+	n, ok := v.(int64)
+	if !ok || n < int64(low) || n > int64(high) {
+		s.note(key, v, fmt.Sprintf("a whole number from %d to %d", low, high))
+		return def
+	}
+	return int(n)
+}
+
+// boolean reads true or false; false is the default.
+func (s scope) boolean(key string, v any) bool {
+	if v == nil {
+		return false
+	}
+	b, ok := v.(bool)
+	if !ok {
+		s.note(key, v, "true or false")
+	}
+	return b
+}
+
+// text reads a string that f accepts; allowed says which ones these are.
+func (s scope) text(key string, v any, def, allowed string, f func(string) bool) string {
+	if v == nil {
+		return def
+	}
+	t, ok := v.(string)
+	if !ok || !f(t) {
+		s.note(key, v, allowed)
+		return def
+	}
+	return t
+}
+
+// choice reads one of a few strings; the first one is the default.
+func (s scope) choice(key string, v any, choices ...string) string {
+	allowed := fmt.Sprintf("one of %q", choices)
+	return s.text(key, v, choices[0], allowed, func(t string) bool {
+		return slices.Contains(choices, t)
+	})
+}
+
+// adjacency reads how close together tasks must run.
+func (s scope) adjacency(v any, def placer.Adjacency) placer.Adjacency {
+	if v == nil {
+		return def
+	}
+	return placer.Adjacency(s.choice("adjacency", v,
+		string(placer.AdjacencyNone), string(placer.AdjacencyRack), string(placer.AdjacencyWorker)))
+}
+
+// duration reads a string like "250ms" between low and high.
+func (s scope) duration(key string, v any, def, low, high time.Duration) time.Duration {
+	if v == nil {
+		return def
+	}
+	allowed := fmt.Sprintf("a duration from %q to %q", low, high)
+	d := def
+	s.text(key, v, "", allowed, func(t string) bool {
+		p, err := time.ParseDuration(t)
+		if err != nil || p < low || p > high {
+			return false
+		}
+		d = p
+		return true
+	})
+	return d
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+const nameAllowed = "a name of 1 to 63 small letters, digits and hyphens, not beginning with a hyphen"
+
+// name reads a name that must be there.
+func (s scope) name(key string, v any) string {
+	if v == nil {
+		s.note(key, nil, nameAllowed)
+		return ""
+	}
+	return s.text(key, v, "", nameAllowed, namePattern.MatchString)
+}
+
+// checkName notes a problem when a table is called by something else than a name.
+func (s scope) checkName(name string) {
+	if !namePattern.MatchString(name) {
+		s.note("", name, nameAllowed)
+	}
+}
+
+// The largest amounts that a file may name.
+const (
+	maxMilliCores   = 100_000_000
+	maxMemoryMB     = 1_000_000_000
+	maxAccelerators = 100_000
+)
+
+// resources reads the amounts of a table.
+func (s scope) resources(r rawResources, def placer.Resources) placer.Resources {
+	return placer.Resources{
+		MilliCores:   s.integer("milli-cores", r.MilliCores, def.MilliCores, 0, maxMilliCores),
+		MemoryMB:     s.integer("memory-mb", r.MemoryMB, def.MemoryMB, 0, maxMemoryMB),
+		Accelerators: s.integer("accelerators", r.Accelerators, def.Accelerators, 0, maxAccelerators),
+	}
+}
