--- /dev/null
+++ b/publisher/reader.go
@@ -0,0 +1,70 @@
+package publisher
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+)
+
+// Reader keeps the state of one VM. One goroutine feeds it the stream in order;
+// any goroutine may call State.
+type Reader struct {
+	Changed func(State) // called after each change of the revision, may be nil
+
+	state    atomic.Pointer[State]
+	startsAt time.Time // when the record that a new reader could start from was appended
+}
+
+// State returns the present state.
+func (r *Reader) State() State {
+	if s := r.state.Load(); s != nil {
+		return *s
+	}
+	return New()
+}
+
+// First tells the lowest offset that the log still keeps. It is called before
+// the first record, and whenever the log has dropped records that were not read.
+func (r *Reader) First(first int64) { r.set(r.State().WithFirst(first)) }
+
+// Skip passes over a record that could not be decoded.
+func (r *Reader) Skip(offset int64) { r.set(r.State().WithSkipped(offset)) }
+
+// Adopt takes the state of a peer when it is better than the present one.
+func (r *Reader) Adopt(s State) {
+	b := Best(r.State(), s)
+	if b.next != r.State().next {
+		r.startsAt = time.Time{}
+	}
+	r.set(b)
+}
+
+// Read applies the next record. A record that cannot be decoded is the same to
+// every reader, and is passed over with an error.
+func (r *Reader) Read(offset int64, appended time.Time, kind string, body json.RawMessage) (Verdict, error) {
+	record, err := DecodeRecord(kind, body)
+	if err != nil {
+		r.Skip(offset)
+		return Verdict{}, fmt.Errorf("read configuration at offset %d: %w", offset, err)
+	}
+	s, v := Apply(r.State(), offset, record)
+	if v.Outcome == OutcomeSnapshot || offset == 1 {
+		r.startsAt = appended
+	}
+	r.set(s)
+	return v, nil
+}
+
+// NeedsSnapshot reports whether the leader must append a snapshot now.
+func (r *Reader) NeedsSnapshot(now time.Time, retention time.Duration) bool {
+	return NeedsSnapshot(now, r.State(), r.startsAt, retention)
+}
+
+func (r *Reader) set(s State) {
+	before := r.State().revision
+	r.state.Store(&s)
+	if r.Changed != nil && s.revision != before {
+		r.Changed(s)
+	}
+}
