--- a/publisher/reader.go
+++ b/publisher/reader.go
@@ -31,13 +31,15 @@
 // Skip passes over a record that could not be decoded.
 func (r *Reader) Skip(offset int64) { r.set(r.State().WithSkipped(offset)) }
 
-// Adopt takes the state of a peer when it is better than the present one.
+// Adopt takes the state of a peer when it is better than the present one. A
+// peer that is behind in the stream is of no use, since reading does not go back.
 func (r *Reader) Adopt(s State) {
-	b := Best(r.State(), s)
-	if b.next != r.State().next {
-		r.startsAt = time.Time{}
+	now := r.State()
+	if s.next < now.next || Best(now, s).next == now.next && now.complete {
+		return
 	}
-	r.set(b)
+	r.startsAt = time.Time{}
+	r.set(Best(now, s))
 }
 
 // Read applies the next record. A record that cannot be decoded is the same to
