Answer operators' calls for jobs, with typed refusals

Cause: jobs need a way in before the path can be driven from the command line. A submission id is scoped by its organisation, so that no organisation can learn of another's jobs by collision. Ruled out: global ids, which leak existence, and random ids made by the entry VM, which make a resend a second job.

--- /dev/null
+++ b/internal/responder/jobs.go
@@ -0,0 +1,302 @@
+package responder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/internal/refuser"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+	"github.com/lacewingdoor/lacewingdoor/reducer"
+)
+
+// The limits on operators' calls.
+const (
+	maxBody = 1 << 20 // bytes; a payload of a job is small
+)
+
+// idPattern is what a submission id looks like.
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+// Responder answers operators' calls. Its fields are set before it serves.
+type Responder struct {
+	// Authenticate returns the organisation of the caller.
+	Authenticate func(*http.Request) (decoder.Organisation, error)
+	// Append appends a record to the control stream and waits until it is read back.
+	Append func(context.Context, reducer.Record) error
+	// Uncertain reports whether an error of Append leaves open if it took effect.
+	Uncertain func(error) bool
+	// Config returns the configuration in force.
+	Config func() decoder.Config
+	// Control returns the control state.
+	Control func() reducer.State
+	// Now returns the present time.
+	Now func() time.Time
+	// Publish takes a change of configuration; the body is a publisher's.
+	Publish http.HandlerFunc
+	// Configuration tells the configuration in force.
+	Configuration http.HandlerFunc
+	// Status returns what this VM says of itself.
+	Status func() StatusResponse
+}
+
+// Handler returns the routes of all calls, below /-/.
+func (r *Responder) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /-/jobs", r.as(r.submit))
+	m.HandleFunc("GET /-/jobs", r.as(r.list))
+	m.HandleFunc("GET /-/jobs/{id}", r.as(r.show))
+	m.HandleFunc("DELETE /-/jobs/{id}", r.as(r.cancel))
+	m.HandleFunc("GET /-/status", r.as(r.status))
+	m.HandleFunc("POST /-/configuration/changes", r.asOperator(r.Publish))
+	m.HandleFunc("GET /-/configuration", r.asOperator(r.Configuration))
+	return m
+}
+
+type organisationHandler func(http.ResponseWriter, *http.Request, decoder.Organisation) *refuser.ProblemError
+
+// as runs h for the organisation of the caller, and writes its refusal.
+func (r *Responder) as(h organisationHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		o, err := r.Authenticate(q)
+		if err != nil {
+			refuser.Write(w, refuser.New(http.StatusUnauthorized, "bad-key", err.Error()))
+			return
+		}
+		q.Body = http.MaxBytesReader(w, q.Body, maxBody)
+		if p := h(w, q, o); p != nil {
+			refuser.Write(w, p)
+		}
+	}
+}
+
+func (r *Responder) asOperator(h http.HandlerFunc) http.HandlerFunc {
+	return r.as(func(w http.ResponseWriter, q *http.Request, o decoder.Organisation) *refuser.ProblemError {
+		if !o.Operator {
+			return refuser.New(http.StatusForbidden, "not-operator", "the key's organisation may not change configuration")
+		}
+		h(w, q)
+		return nil
+	})
+}
+
+func (r *Responder) submit(w http.ResponseWriter, q *http.Request, o decoder.Organisation) *refuser.ProblemError {
+	var b JobRequest
+	d := json.NewDecoder(q.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&b); err != nil {
+		return refuser.New(http.StatusBadRequest, "bad-job", err.Error())
+	}
+	now := r.Now()
+	j, err := job(r.Config(), o, b)
+	if err != nil {
+		return refuser.New(http.StatusBadRequest, "bad-job", err.Error())
+	}
+	c := r.Control()
+	if s, ok := c.Job(j.ID); ok {
+		return r.again(w, s, j)
+	}
+	if err := reducer.Validate(now, c, j); err != nil {
+		return refuser.New(http.StatusUnprocessableEntity, "job-refused", err.Error())
+	}
+	if err := r.Append(q.Context(), reducer.JobAccepted{Job: j, Accepted: now}); err != nil {
+		return r.notAppended(err)
+	}
+	s, ok := r.Control().Job(j.ID)
+	if !ok {
+		return refuser.New(http.StatusServiceUnavailable, "not-read-back",
+			"the job was appended but not yet read back; send it again with the same id").WithOutcome(refuser.OutcomeUnknown)
+	}
+	if s.Job.Organisation != o.Name {
+		return refuser.New(http.StatusConflict, "id-taken", "another job has this id")
+	}
+	answer(w, http.StatusCreated, response(s))
+	return nil
+}
+
+// again answers a submission whose id is already known.
+func (r *Responder) again(w http.ResponseWriter, s reducer.JobStatus, j reducer.Job) *refuser.ProblemError {
+	if !s.Job.Same(j) {
+		return refuser.New(http.StatusConflict, "id-taken", "another job has this id")
+	}
+	answer(w, http.StatusOK, response(s))
+	return nil
+}
+
+func (r *Responder) notAppended(err error) *refuser.ProblemError {
+	const retry = 5 * time.Second // an outage of the log seldom ends sooner
+	p := refuser.New(http.StatusServiceUnavailable, "log-unavailable", err.Error()).WithRetryAfter(retry)
+	if r.Uncertain(err) {
+		return p.WithOutcome(refuser.OutcomeUnknown)
+	}
+	return p
+}
+
+func (r *Responder) list(w http.ResponseWriter, _ *http.Request, o decoder.Organisation) *refuser.ProblemError {
+	b := JobsResponse{Jobs: []JobResponse{}}
+	for _, s := range r.Control().Jobs() {
+		if o.Operator || s.Job.Organisation == o.Name {
+			b.Jobs = append(b.Jobs, response(s))
+		}
+	}
+	answer(w, http.StatusOK, b)
+	return nil
+}
+
+func (r *Responder) show(w http.ResponseWriter, q *http.Request, o decoder.Organisation) *refuser.ProblemError {
+	c := r.Control()
+	s, p := visible(c, q.PathValue("id"), o)
+	if p != nil {
+		return p
+	}
+	b := response(s)
+	if q.URL.Query().Has("why") {
+		b.Why = c.Why(r.Now(), s.Job.ID)
+	}
+	answer(w, http.StatusOK, b)
+	return nil
+}
+
+func (r *Responder) cancel(w http.ResponseWriter, q *http.Request, o decoder.Organisation) *refuser.ProblemError {
+	s, p := visible(r.Control(), q.PathValue("id"), o)
+	if p != nil {
+		return p
+	}
+	err := r.Append(q.Context(), reducer.JobCancelled{Job: s.Job.ID, Organisation: s.Job.Organisation})
+	if err != nil {
+		return r.notAppended(err)
+	}
+	s, _ = r.Control().Job(s.Job.ID)
+	answer(w, http.StatusOK, response(s))
+	return nil
+}
+
+func (r *Responder) status(w http.ResponseWriter, _ *http.Request, o decoder.Organisation) *refuser.ProblemError {
+	b := r.Status()
+	if !o.Operator {
+		b.Workers = nil
+	}
+	answer(w, http.StatusOK, b)
+	return nil
+}
+
+// qualified returns the id of a job among those of all organisations. Operators
+// may name another organisation's job as ORGANISATION:SUBMISSION.
+func qualified(o decoder.Organisation, id string) string {
+	if o.Operator && strings.Contains(id, ":") {
+		return id
+	}
+	return o.Name + ":" + id
+}
+
+// visible returns a job that o may see; one that it may not see looks like one
+// that does not exist.
+func visible(c reducer.State, id string, o decoder.Organisation) (reducer.JobStatus, *refuser.ProblemError) {
+	s, ok := c.Job(qualified(o, id))
+	if !ok || (!o.Operator && s.Job.Organisation != o.Name) {
+		return s, refuser.New(http.StatusNotFound, "no-such-job", fmt.Sprintf("there is no job %q", id))
+	}
+	return s, nil
+}
+
+// job builds the job that b asks for, with the service's defaults.
+func job(c decoder.Config, o decoder.Organisation, b JobRequest) (reducer.Job, error) {
+	if !idPattern.MatchString(b.ID) {
+		return reducer.Job{}, fmt.Errorf("id: %q does not match %s", b.ID, idPattern)
+	}
+	s, ok := service(c, b.Service)
+	if !ok || s.Organisation != o.Name {
+		return reducer.Job{}, fmt.Errorf("service: there is no service %q of organisation %q", b.Service, o.Name)
+	}
+	j := reducer.Job{
+		ID: qualified(o, b.ID), Organisation: o.Name, Team: b.Team, Service: b.Service,
+		Class: reducer.Class(b.Class), Gang: s.Job.Gang,
+		DeclaredRun: s.Job.DeclaredRun, Deadline: b.Deadline,
+		Checkpointable: s.Job.Checkpointable, NonIdempotent: s.Job.NonIdempotent,
+		Payload: b.Payload,
+	}
+	override(&j, b)
+	return j, check(j)
+}
+
+func override(j *reducer.Job, b JobRequest) {
+	if j.Class == "" {
+		j.Class = reducer.ClassBatch
+	}
+	if b.DeclaredRunMS != 0 {
+		j.DeclaredRun = time.Duration(b.DeclaredRunMS) * time.Millisecond
+	}
+	if b.Checkpointable != nil {
+		j.Checkpointable = *b.Checkpointable
+	}
+	if b.NonIdempotent != nil {
+		j.NonIdempotent = *b.NonIdempotent
+	}
+	if b.Adjacency != "" {
+		j.Gang.Adjacency = b.Adjacency
+	}
+	setInt(&j.Gang.Tasks, b.Tasks)
+	setInt(&j.Gang.PerTask.MilliCores, b.MilliCores)
+	setInt(&j.Gang.PerTask.MemoryMB, b.MemoryMB)
+	setInt(&j.Gang.PerTask.Accelerators, b.Accelerators)
+}
+
+func setInt(to *int, v int) {
+	if v != 0 {
+		*to = v
+	}
+}
+
+// maxGang is the largest gang that is accepted, in tasks.
+const maxGang = 64
+
+func check(j reducer.Job) error {
+	g := j.Gang
+	switch {
+	case j.Class != reducer.ClassUrgent && j.Class != reducer.ClassBatch:
+		return fmt.Errorf("class: %q is neither %q nor %q", j.Class, reducer.ClassUrgent, reducer.ClassBatch)
+	case g.Tasks < 1 || g.Tasks > maxGang:
+		return fmt.Errorf("tasks: %d is not from 1 to %d", g.Tasks, maxGang)
+	case g.PerTask.MilliCores < 0 || g.PerTask.MemoryMB < 0 || g.PerTask.Accelerators < 0:
+		return errors.New("milli-cores, memory-mb and accelerators must not be negative")
+	case j.DeclaredRun < 0:
+		return errors.New("declared-run-ms must not be negative")
+	}
+	switch g.Adjacency {
+	case placer.AdjacencyNone, placer.AdjacencyRack, placer.AdjacencyWorker:
+		return nil
+	}
+	return fmt.Errorf("adjacency: %q is none of %q, %q, %q", g.Adjacency,
+		placer.AdjacencyNone, placer.AdjacencyRack, placer.AdjacencyWorker)
+}
+
+func service(c decoder.Config, name string) (decoder.Service, bool) {
+	for _, s := range c.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return decoder.Service{}, false
+}
+
+func response(s reducer.JobStatus) JobResponse {
+	return JobResponse{
+		ID: s.Job.ID, Organisation: s.Job.Organisation, Service: s.Job.Service,
+		Class: string(s.Job.Class), Tasks: s.Job.Gang.Tasks,
+		Phase: string(s.Phase), Attempt: s.Attempt,
+		Accepted: s.Accepted, Started: s.Started, Ended: s.Ended,
+		Outcome: string(s.Outcome), Reason: s.Reason, Workers: s.Workers,
+	}
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller went away
+}
--- a/reducer/record.go
+++ b/reducer/record.go
@@ -18,7 +18,7 @@
 
 // Job is what an organisation asked to be run. It never changes once accepted.
 type Job struct {
-	ID             string         `json:"id"` // submission id; the same id twice is one job
+	ID             string         `json:"id"` // ORGANISATION:SUBMISSION; the same id twice is one job
 	Organisation   string         `json:"organisation"`
 	Team           string         `json:"team"`
 	Service        string         `json:"service"`
@@ -31,6 +31,15 @@
 	Payload        string         `json:"payload"`
 }
 
+// Same reports whether j and o ask for the same thing.
+func (j Job) Same(o Job) bool {
+	if !j.Deadline.Equal(o.Deadline) {
+		return false
+	}
+	j.Deadline = o.Deadline
+	return j == o
+}
+
 // Outcome is how a job ended.
 type Outcome string
 
--- a/reducer/reduce.go
+++ b/reducer/reduce.go
@@ -8,3 +8,7 @@
 func Reduce(now time.Time, s State, e Event) (State, []Effect) {
 	return s, nil
 }
+
+// Validate reports why a job would not be accepted, such as an unknown service
+// or a gang that can never fit.
+func Validate(now time.Time, s State, j Job) error { return nil }
