--- a/internal/connector/wire.go
+++ b/internal/connector/wire.go
@@ -62,12 +62,14 @@
 // FenceRequest is the body of POST /fence on a worker; an Inventory answers.
 type FenceRequest struct {
 	Epoch leaser.Epoch `json:"epoch"`
+	VM    string       `json:"vm"` // that holds the epoch; two VMs may take the same sub-term
 }
 
 // CommandRequest is the body of POST /prepare, /start, /checkpoint, /throttle
 // and /stop on a worker.
 type CommandRequest struct {
 	Epoch leaser.Epoch `json:"epoch"`
+	VM    string       `json:"vm"` // that holds the epoch
 	Lease leaser.Lease `json:"lease"`
 }
 
