Read settings strictly, and add the commands for jobs and status

Cause: an operator needs to be told of every wrong setting at once, with file, line, key, value and what is allowed. Settings share the decoder's scopes with the service files, so both report alike. Ruled out: decoding into typed fields, which stops at the first wrong type and knows no line.

--- a/decoder/decode.go
+++ b/decoder/decode.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -55,10 +56,19 @@
 	return b.config(), ps.sorted()
 }
 
-// parse reads the layout of one file. It reports whether the file could be read
-// as TOML of that layout, apart from keys that are not known.
+// parse reads a file of the configuration.
 func parse(f File) (*parsed, bool) {
-	p := &parsed{name: f.Name}
+	var r rawFile
+	p, ok := parseInto(f, &r)
+	p.raw = r
+	return p, ok
+}
+
+// parseInto reads the layout of one file into raw, a pointer to a raw type. It
+// reports whether the file could be read as TOML of that layout, apart from keys
+// that are not known.
+func parseInto(f File, raw any) (*parsed, bool) {
+	p := &parsed{name: f.Name, layout: reflect.TypeOf(raw).Elem()}
 	if len(f.Content) > MaxFileSize {
 		p.problems = Problems{{File: f.Name, Line: 1, Allowed: fmt.Sprintf("a file of at most %d bytes", MaxFileSize)}}
 		return p, false
@@ -66,7 +76,7 @@
 	doc := []byte(f.Content)
 	p.lines = mapLines(doc)
 	d := toml.NewDecoder(bytes.NewReader(doc)).DisallowUnknownFields()
-	err := d.Decode(&p.raw)
+	err := d.Decode(raw)
 	var missing *toml.StrictMissingError
 	if errors.As(err, &missing) {
 		for i := range missing.Errors {
@@ -86,7 +96,7 @@
 	path := e.Key()
 	q := Problem{File: p.name, Line: max(row, 1), Key: strings.Join(path, "."), Allowed: "no such key"}
 	for n := len(path) - 1; n >= 0; n-- {
-		if known := knownKeys(path[:n]); known != nil {
+		if known := knownKeys(p.layout, path[:n]); known != nil {
 			q.Allowed = "one of the keys " + strings.Join(known, ", ")
 			break
 		}
--- a/decoder/raw.go
+++ b/decoder/raw.go
@@ -77,11 +77,11 @@
 	}
 )
 
-// knownKeys returns the keys that the table at path may hold, in the order of
-// the raw types. The parts of path that name an entry of a map or a slice count
+// knownKeys returns the keys that the table at path may hold in a layout, in the
+// order of the raw types. The parts of path that name an entry of a map or a slice count
 // as steps into it.
-func knownKeys(path []string) []string {
-	t := reflect.TypeFor[rawFile]()
+func knownKeys(layout reflect.Type, path []string) []string {
+	t := layout
 	for _, p := range path {
 		t = step(t, p)
 		if t == nil {
--- a/decoder/scope.go
+++ b/decoder/scope.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"regexp"
 	"slices"
 	"strings"
@@ -20,7 +21,8 @@
 // parsed is a file while it is decoded.
 type parsed struct {
 	name     string
-	raw      rawFile
+	layout   reflect.Type // raw type of the whole file
+	raw      rawFile      // unless the file is of settings
 	lines    lineMap
 	problems Problems
 }
--- /dev/null
+++ b/decoder/settings.go
@@ -0,0 +1,174 @@
+package decoder
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings is what one entry VM is told when it starts. It never changes while
+// the process runs.
+type Settings struct {
+	VM             string        // id of this VM, unique among live ones
+	Zone           string        // availability zone
+	CallersAddress string        // IP:PORT to listen on for callers and operators
+	PeersAddress   string        // IP:PORT to listen on for other entry VMs
+	LogAddress     string        // IP:PORT of the platform's log service
+	ListAddress    string        // IP:PORT of the platform's list of VMs
+	PeerAddresses  []string      // IP:PORT of other entry VMs, tried while the list is down
+	SecretFile     string        // file with the secret that entry VMs share
+	LogLevel       string        // "debug", "info", "warning" or "error"
+	DrainTimeout   time.Duration // longest wait for requests in flight at shutdown
+	Retention      time.Duration // how long the log is sure to keep a record
+	AppendRate     int           // appends a second that this VM may make to each stream
+	MaxRequests    int           // requests held at once, waiting ones included
+	MaxHeaderBytes int           // largest header of a request
+	OperatorHash   string        // hex SHA-256 of a key that may publish whatever the configuration says
+}
+
+// rawSettings mirrors the layout of a settings file.
+type rawSettings struct {
+	VM       any         `toml:"vm"`
+	Zone     any         `toml:"zone"`
+	LogLevel any         `toml:"log-level"`
+	Listen   rawListen   `toml:"listen"`
+	Platform rawPlatform `toml:"platform"`
+	Peers    rawPeers    `toml:"peers"`
+	Operator rawOperator `toml:"operator"`
+	Limits   rawLimits   `toml:"limits"`
+}
+
+type rawListen struct {
+	Callers any `toml:"callers"`
+	Peers   any `toml:"peers"`
+}
+
+type rawPlatform struct {
+	Log        any `toml:"log"`
+	List       any `toml:"list"`
+	Retention  any `toml:"retention"`
+	AppendRate any `toml:"append-rate"`
+}
+
+type rawPeers struct {
+	Addresses  any `toml:"addresses"`
+	SecretFile any `toml:"secret-file"`
+}
+
+type rawOperator struct {
+	KeyHash any `toml:"key-hash"`
+}
+
+type rawLimits struct {
+	DrainTimeout   any `toml:"drain-timeout"`
+	MaxRequests    any `toml:"max-requests"`
+	MaxHeaderBytes any `toml:"max-header-bytes"`
+}
+
+// The defaults and ranges of settings; docs/SETTINGS.md repeats them.
+const (
+	defaultRetention = 24 * time.Hour
+	minRetention     = time.Minute // snapshots are appended after a quarter of it
+	maxRetention     = 365 * 24 * time.Hour
+
+	defaultAppendRate = 20 // a second; 8 VMs together stay within several hundred
+	maxAppendRate     = 1000
+
+	defaultDrain = 30 * time.Second
+	maxDrain     = time.Hour
+
+	defaultRequests = 4096
+	maxRequests     = 1_000_000
+
+	defaultHeaderBytes = 16 << 10
+	minHeaderBytes     = 1 << 10
+	maxHeaderBytes     = 1 << 20
+)
+
+// DecodeSettings reads a settings file. The error, if any, is Problems:
+// everything that is wrong, sorted.
+func DecodeSettings(f File) (Settings, error) {
+	var r rawSettings
+	p, ok := parseInto(f, &r)
+	if !ok {
+		return Settings{}, p.problems.sorted()
+	}
+	s := settings(scope{file: p}, r)
+	if len(p.problems) > 0 {
+		return Settings{}, p.problems.sorted()
+	}
+	return s, nil
+}
+
+func settings(s scope, r rawSettings) Settings {
+	listen, platform := s.child("listen"), s.child("platform")
+	peers, limits := s.child("peers"), s.child("limits")
+	return Settings{
+		VM:             s.name("vm", r.VM),
+		Zone:           s.name("zone", r.Zone),
+		LogLevel:       s.choice("log-level", r.LogLevel, "info", "debug", "warning", "error"),
+		CallersAddress: listen.address("callers", r.Listen.Callers, true),
+		PeersAddress:   listen.address("peers", r.Listen.Peers, true),
+		LogAddress:     platform.address("log", r.Platform.Log, false),
+		ListAddress:    platform.address("list", r.Platform.List, false),
+		Retention:      platform.duration("retention", r.Platform.Retention, defaultRetention, minRetention, maxRetention),
+		AppendRate:     platform.integer("append-rate", r.Platform.AppendRate, defaultAppendRate, 1, maxAppendRate),
+		PeerAddresses:  peers.addressList("addresses", r.Peers.Addresses),
+		SecretFile:     peers.fileName("secret-file", r.Peers.SecretFile),
+		OperatorHash:   s.child("operator").hash("key-hash", r.Operator.KeyHash),
+		DrainTimeout:   limits.duration("drain-timeout", r.Limits.DrainTimeout, defaultDrain, time.Second, maxDrain),
+		MaxRequests:    limits.integer("max-requests", r.Limits.MaxRequests, defaultRequests, 1, maxRequests),
+		MaxHeaderBytes: limits.integer("max-header-bytes", r.Limits.MaxHeaderBytes, defaultHeaderBytes, minHeaderBytes, maxHeaderBytes),
+	}
+}
+
+const addressAllowed = "IP:PORT, the IP as a number"
+
+// address reads an address that must be there. Port 0, which lets the system
+// choose one, is allowed only to listen on.
+func (s scope) address(key string, v any, zero bool) string {
+	if v == nil {
+		s.note(key, nil, addressAllowed)
+		return ""
+	}
+	return s.text(key, v, "", addressAllowed, func(t string) bool {
+		a, err := netip.ParseAddrPort(t)
+		return err == nil && (zero || a.Port() != 0)
+	})
+}
+
+// addressList reads an array of addresses.
+func (s scope) addressList(key string, v any) []string {
+	if v == nil {
+		return nil
+	}
+	a, ok := v.([]any)
+	if !ok {
+		s.note(key, v, "an array of "+addressAllowed)
+		return nil
+	}
+	var addresses []string
+	for i, e := range a {
+		x := s.entry(key, i)
+		n := len(x.file.problems)
+		t := x.address("", e, false)
+		if len(x.file.problems) == n {
+			addresses = append(addresses, t)
+		}
+	}
+	return addresses
+}
+
+// fileName reads the name of a file that must be named.
+func (s scope) fileName(key string, v any) string {
+	const allowed = "the name of a file"
+	if v == nil {
+		s.note(key, nil, allowed)
+		return ""
+	}
+	return s.text(key, v, "", allowed, func(t string) bool { return t != "" })
+}
+
+// hash reads the hash of a key.
+func (s scope) hash(key string, v any) string {
+	return s.text(key, v, "", "the hex SHA-256 of a key, as the command key prints it", hashPattern.MatchString)
+}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -31,7 +31,12 @@
 
 // Config is the command line; every command is a field of it.
 type Config struct {
+	Cancel  CancelCmd  `cmd:"" help:"Cancel a job."`
+	Jobs    JobsCmd    `cmd:"" help:"List jobs."`
+	Status  StatusCmd  `cmd:"" help:"Show what an entry VM says of itself."`
+	Submit  SubmitCmd  `cmd:"" help:"Submit a job."`
 	Version VersionCmd `cmd:"" help:"Print the version."`
+	Why     WhyCmd     `cmd:"" help:"Explain why a job waits."`
 
 	stdout io.Writer
 	stderr io.Writer
