--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -31,6 +31,7 @@
 
 // Config is the command line; every command is a field of it.
 type Config struct {
+	Standin StandinCmd `cmd:"" help:"Run a stand-in for a part of the platform." name:"stand-in"`
 	Version VersionCmd `cmd:"" help:"Print the version."`
 
 	stdout io.Writer
--- a/leaser/table.go
+++ b/leaser/table.go
@@ -107,6 +107,18 @@
 	return l
 }
 
+// Over returns the leases that are over and remembered, sorted by id, with their
+// states and reasons.
+func (t Table) Over() []Lease {
+	var l []Lease
+	for _, h := range t.leases {
+		if h.State.Ended() {
+			l = append(l, h.Lease)
+		}
+	}
+	return l
+}
+
 // Lapse ends the leases whose time has run out, and returns their ids.
 func (t Table) Lapse(now time.Time) (Table, []ID) {
 	t.leases = slices.Clone(t.leases)
