Carry requests from callers through the router to executors

The thin whole: limiter, queuer and retrier decide, router runs the life of a request, forwarder speaks HTTP on both sides.

--- /dev/null
+++ b/internal/forwarder/helper_test.go
@@ -0,0 +1,118 @@
+package forwarder_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/internal/connector"
+	"github.com/lacewingdoor/lacewingdoor/internal/forwarder"
+	"github.com/lacewingdoor/lacewingdoor/prober"
+	"github.com/lacewingdoor/lacewingdoor/router"
+)
+
+// wide is a deadline that no passing test comes near.
+const wide = 30 * time.Second
+
+// bench is an entry VM in front of executors that run the handlers.
+type bench struct {
+	router *router.Router
+	sender *forwarder.Sender
+	url    string
+}
+
+func newBench(t *testing.T, p prober.Protocol, handlers ...http.HandlerFunc) *bench {
+	t.Helper()
+	addresses := make([]string, len(handlers))
+	for i, h := range handlers {
+		addresses[i] = serve(t, h, p != prober.HTTP1)
+	}
+	return benchAt(t, p, addresses...)
+}
+
+func benchAt(t *testing.T, p prober.Protocol, addresses ...string) *bench {
+	t.Helper()
+	s := snapshot(addresses...)
+	b := &bench{sender: &forwarder.Sender{Protocol: p, MaxAnswer: 1 << 16}}
+	b.router = &router.Router{Snapshot: func() *router.Snapshot { return s }, Send: b.sender.Send}
+	f := &forwarder.Forwarder{
+		Router:       b.router,
+		Organisation: func(r *http.Request) (string, error) { return r.Header.Get("X-Organisation"), nil },
+	}
+	v := httptest.NewServer(f)
+	t.Cleanup(v.Close)
+	t.Cleanup(b.sender.Close)
+	b.url = v.URL
+	return b
+}
+
+func snapshot(addresses ...string) *router.Snapshot {
+	var list []router.Executor
+	for i, a := range addresses {
+		list = append(list, router.Executor{ID: "e" + string(rune('a'+i)), Address: a, Slots: 8, Total: 8})
+	}
+	return &router.Snapshot{
+		Revision: 1,
+		Services: map[string]decoder.Service{"label": {
+			Name: "label", Organisation: "etiquetar", RetryPercent: 100, QueueLimit: 100,
+			Routes: []decoder.Route{
+				{Path: "/proof", Class: "short", Deadline: wide, MaxBody: 1 << 10},
+				{Path: "/print", Class: "short", Deadline: wide, NonIdempotent: true},
+				{Path: "/brief", Class: "short", Deadline: 300 * time.Millisecond},
+			},
+		}},
+		Executors: map[string][]router.Executor{"label": list},
+	}
+}
+
+// serve starts an executor and returns its address.
+func serve(t *testing.T, h http.HandlerFunc, http2 bool) string {
+	t.Helper()
+	v := httptest.NewUnstartedServer(h)
+	v.Config.Protocols = new(http.Protocols)
+	v.Config.Protocols.SetHTTP1(true)
+	v.Config.Protocols.SetUnencryptedHTTP2(http2)
+	v.Start()
+	t.Cleanup(v.Close)
+	return v.Listener.Addr().String()
+}
+
+// echo answers with the id and the body of the request.
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(connector.HeaderRequestID, r.Header.Get(connector.HeaderRequestID))
+	b, _ := io.ReadAll(r.Body)
+	_, _ = w.Write(append([]byte(r.URL.Path+" "), b...))
+}
+
+// post sends one request as a caller, and returns the status, the body, and the
+// problem when it is one.
+func (b *bench) post(ctx context.Context, t *testing.T, path, body string, headers ...string) (int, string, forwarder.Problem) {
+	t.Helper()
+	is := is.New(t)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+path, strings.NewReader(body))
+	is.NoErr(err)
+	r.Header.Set("X-Organisation", "etiquetar")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error(), forwarder.Problem{}
+	}
+	defer a.Body.Close()
+	whole, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	var p forwarder.Problem
+	if a.Header.Get("Content-Type") == "application/problem+json" {
+		is.NoErr(json.Unmarshal(whole, &p))
+	}
+	return a.StatusCode, string(whole), p
+}
--- /dev/null
+++ b/queuer/queue.go
@@ -0,0 +1,215 @@
+// Package queuer holds the requests that wait for a slot of a service, per
+// organisation and class, and says early which cannot be answered in time.
+//
+// It decides only: it does no I/O, reads no clock and starts no goroutines.
+package queuer
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Item is a request that waits.
+type Item struct {
+	Organisation string
+	Weight       int // of the organisation
+	Long         bool
+	Estimate     time.Duration // how long it will hold a slot
+	Deadline     time.Time
+	Avoid        []string // executors that were tried already
+	AvoidZone    string
+	Owner        any // the caller's own reference
+
+	queue *class
+	index int // in the heap, -1 when it does not wait
+	order uint64
+}
+
+// LatestStart is the time after which the request would miss its deadline.
+func (i *Item) LatestStart() time.Time { return i.Deadline.Add(-i.Estimate) }
+
+// Verdict says what became of an offered request.
+type Verdict string
+
+// The verdicts.
+const (
+	Accepted Verdict = "accepted"
+	Full     Verdict = "queue-full"        // as many wait as may
+	TooLate  Verdict = "deadline-too-near" // it would not be answered in time
+)
+
+// Queue holds the waiting requests of one service.
+type Queue struct {
+	Limit int // longest queue, in requests
+
+	tenants []*tenant // sorted by organisation
+	length  int
+	order   uint64
+}
+
+type tenant struct {
+	organisation string
+	weight       int
+	short, long  class
+}
+
+func (t *tenant) length() int { return len(t.short.items) + len(t.long.items) }
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.length }
+
+// Waiting returns the number of waiting requests of an organisation.
+func (q *Queue) Waiting(organisation string) int {
+	if i, ok := q.find(organisation); ok {
+		return q.tenants[i].length()
+	}
+	return 0
+}
+
+// Offer queues a request, or refuses it with the time after which to try again.
+// Slots says how many slots serve the queue, and longSlots how many of them long
+// work may hold. When the queue is full, the organisation that is furthest above
+// its weighted part of it gives way: its last request is returned as evicted.
+func (q *Queue) Offer(now time.Time, i *Item, slots, longSlots int) (v Verdict, retry time.Duration, evicted *Item) {
+	t := q.tenant(i.Organisation, i.Weight)
+	wait := q.wait(t, i.Long, slots, longSlots)
+	slack := i.LatestStart().Sub(now)
+	if wait > slack {
+		return TooLate, wait - max(slack, 0), nil
+	}
+	if q.length >= q.Limit {
+		evicted = q.evict(t)
+		if evicted == nil {
+			return Full, wait, nil
+		}
+	}
+	q.push(t, i)
+	return Accepted, 0, evicted
+}
+
+// Predict returns how long a request of an organisation and class would wait if
+// it were offered now, as [Queue.Offer] reckons.
+func (q *Queue) Predict(organisation string, weight int, long bool, slots, longSlots int) time.Duration {
+	return q.wait(q.tenant(organisation, weight), long, slots, longSlots)
+}
+
+// wait predicts how long a request of a tenant and class waits: the work ahead
+// of it, done by the tenant's weighted part of the slots. Short work is taken as
+// going ahead of long work, which it does unless the long work is nearly late.
+func (q *Queue) wait(t *tenant, long bool, slots, longSlots int) time.Duration {
+	work := t.short.work
+	if long {
+		work += t.long.work
+		slots = longSlots
+	}
+	if work == 0 || slots <= 0 {
+		return 0
+	}
+	weights := 0
+	for _, o := range q.tenants {
+		if o == t || o.length() > 0 {
+			weights += o.weight
+		}
+	}
+	return time.Duration(float64(work) * float64(weights) / (float64(slots) * float64(t.weight)))
+}
+
+// evict removes the last request of the tenant with the longest weighted queue,
+// unless that is t itself.
+func (q *Queue) evict(t *tenant) *Item {
+	worst := t
+	for _, o := range q.tenants {
+		if (o.length()-1)*worst.weight > worst.length()*o.weight {
+			worst = o
+		}
+	}
+	if worst == t {
+		return nil
+	}
+	c := &worst.long
+	if len(c.items) == 0 {
+		c = &worst.short
+	}
+	i := c.last()
+	q.Remove(i)
+	return i
+}
+
+// Eligible reports whether a request may start now.
+type Eligible func(i *Item) bool
+
+// Next removes and returns the request that goes next: of the organisation with
+// the lowest rank that has an eligible one, the request with the earliest latest
+// start. It returns nil when none is eligible.
+func (q *Queue) Next(eligible Eligible, rank func(organisation string) float64) *Item {
+	var best *Item
+	lowest := 0.0
+	for _, t := range q.tenants {
+		i := t.next(eligible)
+		if i == nil {
+			continue
+		}
+		if r := rank(t.organisation); best == nil || r < lowest {
+			best = i
+			lowest = r
+		}
+	}
+	if best != nil {
+		q.Remove(best)
+	}
+	return best
+}
+
+func (t *tenant) next(eligible Eligible) *Item {
+	s := t.short.first(eligible)
+	l := t.long.first(eligible)
+	if s == nil || (l != nil && before(l, s)) {
+		return l
+	}
+	return s
+}
+
+// Remove takes a request out of the queue and reports whether it waited.
+func (q *Queue) Remove(i *Item) bool {
+	if i.queue == nil || i.index < 0 {
+		return false
+	}
+	heap.Remove(i.queue, i.index)
+	i.queue.work -= i.Estimate
+	q.length--
+	return true
+}
+
+func (q *Queue) push(t *tenant, i *Item) {
+	q.order++
+	i.order = q.order
+	i.queue = &t.short
+	if i.Long {
+		i.queue = &t.long
+	}
+	heap.Push(i.queue, i)
+	i.queue.work += i.Estimate
+	q.length++
+}
+
+func (q *Queue) tenant(organisation string, weight int) *tenant {
+	i, ok := q.find(organisation)
+	if !ok {
+		q.tenants = slices.Insert(q.tenants, i, &tenant{organisation: organisation})
+	}
+	q.tenants[i].weight = max(weight, 1)
+	return q.tenants[i]
+}
+
+func (q *Queue) find(organisation string) (int, bool) {
+	return slices.BinarySearchFunc(q.tenants, organisation, func(t *tenant, o string) int {
+		switch {
+		case t.organisation < o:
+			return -1
+		case t.organisation > o:
+			return 1
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/router/call.go
@@ -0,0 +1,249 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/retrier"
+)
+
+const (
+	maxAttempts = 4 // the retry budget bounds the sum, this bounds one request
+	linger      = 5 // a non-idempotent request is waited for this many times its deadline, as it may hold its slot for longer
+)
+
+// call is the life of one request.
+type call struct {
+	router     *Router
+	dispatcher *dispatcher
+	request    Request
+	route      *decoder.Route
+	ticket     *ticket
+
+	arrived  time.Time
+	started  time.Time // of the last attempt
+	ended    time.Time
+	attempts int
+	claimed  bool
+	handed   bool // an executor may have got some of it
+}
+
+// verdict is what is known after an attempt.
+type verdict struct {
+	answer  Answer
+	refusal *Refusal // nil when answer is the caller's
+	retry   bool     // a further attempt is safe and may help
+	free    bool     // the retry costs no budget
+}
+
+// run makes attempts until the request is answered or refused.
+func (c *call) run(ctx context.Context) (Answer, *Refusal) {
+	c.dispatcher.deposit()
+	for {
+		v := c.attempt(ctx)
+		if v.refusal == nil {
+			return v.answer, nil
+		}
+		if !v.retry || !c.again(ctx, v) {
+			return Answer{}, c.refuse(ctx, v.refusal)
+		}
+	}
+}
+
+// attempt waits for a slot and sends the request once.
+func (c *call) attempt(ctx context.Context) verdict {
+	if refusal := c.dispatcher.acquire(ctx, c.ticket); refusal != nil {
+		return verdict{refusal: refusal}
+	}
+	if refusal := c.claim(ctx); refusal != nil {
+		c.dispatcher.finish(c.ticket)
+		return verdict{refusal: refusal}
+	}
+	c.attempts++
+	c.started = c.router.now()
+	x := c.ticket.executor
+	q := c.request
+	if c.attempts > 1 {
+		q.ID += "-" + strconv.Itoa(c.attempts)
+	}
+	a, err := c.send(ctx, x, q)
+	c.ended = c.router.now()
+	v := c.judge(x, q.ID, &a, err)
+	if v.refusal != nil {
+		c.ticket.item.Avoid = append(c.ticket.item.Avoid, x.ID)
+		c.ticket.item.AvoidZone = x.Zone
+	}
+	return v
+}
+
+// claim claims the idempotency key before the first sending.
+func (c *call) claim(ctx context.Context) *Refusal {
+	r := c.router
+	if c.claimed || !c.route.NonIdempotent || c.request.Key == "" {
+		return nil
+	}
+	outcome, err := Unavailable, error(nil)
+	if r.Claim != nil {
+		within, cancel := context.WithDeadline(ctx, c.ticket.item.LatestStart())
+		outcome, err = r.Claim(within, r.now(), c.request)
+		cancel()
+	}
+	switch outcome {
+	case Granted:
+		c.claimed = true
+		return nil
+	case Taken:
+		return &Refusal{
+			Code: CodeClaimed, Outcome: Unknown, Step: "claim idempotency key", Err: err,
+			Detail: "a request with this key was accepted before",
+		}
+	default:
+		return &Refusal{
+			Code: CodeClaimUnavailable, Outcome: NotRun, RetryAfter: minRetryAfter, Step: "claim idempotency key", Err: err,
+			Detail: "the key could not be claimed",
+		}
+	}
+}
+
+// send makes one attempt and gives the slot back when it is over. The work of a
+// caller that goes away is cancelled where it is safe to run it again.
+func (c *call) send(ctx context.Context, x Executor, q Request) (Answer, error) {
+	if c.route.NonIdempotent {
+		return c.sendOnce(ctx, x, q)
+	}
+	within, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	defer c.dispatcher.finish(c.ticket)
+	return c.router.Send(within, x, q)
+}
+
+// sendOnce sends a non-idempotent request. Neither its caller's leaving nor its
+// deadline cancels the work; the slot is held, and Drain waits, until it ends.
+func (c *call) sendOnce(ctx context.Context, x Executor, q Request) (Answer, error) {
+	type result struct {
+		answer Answer
+		err    error
+	}
+	r := c.router
+	left := q.Deadline.Sub(r.now())
+	within, cancel := context.WithTimeout(context.WithoutCancel(ctx), linger*left)
+	done := make(chan result, 1)
+	r.hold()
+	go func() {
+		defer r.exit()
+		defer cancel()
+		a, err := r.Send(within, x, q)
+		c.dispatcher.finish(c.ticket)
+		done <- result{a, err}
+	}()
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case o := <-done:
+		return o.answer, o.err
+	case <-timer.C:
+		return Answer{}, &SendError{Code: CodeDeadlinePassed, Handed: true, Final: true, Step: "wait for answer", Peer: x.ID, Err: context.DeadlineExceeded}
+	case <-ctx.Done():
+		return Answer{}, &SendError{Code: CodeCallerGone, Handed: true, Final: true, Step: "wait for answer", Peer: x.ID, Err: context.Cause(ctx)}
+	}
+}
+
+// judge says what an attempt amounts to.
+func (c *call) judge(x Executor, id string, a *Answer, err error) verdict {
+	if err != nil {
+		return c.judgeError(x, err)
+	}
+	if err := checkAnswer(id, a); err != nil {
+		c.handed = true
+		refusal := &Refusal{Code: CodeBadAnswer, Step: "check answer", Peer: x.ID, Err: err}
+		return verdict{refusal: refusal, retry: !c.route.NonIdempotent}
+	}
+	leaving := saysLeaving(a)
+	if leaving {
+		c.dispatcher.leave(x.ID)
+		if c.router.Leaving != nil {
+			c.router.Leaving(x.ID)
+		}
+	}
+	if saysNotRun(a) {
+		// An executor that leaves gets no more work, so its refusals end by
+		// themselves and need no budget.
+		refusal := &Refusal{Code: CodeRefused, Step: "send", Peer: x.ID, RetryAfter: minRetryAfter, Detail: "the executor refused it"}
+		return verdict{refusal: refusal, retry: true, free: leaving}
+	}
+	return verdict{answer: *a}
+}
+
+func (c *call) judgeError(x Executor, err error) verdict {
+	var e *SendError
+	if !errors.As(err, &e) {
+		e = &SendError{Code: CodeConnectionLost, Handed: true, Step: "send", Peer: x.ID, Err: err}
+	}
+	c.handed = c.handed || e.Handed
+	refusal := &Refusal{Code: e.Code, Step: e.Step, Peer: x.ID, Err: e.Err}
+	if e.Code == CodeUnreachable {
+		refusal.RetryAfter = minRetryAfter
+	}
+	safe := !e.Handed || !c.route.NonIdempotent
+	return verdict{refusal: refusal, retry: safe && !e.Final}
+}
+
+// again reports whether a further attempt may be made, and waits before it.
+func (c *call) again(ctx context.Context, v verdict) bool {
+	if c.attempts >= maxAttempts {
+		return false
+	}
+	if !v.free && !c.dispatcher.spend() {
+		return false
+	}
+	wait := retrier.Delay(c.attempts, c.router.random())
+	if c.router.now().Add(wait).After(c.ticket.item.LatestStart()) {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refuse completes a refusal with its outcome, and gives back the claim of a
+// request that was not sent.
+func (c *call) refuse(ctx context.Context, refusal *Refusal) *Refusal {
+	if c.handed || refusal.Outcome == Unknown {
+		refusal.Outcome = Unknown
+		return refusal
+	}
+	refusal.Outcome = NotRun
+	if c.claimed && c.router.Release != nil {
+		c.router.Release(context.WithoutCancel(ctx), c.router.now(), c.request)
+	}
+	return refusal
+}
+
+func (c *call) observation(a *Answer, refusal *Refusal) *Observation {
+	o := &Observation{
+		Organisation: c.request.Organisation, Service: c.request.Service, Route: c.route.Path,
+		Class: classShort, Attempts: c.attempts, Status: a.Status,
+	}
+	if c.ticket.item.Long {
+		o.Class = classLong
+	}
+	if refusal != nil {
+		o.Code = refusal.Code
+		o.Outcome = refusal.Outcome
+	}
+	if c.attempts == 0 {
+		o.Wait = c.router.now().Sub(c.arrived)
+		return o
+	}
+	o.Wait = c.started.Sub(c.arrived)
+	o.Run = c.ended.Sub(c.started)
+	return o
+}
--- /dev/null
+++ b/router/key.go
@@ -0,0 +1,48 @@
+package router
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	maxKeyLength  = 200             // bytes; a key is kept in the log
+	minKeyRandom  = 8               // characters; fewer would collide within a day's requests
+	maxClockSkew  = time.Minute     // between a caller's clock and ours
+	defaultWindow = 24 * time.Hour  // age at which a key is refused, unless set
+	minRetryAfter = 1 * time.Second // least time that callers are told to wait; HTTP counts in seconds
+)
+
+// checkKey refuses an idempotency key that is not UNIXSECONDS-RANDOM, or was
+// minted so long ago that the log may have dropped its claim, or in the future,
+// so that it could outlive its claim.
+func checkKey(now time.Time, key string, window time.Duration) *Refusal {
+	seconds, random, found := strings.Cut(key, "-")
+	minted, err := strconv.ParseUint(seconds, 10, 40)
+	if !found || err != nil || len(random) < minKeyRandom || len(key) > maxKeyLength || !printable(random) {
+		return refuseKey(CodeMalformedKey, fmt.Sprintf("a key reads UNIXSECONDS-RANDOM, with at least %d random characters", minKeyRandom))
+	}
+	age := now.Sub(time.Unix(int64(minted), 0))
+	if age > window {
+		return refuseKey(CodeExpiredKey, fmt.Sprintf("the key is older than %s", window))
+	}
+	if age < -maxClockSkew {
+		return refuseKey(CodeFutureKey, "the key was minted in the future")
+	}
+	return nil
+}
+
+func refuseKey(c Code, detail string) *Refusal {
+	return &Refusal{Code: c, Outcome: NotRun, Step: "check idempotency key", Detail: detail}
+}
+
+func printable(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,274 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+)
+
+const (
+	defaultShortRun   = time.Second
+	defaultDeadline   = 30 * time.Second // of a route that names none
+	defaultMaxBody    = 1 << 20          // bytes, of a route that names none
+	defaultQueueLimit = 256              // requests, of a service that names none
+	classShort        = "short"
+	classLong         = "long"
+)
+
+// Router takes requests through their life. Its fields are set before the first
+// call of Do.
+type Router struct {
+	// Snapshot returns what control published last.
+	Snapshot func() *Snapshot
+	// Send makes one attempt at an executor. Errors other than SendError count
+	// as if the request had been handed over.
+	Send func(ctx context.Context, x Executor, q Request) (Answer, error)
+	// Claim claims the idempotency key of a request before it is sent; nil when
+	// nothing can be claimed.
+	Claim func(ctx context.Context, now time.Time, q Request) (Claim, error)
+	// Release gives back a claim whose request was not sent; nil for none.
+	Release func(ctx context.Context, now time.Time, q Request)
+	// Estimate returns how long a request of a route holds a slot, a high
+	// quantile of what was seen, or 0 when nothing is known; nil for the
+	// declared run times.
+	Estimate func(service, route string) time.Duration
+	// Leaving is told when an executor's answer says that it is leaving; nil
+	// for nobody.
+	Leaving func(executor string)
+	// Observe is told of each finished request; nil for nobody.
+	Observe func(o Observation)
+	// Now returns the present time; nil for the system's clock.
+	Now func() time.Time
+	// Random returns a number in [0, 1); nil for the system's.
+	Random func() float64
+	// KeyWindow is the age at which a key is refused; 0 for a day.
+	KeyWindow time.Duration
+	// ShortRun is the run time up to which work counts as short; 0 for 1 s.
+	ShortRun time.Duration
+
+	mu          sync.Mutex
+	dispatchers map[string]*dispatcher // by service
+	inFlight    int
+	draining    bool
+	idle        chan struct{} // closed when nothing is in flight any more, once draining
+}
+
+// Do takes a request through its life. The error is always a *Refusal.
+func (r *Router) Do(ctx context.Context, q Request) (Answer, error) {
+	if !r.enter() {
+		return Answer{}, &Refusal{
+			Code: CodeDraining, Outcome: NotRun, Step: "accept", RetryAfter: minRetryAfter,
+			Detail: "this entry VM is shutting down",
+		}
+	}
+	defer r.exit()
+	c, refusal := r.plan(q)
+	if refusal != nil {
+		r.observe(&Observation{Organisation: q.Organisation, Service: q.Service, Code: refusal.Code, Outcome: refusal.Outcome})
+		return Answer{}, refusal
+	}
+	a, refusal := c.run(ctx)
+	r.observe(c.observation(&a, refusal))
+	if refusal != nil {
+		return Answer{}, refusal
+	}
+	return a, nil
+}
+
+// MaxBody returns the longest body that a request may have, in bytes, or false
+// when there is no such route.
+func (r *Router) MaxBody(service, path string) (int64, bool) {
+	s, ok := r.Snapshot().Services[service]
+	if !ok {
+		return 0, false
+	}
+	o, ok := route(&s, path)
+	if !ok {
+		return 0, false
+	}
+	return maxBody(o), true
+}
+
+// Refresh lets waiting requests use slots that a new snapshot brought. It is
+// called when a snapshot was published.
+func (r *Router) Refresh() {
+	r.mu.Lock()
+	all := make([]*dispatcher, 0, len(r.dispatchers))
+	for _, d := range r.dispatchers {
+		all = append(all, d)
+	}
+	r.mu.Unlock()
+	for _, d := range all {
+		d.refresh()
+	}
+}
+
+// Drain accepts nothing new, and returns when all that was accepted is finished
+// or the context ends.
+func (r *Router) Drain(ctx context.Context) error {
+	r.mu.Lock()
+	if !r.draining {
+		r.draining = true
+		r.idle = make(chan struct{})
+		if r.inFlight == 0 {
+			close(r.idle)
+		}
+	}
+	r.mu.Unlock()
+	select {
+	case <-r.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *Router) enter() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining {
+		return false
+	}
+	r.inFlight++
+	return true
+}
+
+// hold keeps Drain waiting for work that outlives the call of Do.
+func (r *Router) hold() {
+	r.mu.Lock()
+	r.inFlight++
+	r.mu.Unlock()
+}
+
+func (r *Router) exit() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight--
+	if r.draining && r.inFlight == 0 {
+		close(r.idle)
+	}
+}
+
+// plan finds the route of a request and refuses what can never be sent.
+func (r *Router) plan(q Request) (*call, *Refusal) {
+	now := r.now()
+	s := r.Snapshot()
+	service, ok := s.Services[q.Service]
+	if !ok {
+		return nil, &Refusal{Code: CodeUnknownService, Outcome: NotRun, Step: "find route", Detail: "there is no such service"}
+	}
+	o, ok := route(&service, q.Path)
+	if !ok {
+		return nil, &Refusal{Code: CodeUnknownRoute, Outcome: NotRun, Step: "find route", Detail: "the service has no such route"}
+	}
+	if int64(len(q.Body)) > maxBody(o) {
+		return nil, &Refusal{Code: CodeBodyTooLarge, Outcome: NotRun, Step: "read body", Detail: "the body is longer than the route allows"}
+	}
+	if o.NonIdempotent && q.Key != "" {
+		if refusal := checkKey(now, q.Key, r.keyWindow()); refusal != nil {
+			return nil, refusal
+		}
+	}
+	q.Deadline = deadline(now, &q, o)
+	c := &call{router: r, dispatcher: r.dispatcher(s, &service), request: q, route: o, arrived: now}
+	c.ticket = r.ticket(s, &q, o)
+	return c, nil
+}
+
+// ticket makes the request's place in the queue.
+func (r *Router) ticket(s *Snapshot, q *Request, o *decoder.Route) *ticket {
+	weight := s.Weights[q.Organisation]
+	estimate := time.Duration(0)
+	if r.Estimate != nil {
+		estimate = r.Estimate(q.Service, o.Path)
+	}
+	t := &ticket{}
+	t.item.Long = o.Class == classLong
+	if estimate > 0 {
+		t.item.Long = estimate > r.shortRun()
+	} else {
+		estimate = o.DeclaredRun
+	}
+	t.item.Organisation = q.Organisation
+	t.item.Weight = max(weight, 1)
+	t.item.Deadline = q.Deadline
+	// A high quantile may pass the deadline where a few requests are stragglers.
+	t.item.Estimate = min(estimate, q.Deadline.Sub(r.now())/2)
+	t.item.Owner = t
+	return t
+}
+
+func (r *Router) dispatcher(s *Snapshot, service *decoder.Service) *dispatcher {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, ok := r.dispatchers[service.Name]
+	if !ok {
+		if r.dispatchers == nil {
+			r.dispatchers = make(map[string]*dispatcher)
+		}
+		d = &dispatcher{router: r, service: service.Name}
+		d.apply(r.now(), s)
+		r.dispatchers[service.Name] = d
+	}
+	return d
+}
+
+func (r *Router) observe(o *Observation) {
+	if r.Observe != nil {
+		r.Observe(*o)
+	}
+}
+
+func (r *Router) now() time.Time {
+	if r.Now != nil {
+		return r.Now()
+	}
+	return time.Now()
+}
+
+func (r *Router) random() float64 {
+	if r.Random != nil {
+		return r.Random()
+	}
+	return rand.Float64() //nolint:gosec // spreads retries, guards nothing
+}
+
+func (r *Router) keyWindow() time.Duration {
+	if r.KeyWindow > 0 {
+		return r.KeyWindow
+	}
+	return defaultWindow
+}
+
+func (r *Router) shortRun() time.Duration {
+	if r.ShortRun > 0 {
+		return r.ShortRun
+	}
+	return defaultShortRun
+}
+
+func maxBody(o *decoder.Route) int64 {
+	if o.MaxBody > 0 {
+		return o.MaxBody
+	}
+	return defaultMaxBody
+}
+
+// deadline returns the earlier of the caller's deadline and the route's.
+func deadline(now time.Time, q *Request, o *decoder.Route) time.Time {
+	d := o.Deadline
+	if d <= 0 {
+		d = defaultDeadline
+	}
+	if q.Arrived.IsZero() {
+		q.Arrived = now
+	}
+	t := q.Arrived.Add(d)
+	if !q.Deadline.IsZero() && q.Deadline.Before(t) {
+		return q.Deadline
+	}
+	return t
+}
