Serve: wire control, traffic, claims and configuration into the entry daemon

Cause: the parts stood alone; nothing took a request from a caller to an executor. The daemon runs one control goroutine that owns reducer, configuration and membership and publishes them as one immutable view; traffic reads the view. Renewals, heartbeats and followers run beside it. A gap in the control stream starts the control state anew, since what counts is appended again. Ruled out: a lock around the state, which would let traffic wait on control. Seen by hand, as separate processes over loopback: log, list, 2 executors, 2 workers, 3 entry VMs; a published configuration was in force on all three, and each answered a request.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -35,6 +35,7 @@
 	Jobs    JobsCmd    `cmd:"" help:"List jobs."`
 	Status  StatusCmd  `cmd:"" help:"Show what an entry VM says of itself."`
 	Submit  SubmitCmd  `cmd:"" help:"Submit a job."`
+	Serve   ServeCmd   `cmd:"" help:"Run the entry daemon."`
 	Standin StandinCmd `cmd:"" help:"Run a stand-in for a part of the platform." name:"stand-in"`
 	Version VersionCmd `cmd:"" help:"Print the version."`
 	Why     WhyCmd     `cmd:"" help:"Explain why a job waits."`
--- /dev/null
+++ b/internal/responder/configuration.go
@@ -0,0 +1,54 @@
+package responder
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/internal/refuser"
+	"github.com/lacewingdoor/lacewingdoor/publisher"
+)
+
+// asOperator runs h for an organisation that is an operator.
+func (r *Responder) asOperator(h organisationHandler) http.HandlerFunc {
+	return r.as(func(w http.ResponseWriter, q *http.Request, o decoder.Organisation) *refuser.ProblemError {
+		if !o.Operator {
+			return refuser.New(http.StatusForbidden, "not-operator", "the key's organisation may not change configuration")
+		}
+		return h(w, q, o)
+	})
+}
+
+func (r *Responder) configuration(w http.ResponseWriter, _ *http.Request, _ decoder.Organisation) *refuser.ProblemError {
+	answer(w, http.StatusOK, r.Configuration())
+	return nil
+}
+
+// change appends a change; whether it takes force is for all readers to judge.
+func (r *Responder) change(w http.ResponseWriter, q *http.Request, o decoder.Organisation) *refuser.ProblemError {
+	var c publisher.Change
+	d := json.NewDecoder(q.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		return refuser.New(http.StatusBadRequest, "bad-change", err.Error())
+	}
+	if c.ID == "" {
+		return refuser.New(http.StatusBadRequest, "bad-change", "id: is missing")
+	}
+	c.Publisher = o.Name
+	return r.appendConfig(w, q, c.ID, c)
+}
+
+func (r *Responder) withdraw(w http.ResponseWriter, q *http.Request, _ decoder.Organisation) *refuser.ProblemError {
+	id := q.PathValue("id")
+	return r.appendConfig(w, q, id, publisher.Withdrawal{ID: id})
+}
+
+func (r *Responder) appendConfig(w http.ResponseWriter, q *http.Request, id string, c publisher.Record) *refuser.ProblemError {
+	n, err := r.AppendConfig(q.Context(), id, c)
+	if err != nil {
+		return r.notAppended(err)
+	}
+	answer(w, http.StatusAccepted, publisher.ChangeResponse{Offset: n})
+	return nil
+}
--- a/internal/responder/jobs.go
+++ b/internal/responder/jobs.go
@@ -13,12 +13,13 @@
 	"github.com/lacewingdoor/lacewingdoor/decoder"
 	"github.com/lacewingdoor/lacewingdoor/internal/refuser"
 	"github.com/lacewingdoor/lacewingdoor/placer"
+	"github.com/lacewingdoor/lacewingdoor/publisher"
 	"github.com/lacewingdoor/lacewingdoor/reducer"
 )
 
 // The limits on operators' calls.
 const (
-	maxBody = 1 << 20 // bytes; a payload of a job is small
+	maxBody = 4 << 20 // bytes; a change may hold the whole configuration, as JSON
 )
 
 // idPattern is what a submission id looks like.
@@ -38,10 +39,11 @@
 	Control func() reducer.State
 	// Now returns the present time.
 	Now func() time.Time
-	// Publish takes a change of configuration; the body is a publisher's.
-	Publish http.HandlerFunc
-	// Configuration tells the configuration in force.
-	Configuration http.HandlerFunc
+	// AppendConfig appends a record to the configuration stream, waits until it is
+	// read back, and returns its offset.
+	AppendConfig func(ctx context.Context, id string, r publisher.Record) (int64, error)
+	// Configuration returns the configuration in force, here and elsewhere.
+	Configuration func() publisher.ConfigurationResponse
 	// Status returns what this VM says of itself.
 	Status func() StatusResponse
 }
@@ -54,8 +56,9 @@
 	m.HandleFunc("GET /-/jobs/{id}", r.as(r.show))
 	m.HandleFunc("DELETE /-/jobs/{id}", r.as(r.cancel))
 	m.HandleFunc("GET /-/status", r.as(r.status))
-	m.HandleFunc("POST /-/configuration/changes", r.asOperator(r.Publish))
-	m.HandleFunc("GET /-/configuration", r.asOperator(r.Configuration))
+	m.HandleFunc("GET "+publisher.PathConfiguration, r.asOperator(r.configuration))
+	m.HandleFunc("POST "+publisher.PathChanges, r.asOperator(r.change))
+	m.HandleFunc("DELETE "+publisher.PathChanges+"/{id}", r.asOperator(r.withdraw))
 	return m
 }
 
@@ -76,16 +79,6 @@
 	}
 }
 
-func (r *Responder) asOperator(h http.HandlerFunc) http.HandlerFunc {
-	return r.as(func(w http.ResponseWriter, q *http.Request, o decoder.Organisation) *refuser.ProblemError {
-		if !o.Operator {
-			return refuser.New(http.StatusForbidden, "not-operator", "the key's organisation may not change configuration")
-		}
-		h(w, q)
-		return nil
-	})
-}
-
 func (r *Responder) submit(w http.ResponseWriter, q *http.Request, o decoder.Organisation) *refuser.ProblemError {
 	var b JobRequest
 	d := json.NewDecoder(q.Body)
--- /dev/null
+++ b/internal/server/streams.go
@@ -0,0 +1,135 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	"github.com/lacewingdoor/lacewingdoor/follower"
+	"github.com/lacewingdoor/lacewingdoor/internal/connector"
+	"github.com/lacewingdoor/lacewingdoor/reducer"
+)
+
+// The streams of the log.
+const (
+	streamClaims  = "claims"
+	streamConfig  = "config"
+	streamControl = "control"
+)
+
+// appendTimeout bounds how long a record of the control stream is tried.
+const appendTimeout = 5 * time.Second
+
+// followControl reads the control stream until ctx ends.
+func (s *Server) followControl(ctx context.Context) {
+	f := s.newFollower(streamControl)
+	f.Handle = func(e follower.Entry) {
+		s.controlAppender.Observe(e)
+		r, err := reducer.Decode(e.Kind, e.Body)
+		if err != nil {
+			s.undecodable(streamControl)(e.Offset, e.Body, err)
+			return
+		}
+		s.post(eventMessage{reducer.RecordRead{Offset: e.Offset, Appended: e.Appended, Record: r}})
+	}
+	f.CaughtUp = func(next int64) { s.post(eventMessage{reducer.CaughtUp{Next: next}}) }
+	f.Gap = func(from, first int64) { s.post(controlGapMessage{from, first}) }
+	f.Up = func(up bool) {
+		s.log("follow").WithField("peer", s.Settings.LogAddress).WithField("up", up).Warn("the log service changed")
+		s.post(eventMessage{reducer.LogChanged{Up: up}})
+	}
+	_ = f.Run(ctx) // it ends only with ctx
+}
+
+// followConfig reads the configuration stream until ctx ends.
+func (s *Server) followConfig(ctx context.Context) {
+	f := s.newFollower(streamConfig)
+	f.Handle = func(e follower.Entry) {
+		s.configAppender.Observe(e)
+		s.post(configEntryMessage{e})
+	}
+	f.CaughtUp = func(next int64) { s.post(configCaughtUpMessage{next}) }
+	f.Gap = func(from, first int64) { s.post(configGapMessage{from, first}) }
+	_ = f.Run(ctx) // it ends only with ctx
+}
+
+func (s *Server) newFollower(stream string) *follower.Follower {
+	return &follower.Follower{
+		Stream:      stream,
+		From:        1,
+		Read:        s.logService.Pages(stream),
+		Undecodable: s.undecodable(stream),
+		Failed: func(err error, _ int, _ time.Duration) {
+			s.recorder.Count("log-read-failures", 1)
+			s.quiet.log("follow", s.Settings.LogAddress, err)
+		},
+	}
+}
+
+// undecodable sets aside a record that can't be read, and tells of it.
+func (s *Server) undecodable(stream string) func(int64, []byte, error) {
+	return func(offset int64, data []byte, err error) {
+		s.recorder.Count("records-set-aside", 1)
+		s.log("follow").WithField("stream", stream).WithField("offset", offset).
+			WithField("bytes", len(data)).WithError(err).Error("a record cannot be decoded and is set aside")
+	}
+}
+
+func (s *Server) newAppender(stream string) *follower.Appender {
+	n := s.Settings.AppendRate
+	return &follower.Appender{
+		Stream:    stream,
+		Write:     s.logService.Writes(stream),
+		Uncertain: connector.Uncertain,
+		Budget:    rate.NewLimiter(rate.Limit(n), n),
+	}
+}
+
+// appendControl appends a record to the control stream.
+func (s *Server) appendControl(ctx context.Context, r reducer.Record) error {
+	kind, body, err := reducer.Encode(r)
+	if err != nil {
+		return err
+	}
+	c, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	at := s.Now()
+	e := follower.Envelope{ID: uuid.NewString(), Kind: kind, VM: s.Settings.VM, Body: body}
+	err = s.controlAppender.Append(c, e)
+	s.observe("log-append", "", kind, s.Now().Sub(at))
+	if err != nil {
+		return fmt.Errorf("append %s record: %w", kind, err)
+	}
+	return nil
+}
+
+// maybeAppended reports whether an append that failed may have taken effect.
+func maybeAppended(err error) bool { return !errors.Is(err, follower.ErrNotAppended) }
+
+// acceptRecord appends a record and waits until this VM has read it back.
+func (s *Server) acceptRecord(ctx context.Context, r reducer.Record) error {
+	c, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if err := s.appendControl(c, r); err != nil {
+		return err
+	}
+	return s.await(c, func(v *view) bool { return seen(v.control, r) })
+}
+
+// seen reports whether a record that a caller waits for has been read back.
+func seen(c reducer.State, r reducer.Record) bool {
+	switch r := r.(type) {
+	case reducer.JobAccepted:
+		_, ok := c.Job(r.Job.ID)
+		return ok
+	case reducer.JobCancelled:
+		j, ok := c.Job(r.Job)
+		return !ok || j.Phase == reducer.PhaseEnded || j.Phase == reducer.PhaseStopping
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/server/view.go
@@ -0,0 +1,51 @@
+package server
+
+import (
+	"slices"
+
+	"github.com/lacewingdoor/lacewingdoor/heartbeater"
+	"github.com/lacewingdoor/lacewingdoor/internal/connector"
+	"github.com/lacewingdoor/lacewingdoor/publisher"
+	"github.com/lacewingdoor/lacewingdoor/reducer"
+	"github.com/lacewingdoor/lacewingdoor/router"
+)
+
+// view is everything that the control goroutine knows, as one immutable value.
+// Other goroutines read it through an atomic pointer.
+type view struct {
+	control       reducer.State
+	config        publisher.State
+	members       heartbeater.State
+	list          []connector.ListedVM // sorted by id
+	addresses     map[listKey]string   // of the list
+	leaving       []string             // executors that said so to this VM, sorted
+	traffic       *router.Snapshot
+	configReady   bool  // the configuration was read to its end, or taken from a peer
+	controlReady  bool  // the control stream was read to its end
+	controlOffset int64 // next offset of the control stream
+	logUp         bool
+	paused        bool // this process was paused and has not read the log since
+}
+
+// notReady returns why the VM can't serve yet, "" when it can.
+func (v *view) notReady() string {
+	switch {
+	case !v.configReady:
+		return "no configuration was read, neither from the log nor from another entry VM"
+	case v.paused:
+		return "the process was paused and has not caught up yet"
+	}
+	return ""
+}
+
+// address returns where a listed VM can be reached, "" when it is not listed.
+func (v *view) address(role connector.Role, id string) string {
+	return v.addresses[listKey{role, id}]
+}
+
+// workers returns the listed workers, sorted by id.
+func (v *view) workers() []connector.ListedVM {
+	return slices.DeleteFunc(slices.Clone(v.list), func(l connector.ListedVM) bool {
+		return l.Role != connector.RoleWorker
+	})
+}
