Search for the cheapest victims and follow room as gangs end

Victims and Reserve called Place after each gang, which costs the number of workers times the number of gangs. A room now counts the tasks that fit per worker, rack and in all, so that giving back a share costs the same whatever the number of workers. Victims looks at each worker or rack by itself, in full where at most 8 gangs hold what is short there. Place turns down a request without room before it allocates.

--- a/placer/place.go
+++ b/placer/place.go
@@ -11,13 +11,10 @@
 // It finds a placement whenever one exists, fills the smallest holes first and
 // breaks into a worker with all its accelerators free only when it has to.
 func Place(r Request, workers []Worker) (Placement, bool) {
-	if r.Tasks <= 0 {
+	if r.Tasks <= 0 || !mayFit(r, workers) {
 		return nil, false
 	}
 	x := newIndex(r, workers)
-	if x.total < r.Tasks {
-		return nil, false
-	}
 	switch r.Adjacency {
 	case AdjacencyWorker:
 		return x.placeOnWorker()
@@ -30,6 +27,22 @@
 	}
 }
 
+// mayFit reports whether there is room for r, leaving racks out of account. Most
+// requests that wait for room are turned down here, which allocates nothing.
+func mayFit(r Request, workers []Worker) bool {
+	total := 0
+	for i := range workers {
+		n := min(Count(r.PerTask, workers[i].Free), r.Tasks)
+		if r.Adjacency != AdjacencyWorker {
+			total += n
+		}
+		if max(n, total) >= r.Tasks {
+			return true
+		}
+	}
+	return false
+}
+
 // candidate is a worker that can hold at least one task of a request.
 type candidate struct {
 	worker   int // position in the list of workers
@@ -53,7 +66,6 @@
 	workers    []Worker
 	candidates []candidate
 	racks      []rackRoom
-	total      int // tasks that fit anywhere
 }
 
 func newIndex(r Request, workers []Worker) *index {
@@ -88,7 +100,6 @@
 	if !whole {
 		k0.brokenTasks += n
 	}
-	x.total += n
 	x.candidates = append(x.candidates, candidate{
 		worker: i,
 		rack:   k,
--- a/placer/reserve.go
+++ b/placer/reserve.go
@@ -25,24 +25,36 @@
 // expected. It reports false when r does not fit even after all of them.
 // A gang that is overdue counts as ending now.
 func Reserve(now time.Time, r Request, workers []Worker, running []Running) (Reservation, bool) {
+	if r.Tasks <= 0 {
+		return Reservation{}, false
+	}
 	order := slices.Clone(running)
 	slices.SortStableFunc(order, func(a, b Running) int {
 		return cmp.Or(a.Ends.Compare(b.Ends), cmp.Compare(a.Job, b.Job))
 	})
-	free := slices.Clone(workers)
+	m := newRoom(r, workers)
 	at := now
-	for i := 0; ; i++ {
-		if p, ok := Place(r, free); ok {
-			return Reservation{Placement: p, At: at, spare: withPlacement(free, p, r.PerTask)}, true
+	where := positionsOf(workers)
+	for _, g := range order {
+		if m.fits() && g.Ends.After(at) {
+			break
 		}
-		if i == len(order) {
-			return Reservation{}, false
+		if g.Ends.After(at) {
+			at = g.Ends
 		}
-		release(free, order[i].Held)
-		if order[i].Ends.After(at) {
-			at = order[i].Ends
+		for _, a := range g.Held {
+			if i, ok := where[a.Worker]; ok {
+				m.give(i, a.Held)
+			}
 		}
 	}
+	free := m.apply(workers)
+	p, ok := Place(r, free)
+	if !ok {
+		return Reservation{}, false
+	}
+	take(free, p, r.PerTask)
+	return Reservation{Placement: p, At: at, spare: free}, true
 }
 
 // Allows reports whether a gang that is placed at p, with tasks of the size
@@ -52,8 +64,12 @@
 	if !now.Add(run).After(v.At) {
 		return true
 	}
-	for _, w := range withPlacement(v.spare, p, perTask) {
-		if w.Free.MilliCores < 0 || w.Free.MemoryMB < 0 || w.Free.Accelerators < 0 {
+	for i, id := range p {
+		if slices.Contains(p[:i], id) {
+			continue
+		}
+		at, ok := slices.BinarySearchFunc(v.spare, id, compareID)
+		if ok && !perTask.Times(count(p[i:], id)).Fits(v.spare[at].Free) {
 			return false
 		}
 	}
@@ -63,15 +79,26 @@
 // With returns the reservation after a gang that may outlast its start was
 // placed at p with tasks of the size perTask.
 func (v Reservation) With(p Placement, perTask Resources) Reservation {
-	v.spare = withPlacement(v.spare, p, perTask)
+	v.spare = slices.Clone(v.spare)
+	take(v.spare, p, perTask)
 	return v
 }
 
-// withPlacement returns the workers without what a gang at p takes.
-func withPlacement(workers []Worker, p Placement, perTask Resources) []Worker {
-	free := slices.Clone(workers)
+// take takes what a gang at p needs from the workers.
+func take(workers []Worker, p Placement, perTask Resources) {
 	for _, id := range p {
-		release(free, []Allocation{{Worker: id, Held: Resources{}.Minus(perTask)}})
+		if i, ok := slices.BinarySearchFunc(workers, id, compareID); ok {
+			workers[i].Free = workers[i].Free.Minus(perTask)
+		}
+	}
+}
+
+func count(p Placement, id string) int {
+	n := 0
+	for _, w := range p {
+		if w == id {
+			n++
+		}
 	}
-	return free
+	return n
 }
--- a/placer/victims.go
+++ b/placer/victims.go
@@ -1,10 +1,5 @@
 package placer
 
-import (
-	"cmp"
-	"slices"
-)
-
 // Allocation is what a gang holds on one worker.
 type Allocation struct {
 	Worker string
@@ -19,35 +14,34 @@
 }
 
 // Victims returns the borrowers to stop so that r can be placed, and the
-// placement that their resources and the free ones allow. It prefers the least
-// work lost. None of the borrowers returned can be left out. It reports false
-// when stopping all of them is not enough. When r fits already, there are none.
+// placement that their resources and the free ones allow. None of the borrowers
+// returned can be left out. It reports false when stopping all of them is not
+// enough. When r fits already, there are none.
+//
+// It looks for the least work lost in each place that the adjacency allows: the
+// least there is where at most maxExactClaims borrowers hold what is short, and
+// the better of what two greedy orders find elsewhere.
 func Victims(r Request, workers []Worker, running []Borrower) ([]Borrower, Placement, bool) {
-	order := slices.Clone(running)
-	slices.SortStableFunc(order, func(a, b Borrower) int {
-		return cmp.Or(cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.Job, b.Job))
-	})
-	free := slices.Clone(workers)
-	for i := 0; ; i++ {
-		if p, ok := Place(r, free); ok {
-			return order[:i], p, true
-		}
-		if i == len(order) {
-			return nil, nil, false
-		}
-		release(free, order[i].Held)
+	if r.Tasks <= 0 {
+		return nil, nil, false
 	}
-}
-
-// release adds what was held to the free resources of the workers, which are
-// sorted by id.
-func release(workers []Worker, held []Allocation) {
-	for _, a := range held {
-		i, ok := slices.BinarySearchFunc(workers, a.Worker, func(w Worker, id string) int {
-			return cmp.Compare(w.ID, id)
-		})
-		if ok {
-			workers[i].Free = workers[i].Free.Plus(a.Held)
-		}
+	m := newRoom(r, workers)
+	if m.fits() {
+		p, ok := Place(r, workers)
+		return nil, p, ok
+	}
+	s := newSearch(m, workers, running)
+	for _, in := range s.groups {
+		s.try(in)
+	}
+	if !s.found {
+		return nil, nil, false
+	}
+	s.prune()
+	victims := make([]Borrower, len(s.best))
+	for i, b := range s.best {
+		victims[i] = running[b]
 	}
+	p, ok := Place(r, m.apply(workers))
+	return victims, p, ok
 }
