--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -51,12 +51,12 @@
 // Estimator holds the run times seen for each key. It is immutable.
 type Estimator struct {
 	keys    int
-	learned *immutable.SortedMap[Key, entry]
+	learned *immutable.SortedMap[Key, *entry]
 	byAge   *immutable.SortedMap[uint64, Key] // by last observation, oldest first
 	next    uint64
 }
 
-// entry is what is known of one key.
+// entry is what is known of one key. It is never changed.
 type entry struct {
 	seen  uint64 // number of the last observation
 	times histogram
@@ -67,7 +67,7 @@
 func New(keys int) Estimator {
 	return Estimator{
 		keys:    max(1, keys),
-		learned: immutable.NewSortedMap[Key, entry](keyComparer{}),
+		learned: immutable.NewSortedMap[Key, *entry](keyComparer{}),
 		byAge:   immutable.NewSortedMap[uint64, Key](nil),
 	}
 }
@@ -78,15 +78,15 @@
 // With returns the estimator after a run of k took observed. When there are too
 // many keys, the one that was observed longest ago is forgotten.
 func (e Estimator) With(k Key, observed time.Duration) Estimator {
-	n, ok := e.learned.Get(k)
-	if ok {
-		e.byAge = e.byAge.Delete(n.seen)
+	n := entry{seen: e.next}
+	if old, ok := e.learned.Get(k); ok {
+		n.times = old.times
+		e.byAge = e.byAge.Delete(old.seen)
 	}
-	n.seen = e.next
 	n.times = n.times.with(observed)
-	e.next++
-	e.learned = e.learned.Set(k, n)
+	e.learned = e.learned.Set(k, &n)
 	e.byAge = e.byAge.Set(n.seen, k)
+	e.next++
 	if e.learned.Len() > e.keys {
 		return e.withoutOldest()
 	}
@@ -108,14 +108,19 @@
 // of k end. The declared run time counts as a few vague observations, which
 // fade as real ones come in; zero means that nothing was declared.
 func (e Estimator) Quantile(k Key, q float64, declared time.Duration) time.Duration {
-	n, _ := e.learned.Get(k)
-	return n.times.withPrior(declared).quantile(q)
+	return e.times(k).withPrior(declared).quantile(q)
 }
 
 // Remaining returns the time within which the share q of those runs of k end
 // that have lasted for elapsed already. A run that has outlasted all that is
 // known is expected to go on for as long as it has lasted.
 func (e Estimator) Remaining(k Key, q float64, declared, elapsed time.Duration) time.Duration {
-	n, _ := e.learned.Get(k)
-	return n.times.withPrior(declared).remaining(q, elapsed)
+	return e.times(k).withPrior(declared).remaining(q, elapsed)
+}
+
+func (e Estimator) times(k Key) histogram {
+	if n, ok := e.learned.Get(k); ok {
+		return n.times
+	}
+	return histogram{}
 }
