--- a/estimator/property_test.go
+++ b/estimator/property_test.go
@@ -16,6 +16,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	flag.Set("rapid.seed", "20260704")
+	flag.Set("rapid.nofailfile", "true")
 	flag.Set("rapid.checks", "500")
 	os.Exit(m.Run())
 }
--- a/placer/property_test.go
+++ b/placer/property_test.go
@@ -15,6 +15,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	flag.Set("rapid.seed", "20260704")
+	flag.Set("rapid.nofailfile", "true")
 	flag.Set("rapid.checks", "2000")
 	os.Exit(m.Run())
 }
