Decide leadership, gangs, recovery and placement in the reducer

Cause: the reducer was a stub, and everything else waits for its decisions.

Change: claims with compare-and-set on the term, fencing and reading of every worker before the first decision, gangs in two phases, release and retry of leases, queues in weighted fair order with ageing, reservations, reclaim of guarantees, quarantine of workers and broken jobs, an outbox for records that the log has not confirmed, and the accessors. State is made of persistent sorted maps; what needs looking at has a timer, so a tick looks only at what is due.

Fence and InventoryRead carry Asked, so that a lease missing from an inventory counts as over only if the worker answered a command on it well before it was asked; a late or doubled answer proves nothing. The record LeaderVouched names the term in force, for a reader that starts where the log has dropped the claim.

Ruled out: scanning all gangs at each tick, and one timer per task.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -94,7 +94,7 @@
 	defer cancel()
 	i, end := r.Fence(c, e.Worker, e.Epoch)
 	if end.Result == reducer.CommandDone {
-		r.Post(reducer.InventoryRead{Epoch: e.Epoch, Inventory: i})
+		r.Post(reducer.InventoryRead{Epoch: e.Epoch, Asked: e.Asked, Inventory: i})
 		return
 	}
 	end.Command = reducer.Command{Kind: reducer.CommandFence, Worker: e.Worker, Epoch: e.Epoch}
--- a/reducer/codec.go
+++ b/reducer/codec.go
@@ -10,6 +10,7 @@
 	kindJobAccepted   = "job-accepted"
 	kindJobCancelled  = "job-cancelled"
 	kindLeaderClaimed = "leader-claimed"
+	kindLeaderVouched = "leader-vouched"
 	kindStartRecorded = "start-recorded"
 	kindJobEnded      = "job-ended"
 )
@@ -35,6 +36,8 @@
 		return kindJobCancelled, nil
 	case LeaderClaimed:
 		return kindLeaderClaimed, nil
+	case LeaderVouched:
+		return kindLeaderVouched, nil
 	case StartRecorded:
 		return kindStartRecorded, nil
 	case JobEnded:
@@ -53,6 +56,8 @@
 		return decode[JobCancelled](kind, body)
 	case kindLeaderClaimed:
 		return decode[LeaderClaimed](kind, body)
+	case kindLeaderVouched:
+		return decode[LeaderVouched](kind, body)
 	case kindStartRecorded:
 		return decode[StartRecorded](kind, body)
 	case kindJobEnded:
--- a/reducer/codec_test.go
+++ b/reducer/codec_test.go
@@ -17,6 +17,7 @@
 		reducer.JobAccepted{Job: reducer.Job{ID: "a:1", DeclaredRun: time.Minute}, Accepted: at},
 		reducer.JobCancelled{Job: "a:1", Organisation: "a"},
 		reducer.LeaderClaimed{VM: "entry-1", Previous: 7},
+		reducer.LeaderVouched{VM: "entry-1", Term: 7},
 		reducer.StartRecorded{Job: "a:1", Attempt: 2, Epoch: leaser.Epoch{Term: 7, SubTerm: 1}},
 		reducer.JobEnded{Job: "a:1", Attempt: 2, Outcome: reducer.OutcomeFailed, Reason: "x", RunMS: 3},
 	} {
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -1,6 +1,10 @@
 package reducer
 
-import "github.com/lacewingdoor/lacewingdoor/leaser"
+import (
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/leaser"
+)
 
 // Effect is something that the reducer wants done. The runner does it and
 // brings the result back as an event.
@@ -14,6 +18,7 @@
 type Fence struct {
 	Worker string
 	Epoch  leaser.Epoch
+	Asked  time.Time // brought back by InventoryRead
 }
 
 // CommandKind is what a worker is told to do with a lease.
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -57,6 +57,7 @@
 // InventoryRead is the result of a Fence effect that reached its worker.
 type InventoryRead struct {
 	Epoch     leaser.Epoch // epoch that was sent
+	Asked     time.Time    // of the Fence; the inventory shows all that ended before
 	Inventory leaser.Inventory
 }
 
--- /dev/null
+++ b/reducer/placement.go
@@ -0,0 +1,249 @@
+package reducer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// pass is one placement pass. It looks at the heads of all queues, in fair order,
+// and starts what fits. Its cost grows with the number of workers, and with the
+// jobs that it looks at, but not with the tasks that run.
+type pass struct {
+	*turn
+
+	workers []placer.Worker // usable ones, sorted by id
+	size    placer.Resources
+	failed  map[placer.Request]bool // requests that had no room; looked up, never ranged over
+	blocked *job                    // the first that waits for room
+}
+
+// cursor is the head of the queue of one organisation.
+type cursor struct {
+	tenant *tenant
+	name   string
+	queue  *immutable.SortedMapIterator[string, string]
+	job    *job
+	seen   int
+}
+
+// place starts the jobs that fit, calls guarantees back for those that are
+// covered, and lets a large gang hold a reservation.
+func (t *turn) place() {
+	t.placeable = false
+	t.urgent = false
+	if t.queues.Len() == 0 {
+		return
+	}
+	p := &pass{turn: t, failed: map[placer.Request]bool{}}
+	p.workers = t.views(func(w *worker) bool { return w.usable(t.now) })
+	for _, w := range p.workers {
+		p.size = p.size.Plus(w.Capacity)
+	}
+	p.setAside()
+	cursors := p.cursors()
+	for {
+		i := p.next(cursors)
+		if i < 0 || !t.holding() {
+			break
+		}
+		p.try(cursors[i].job)
+		p.advance(&cursors[i])
+	}
+	p.reserve()
+}
+
+func (p *pass) cursors() []cursor {
+	var all []cursor
+	for i := p.queues.Iterator(); !i.Done(); {
+		name, q, _ := i.Next()
+		n, _ := p.tenants.Get(name)
+		c := cursor{tenant: n, name: name, queue: q.Iterator()}
+		p.advance(&c)
+		all = append(all, c)
+	}
+	return all
+}
+
+// advance goes to the next job of a queue that may be placed now.
+func (p *pass) advance(c *cursor) {
+	c.job = nil
+	for !c.queue.Done() && c.seen < passDepth {
+		_, id, _ := c.queue.Next()
+		j, ok := p.liveJob(id)
+		if ok && !j.notBefore.After(p.now) {
+			c.seen++
+			c.job = j
+			return
+		}
+	}
+}
+
+// next returns the cursor whose job comes first: an urgent one, else the one of
+// the organisation that uses least for its weight, where waiting counts too.
+func (p *pass) next(all []cursor) int {
+	best := -1
+	var least float64
+	for i, c := range all {
+		if c.job == nil {
+			continue
+		}
+		score := p.score(c)
+		if best < 0 || score < least {
+			best, least = i, score
+		}
+	}
+	return best
+}
+
+// urgentLead puts urgent jobs before all others.
+const urgentLead = 1e6
+
+func (p *pass) score(c cursor) float64 {
+	used, _ := p.used.Get(c.name)
+	share := max(
+		ratio(used.Accelerators, p.size.Accelerators),
+		ratio(used.MilliCores, p.size.MilliCores),
+		ratio(used.MemoryMB, p.size.MemoryMB),
+	)
+	waited := p.now.Sub(c.job.accepted)
+	score := share/c.tenant.weight() - float64(waited)/float64(ageingTime)
+	if c.job.Class == ClassUrgent {
+		score -= urgentLead
+	}
+	return score
+}
+
+func ratio(a, b int) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
+
+// try starts a job if it fits. Else a covered one calls its guarantee back.
+func (p *pass) try(j *job) {
+	if r, ok := p.reclaims.Get(j.ID); ok {
+		p.collect(j, r)
+		return
+	}
+	used, _ := p.used.Get(j.Organisation)
+	n, _ := p.tenants.Get(j.Organisation)
+	_, covered := n.covers(p.now, j.Gang, used)
+	if !p.failed[j.Gang] {
+		if at, ok := p.find(j, covered); ok {
+			p.start(j, at)
+			return
+		}
+		p.failed[j.Gang] = true
+	}
+	if covered {
+		p.callSince(j, p.now)
+		return
+	}
+	if p.blocked == nil {
+		p.blocked = j
+	}
+}
+
+// find chooses workers for a job that does not delay the reservation, nor lend
+// guaranteed capacity to work that could not be stopped without harm.
+func (p *pass) find(j *job, covered bool) (placer.Placement, bool) {
+	at, ok := p.avoiding(j)
+	if !ok || covered {
+		return at, ok
+	}
+	if j.NonIdempotent && !p.spare(j) {
+		return nil, false
+	}
+	v := p.reserved
+	if v.job == "" || v.job == j.ID {
+		return at, ok
+	}
+	run := p.estimate(j)
+	if !v.Allows(p.now, at, j.Gang.PerTask, run) {
+		return nil, false
+	}
+	if p.now.Add(run).After(v.At) {
+		p.reserved.Reservation = v.With(at, j.Gang.PerTask)
+	}
+	return at, true
+}
+
+// avoiding places a job away from the workers on which it failed, if it can.
+func (p *pass) avoiding(j *job) (placer.Placement, bool) {
+	if len(j.failedOn) > 0 {
+		sound := slices.DeleteFunc(slices.Clone(p.workers), func(w placer.Worker) bool {
+			return slices.Contains(j.failedOn, w.ID)
+		})
+		if at, ok := placer.Place(j.Gang, sound); ok {
+			return at, true
+		}
+	}
+	return placer.Place(j.Gang, p.workers)
+}
+
+// estimate returns how long a job runs at most, by what was learned.
+func (p *pass) estimate(j *job) time.Duration {
+	d := p.estimates.Quantile(j.estimateKey(), runQuantile, j.DeclaredRun)
+	if d == 0 {
+		return unknownRun
+	}
+	return d
+}
+
+// unknownRun is taken for jobs of which nothing is known, so that they delay no
+// reservation.
+const unknownRun = 24 * time.Hour
+
+// start has a job's gang prepared on its workers.
+func (p *pass) start(j *job, at placer.Placement) {
+	p.take(at, j.Gang.PerTask)
+	p.startGang(j, at)
+	if p.reserved.job == j.ID {
+		p.reserved = reservation{}
+	}
+}
+
+// take counts resources on workers as used.
+func (p *pass) take(at placer.Placement, per placer.Resources) {
+	for _, id := range at {
+		i, ok := slices.BinarySearchFunc(p.workers, id, func(w placer.Worker, id string) int { return cmp.Compare(w.ID, id) })
+		if ok {
+			p.workers[i].Free = p.workers[i].Free.Minus(per)
+		}
+	}
+}
+
+// spare reports whether a job leaves room for all guarantees that are not used.
+func (p *pass) spare(j *job) bool {
+	var free, owed placer.Resources
+	for _, w := range p.workers {
+		free = free.Plus(w.Free)
+	}
+	for i := p.tenants.Iterator(); !i.Done(); {
+		name, n, _ := i.Next()
+		used, _ := p.used.Get(name)
+		owed = owed.Plus(unused(n.Guarantees, used))
+	}
+	return j.Gang.Total().Plus(owed).Fits(free)
+}
+
+// unused returns what is left of guarantees, at any hour of the day.
+func unused(all []decoder.Guarantee, used placer.Resources) placer.Resources {
+	var sum placer.Resources
+	for _, g := range all {
+		sum = sum.Plus(total(g))
+	}
+	left := sum.Minus(used)
+	return placer.Resources{
+		MilliCores:   max(0, left.MilliCores),
+		MemoryMB:     max(0, left.MemoryMB),
+		Accelerators: max(0, left.Accelerators),
+	}
+}
--- /dev/null
+++ b/reducer/queue.go
@@ -0,0 +1,97 @@
+package reducer
+
+import (
+	"github.com/lacewingdoor/lacewingdoor/estimator"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// admit puts a job into the queue of its organisation, unless it has to end.
+func (t *turn) admit(j *job) {
+	if j.over() {
+		return
+	}
+	if j.cancelled != 0 {
+		t.cancel(j)
+		return
+	}
+	if err := t.feasible(j.Gang); err != nil {
+		t.end(j, OutcomeRefused, err.Error(), 0)
+		return
+	}
+	q, ok := t.queues.Get(j.Organisation)
+	if !ok {
+		q = newTable[string]()
+	}
+	t.queues = t.queues.Set(j.Organisation, q.Set(j.queueKey(), j.ID))
+	t.placeable = true
+	if j.notBefore.After(t.now) {
+		t.arm(timerPlace, "", j.notBefore)
+		return
+	}
+	if j.Class == ClassUrgent {
+		t.urgent = true
+	}
+}
+
+// unqueue takes a job out of its queue.
+func (t *turn) unqueue(j *job) {
+	q, ok := t.queues.Get(j.Organisation)
+	if !ok {
+		return
+	}
+	q = q.Delete(j.queueKey())
+	if q.Len() == 0 {
+		t.queues = t.queues.Delete(j.Organisation)
+		return
+	}
+	t.queues = t.queues.Set(j.Organisation, q)
+}
+
+// feasible reports why a gang can never be placed. It says nothing as long as the
+// size of a listed worker is not known. Workers that are gone for a short time
+// count, so that an outage of a rack refuses no job.
+func (s State) feasible(r placer.Request) error {
+	if !s.sized() {
+		return nil
+	}
+	return placer.Feasible(r, s.views(func(*worker) bool { return true }))
+}
+
+// sized reports whether the size of every listed worker is known.
+func (s State) sized() bool {
+	for _, l := range s.listed {
+		if w, ok := s.workers.Get(l.ID); !ok || !w.known {
+			return false
+		}
+	}
+	return len(s.listed) > 0
+}
+
+// views returns the workers that are chosen, as the placer sees them.
+func (s State) views(chosen func(*worker) bool) []placer.Worker {
+	v := make([]placer.Worker, 0, s.workers.Len())
+	for i := s.workers.Iterator(); !i.Done(); {
+		_, w, _ := i.Next()
+		if w.known && chosen(w) {
+			v = append(v, w.view())
+		}
+	}
+	return v
+}
+
+// charge counts a gang as in use by its organisation.
+func (t *turn) charge(j Job) {
+	u, _ := t.used.Get(j.Organisation)
+	t.used = t.used.Set(j.Organisation, u.Plus(j.Gang.Total()))
+}
+
+// refund takes a gang off the use of its organisation.
+func (t *turn) refund(j Job) {
+	u, _ := t.used.Get(j.Organisation)
+	t.used = t.used.Set(j.Organisation, u.Minus(j.Gang.Total()))
+}
+
+// estimateKey names the jobs that are expected to run for similar times.
+func (j *job) estimateKey() estimator.Key {
+	return estimator.JobKey(j.Organisation, j.Service, string(j.Class), j.Gang.Tasks)
+}
--- a/reducer/record.go
+++ b/reducer/record.go
@@ -74,6 +74,14 @@
 	Previous int64  `json:"previous"` // term that the claim replaces
 }
 
+// LeaderVouched says which term is in force, for readers that start where the log
+// no longer keeps the claim. The leader appends it when it takes leadership and
+// again before the log would drop it.
+type LeaderVouched struct {
+	VM   string `json:"vm"`
+	Term int64  `json:"term"`
+}
+
 // StartRecorded allows one attempt of a non-idempotent job to start. It is void
 // when Epoch is not the epoch in force at its place in the log.
 type StartRecorded struct {
@@ -94,5 +102,6 @@
 func (JobAccepted) isRecord()   {}
 func (JobCancelled) isRecord()  {}
 func (LeaderClaimed) isRecord() {}
+func (LeaderVouched) isRecord() {}
 func (StartRecorded) isRecord() {}
 func (JobEnded) isRecord()      {}
--- /dev/null
+++ b/reducer/recovery.go
@@ -0,0 +1,174 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/leaser"
+)
+
+// recovery is what a new leader does before it decides anything: it fences every
+// worker and reads which leases it holds.
+type recovery struct {
+	active bool
+	since  time.Time
+}
+
+// lead takes leadership under an epoch, and starts to read the workers.
+func (t *turn) lead(e leaser.Epoch) {
+	t.resign()
+	t.epoch = e
+	t.recovery = recovery{active: true, since: t.now}
+	for i := t.workers.Iterator(); !i.Done(); {
+		id, _, _ := i.Next()
+		t.fence(id)
+	}
+}
+
+// fence raises the epoch on a worker and asks for its inventory.
+func (t *turn) fence(id string) {
+	t.changeWorker(id, func(w *worker) {
+		if w.triedAt.IsZero() {
+			w.triedAt = t.now
+		}
+		w.asked = t.now
+		w.asking = true
+		t.emit(Fence{Worker: id, Epoch: t.epoch, Asked: t.now})
+	})
+	t.arm(timerWorker, id, t.now.Add(fenceRetry))
+}
+
+// recover ends the recovery once every worker has been read, or has been silent
+// for so long that its leases are over. A provisional leader needs a majority of
+// the workers besides.
+func (t *turn) recover() {
+	if !t.recovery.active || len(t.listed) == 0 {
+		return
+	}
+	accepted := 0
+	for _, l := range t.listed {
+		w, ok := t.workers.Get(l.ID)
+		switch {
+		case !ok:
+			return
+		case w.fenced:
+			accepted++
+		case w.triedAt.IsZero() || t.now.Before(w.triedAt.Add(leaser.TTL)):
+			return
+		}
+	}
+	if t.epoch.SubTerm > 0 && accepted*2 <= len(t.listed) {
+		return
+	}
+	t.recovery = recovery{}
+	t.rebuild()
+}
+
+// found is the newest attempt of a job that the workers' leases show.
+type found struct {
+	attempt int
+	leases  []leaser.Lease
+	workers []string // of the leases
+}
+
+// rebuild makes the gangs from the leases that the workers hold. This is the one
+// place whose cost grows with the number of tasks.
+func (t *turn) rebuild() {
+	all := newTable[*found]()
+	for i := t.workers.Iterator(); !i.Done(); {
+		_, w, _ := i.Next()
+		if w.fenced {
+			all = t.rebuildWorker(all, w)
+		}
+	}
+	for i := t.jobs.Iterator(); !i.Done(); {
+		_, j, _ := i.Next()
+		if j.end != nil {
+			continue
+		}
+		f, ok := all.Get(j.ID)
+		if !ok {
+			f = &found{}
+		}
+		t.rebuildJob(j, f)
+	}
+	t.placeable = true
+}
+
+// rebuildWorker takes the leases of a worker into its holds. Those of jobs that
+// are over or unknown are released; the others are collected by job.
+func (t *turn) rebuildWorker(all table[*found], w *worker) table[*found] {
+	for _, l := range w.inventory.Leases {
+		if !l.State.Ended() {
+			t.addHold(w.id, holdOf(l, t.now))
+		}
+		if _, ok := t.liveJob(l.ID.Job); !ok {
+			t.release(w.id, l.ID, t.now)
+			continue
+		}
+		f, ok := all.Get(l.ID.Job)
+		if !ok {
+			f = &found{}
+			all = all.Set(l.ID.Job, f)
+		}
+		t.collect(f, w.id, l)
+	}
+	return all
+}
+
+// collect adds a lease to what was found of its job. Leases of older attempts are
+// released.
+func (t *turn) collect(f *found, worker string, l leaser.Lease) {
+	switch {
+	case l.ID.Attempt < f.attempt:
+		t.release(worker, l.ID, t.now)
+		return
+	case l.ID.Attempt > f.attempt:
+		for i, old := range f.leases {
+			t.release(f.workers[i], old.ID, t.now)
+		}
+		f.attempt = l.ID.Attempt
+		f.leases = nil
+		f.workers = nil
+	}
+	f.leases = append(f.leases, l)
+	f.workers = append(f.workers, worker)
+}
+
+func holdOf(l leaser.Lease, now time.Time) hold {
+	return hold{id: l.ID, owner: l.Organisation, resources: l.Resources, since: now, settled: now}
+}
+
+// rebuildJob adopts the gang of a job if it runs whole. Else what is left of it
+// is stopped, and the job waits for its next attempt.
+func (t *turn) rebuildJob(j *job, f *found) {
+	n := *j
+	n.attempt = f.attempt
+	n.closing = false
+	t.setJob(&n)
+	t.armKeep(&n)
+	g := gangOf(t.now, &n, f)
+	switch {
+	case g != nil && g.whole():
+		t.gangs = t.gangs.Set(j.ID, g)
+		t.charge(n.Job)
+		t.adopted(g)
+	case g != nil && len(f.leases) > 0:
+		t.gangs = t.gangs.Set(j.ID, g)
+		t.charge(n.Job)
+		t.stopGang(g, t.lossOf(&n), "part of the gang was missing when the leader changed")
+	case n.NonIdempotent && n.start.offset != 0:
+		t.end(&n, OutcomeUnknown, "started before the leader changed, and no lease of it was found", 0)
+	default:
+		t.admit(&n)
+	}
+	if n.cancelled != 0 {
+		t.cancel(&n)
+	}
+}
+
+// adopted goes on with a gang that runs whole.
+func (t *turn) adopted(g *gang) {
+	if g.succeeded() {
+		t.finish(g)
+	}
+}
--- a/reducer/reduce.go
+++ b/reducer/reduce.go
@@ -1,14 +1,84 @@
 package reducer
 
-import "time"
+import (
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/leaser"
+)
 
 // Reduce returns the state that follows s after e, and what is to be done. It is
 // the only place where control decisions are made; it does no I/O and reads no
 // clock, and the same arguments give the same results.
 func Reduce(now time.Time, s State, e Event) (State, []Effect) {
-	return s, nil
+	t := &turn{State: s, now: now}
+	t.take(e)
+	if _, ok := e.(Ticked); ok {
+		t.fire()
+	}
+	if t.Leading() && (t.urgent || t.placeable && isTick(e)) {
+		t.place()
+	}
+	t.elect()
+	return t.State, t.effects
+}
+
+func isTick(e Event) bool {
+	_, ok := e.(Ticked)
+	return ok
 }
 
-// Validate reports why a job would not be accepted, such as an unknown service
-// or a gang that can never fit.
-func Validate(now time.Time, s State, j Job) error { return nil }
+// turn is one call of Reduce: its own copy of the state, and the effects so far.
+// Slices and pointers in the state are shared with older states and are copied
+// before they are changed.
+type turn struct {
+	State
+	now     time.Time
+	effects []Effect
+	appends int // made in this turn
+}
+
+func (t *turn) emit(e Effect) { t.effects = append(t.effects, e) }
+
+func (t *turn) take(e Event) {
+	switch e := e.(type) {
+	case Ticked:
+		t.forgetEnded()
+		t.recover()
+	case RecordRead:
+		t.record(e)
+	case CaughtUp:
+		t.caughtUp(e)
+	case LogChanged:
+		t.logChanged(e)
+	case AppendEnded:
+		t.appendEnded(e)
+	case ConfigChanged:
+		t.configChanged(e)
+	case PeersChanged:
+		t.peersChanged(e)
+	case WorkersListed:
+		t.workersListed(e)
+	case InventoryRead:
+		t.inventoryRead(e)
+	case WorkerReported:
+		t.workerReported(e)
+	case CommandEnded:
+		t.commandEnded(e)
+	}
+}
+
+// outranked gives up leadership when a worker has seen an epoch that is newer
+// than the own one.
+func (t *turn) outranked(seen leaser.Epoch) bool {
+	if !t.holding() || !t.epoch.Less(seen) {
+		return false
+	}
+	t.resign()
+	return true
+}
+
+// resign stops deciding at once.
+func (t *turn) resign() {
+	t.clearLead()
+	t.forgetHolds()
+}
--- /dev/null
+++ b/reducer/reservation.go
@@ -0,0 +1,78 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// reservation is held for the first gang that waits for room. Other jobs start
+// before it only where they do not delay it.
+type reservation struct {
+	placer.Reservation
+
+	job  string
+	made time.Time
+}
+
+// reserve renews the reservation for the gang that was blocked first.
+func (p *pass) reserve() {
+	p.reserved = reservation{}
+	j := p.blocked
+	if j == nil || p.now.Sub(j.accepted) < reserveAfter {
+		return
+	}
+	v, ok := placer.Reserve(p.now, j.Gang, p.workers, p.runningGangs())
+	if !ok {
+		return
+	}
+	p.reserved = reservation{Reservation: v, job: j.ID, made: p.now}
+}
+
+// runningGangs returns what each gang holds and when it should end. It looks at
+// every gang, so it is used only while a gang is blocked.
+func (p *pass) runningGangs() []placer.Running {
+	all := make([]placer.Running, 0, p.gangs.Len())
+	for i := p.gangs.Iterator(); !i.Done(); {
+		id, g, _ := i.Next()
+		j, ok := p.jobs.Get(id)
+		if !ok {
+			continue
+		}
+		all = append(all, placer.Running{Job: id, Ends: p.now.Add(p.remaining(p.now, j, g)), Held: allocations(j, g)})
+	}
+	return all
+}
+
+// remaining returns how long a gang still runs at most, by what was learned.
+func (s State) remaining(now time.Time, j *job, g *gang) time.Duration {
+	if g.stage == stageStopping {
+		return 0
+	}
+	var elapsed time.Duration
+	if !g.started.IsZero() {
+		elapsed = now.Sub(g.started)
+	}
+	d := s.estimates.Remaining(j.estimateKey(), runQuantile, j.DeclaredRun, elapsed)
+	if d == 0 {
+		return unknownRun
+	}
+	return d
+}
+
+// allocations returns what a gang holds on each worker.
+func allocations(j *job, g *gang) []placer.Allocation {
+	var all []placer.Allocation
+	for _, v := range g.tasks {
+		if v.state.over() {
+			continue
+		}
+		n := len(all) - 1
+		if n >= 0 && all[n].Worker == v.worker {
+			all[n].Held = all[n].Held.Plus(j.Gang.PerTask)
+			continue
+		}
+		all = append(all, placer.Allocation{Worker: v.worker, Held: j.Gang.PerTask})
+	}
+	return all
+}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -7,60 +7,110 @@
 import (
 	"time"
 
+	"github.com/benbjohnson/immutable"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/estimator"
 	"github.com/lacewingdoor/lacewingdoor/leaser"
+	"github.com/lacewingdoor/lacewingdoor/placer"
 )
 
+// table is a persistent map with its keys in order.
+type table[V any] = *immutable.SortedMap[string, V]
+
+func newTable[V any]() table[V] { return immutable.NewSortedMap[string, V](nil) }
+
 // State is the control state of one entry VM. It is immutable.
 type State struct {
-	self string
-}
+	self     string
+	settings Settings
 
-// New returns the state of an entry VM that knows nothing yet.
-func New(self string) State { return State{self: self} }
+	// What the control stream says; the same on every VM that read as far.
+	term     int64 // term in force, 0 when none is known
+	leader   string
+	verified bool  // the stream was read from its start, or a leader vouched for the term
+	next     int64 // offset after the last record that was read
+	jobs     table[*job]
+	endings  table[string] // ended jobs by endingKey, until they are forgotten
 
-// Leading reports whether this VM may decide placements now.
-func (s State) Leading() bool { return false }
+	// What else is known.
+	logUp     bool
+	caughtAt  time.Time // when the stream was last read to its end
+	live      []string
+	goneAt    time.Time // since when the leader is missing, zero when it is not
+	claim     claim
+	config    decoder.Config
+	tenants   table[*tenant]
+	listed    []WorkerListed
+	workers   table[*worker]
+	estimates estimator.Estimator
 
-// Leader returns the VM that last took leadership, "" when none is known.
-func (s State) Leader() string { return "" }
+	// What the leader alone keeps.
+	epoch     leaser.Epoch // own epoch, zero when not leading
+	recovery  recovery
+	gangs     table[*gang]
+	queues    table[table[string]] // waiting jobs by organisation, then by queueKey
+	used      table[placer.Resources]
+	timers    table[timer]
+	armed     table[string] // key in timers by timer
+	outbox    table[*pending]
+	reclaims  table[*reclaim]
+	reserved  reservation
+	placeable bool // something changed that may let a waiting job start
+	urgent    bool // an urgent job waits for the next pass
+}
 
-// Epoch returns the highest epoch that is known to be in force.
-func (s State) Epoch() leaser.Epoch { return leaser.Epoch{} }
-
-// Phase is where a job stands.
-type Phase string
-
-// The phases of a job.
-const (
-	PhaseWaiting  Phase = "waiting"
-	PhaseStarting Phase = "starting" // prepared in part
-	PhaseRunning  Phase = "running"
-	PhaseStopping Phase = "stopping" // being reclaimed, cancelled or torn down
-	PhaseEnded    Phase = "ended"
-)
+// New returns the state of an entry VM that knows nothing yet.
+func New(self string) State {
+	s := State{
+		self:      self,
+		logUp:     true,
+		jobs:      newTable[*job](),
+		endings:   newTable[string](),
+		tenants:   newTable[*tenant](),
+		workers:   newTable[*worker](),
+		estimates: estimator.New(estimator.DefaultKeys),
+	}
+	s.clearLead()
+	return s
+}
 
-// JobStatus is what is known of a job.
-type JobStatus struct {
-	Job      Job
-	Phase    Phase
-	Attempt  int
-	Accepted time.Time
-	Started  time.Time // of the running attempt, zero when it does not run
-	Ended    time.Time // zero until it ends
-	Outcome  Outcome   // once ended
-	Reason   string    // why it waits or how it ended
-	Workers  []string  // by task number, empty while it waits
+// WithSettings returns the state with other settings.
+func (s State) WithSettings(v Settings) State {
+	s.settings = v
+	return s
 }
 
-// Jobs returns the status of every known job, sorted by id.
-func (s State) Jobs() []JobStatus { return nil }
+// clearLead forgets what only a leader keeps.
+func (s *State) clearLead() {
+	s.epoch = leaser.Epoch{}
+	s.recovery = recovery{}
+	s.gangs = newTable[*gang]()
+	s.queues = newTable[table[string]]()
+	s.used = newTable[placer.Resources]()
+	s.timers = newTable[timer]()
+	s.armed = newTable[string]()
+	s.outbox = newTable[*pending]()
+	s.reclaims = newTable[*reclaim]()
+	s.reserved = reservation{}
+	s.placeable = false
+	s.urgent = false
+}
 
-// Job returns the status of one job.
-func (s State) Job(id string) (JobStatus, bool) { return JobStatus{}, false }
+// holding reports whether this VM commands workers, though it may still be
+// reading their inventories.
+func (s State) holding() bool { return s.epoch != leaser.Epoch{} }
 
-// Why explains why a job waits: which resource, which rack, whose guarantee,
-// which reservation, until when.
-func (s State) Why(now time.Time, id string) string { return "" }
+// Leading reports whether this VM may decide placements now.
+func (s State) Leading() bool { return s.holding() && !s.recovery.active }
 
-// Workers returns the last known inventory of every worker, sorted by id.
-func (s State) Workers() []leaser.Inventory { return nil }
+// Leader returns the VM that last took leadership, "" when none is known.
+func (s State) Leader() string { return s.leader }
+
+// Epoch returns the highest epoch that is known to be in force.
+func (s State) Epoch() leaser.Epoch {
+	if s.holding() {
+		return s.epoch
+	}
+	return leaser.Epoch{Term: s.term}
+}
--- /dev/null
+++ b/reducer/status.go
@@ -0,0 +1,219 @@
+package reducer
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/leaser"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// Phase is where a job stands.
+type Phase string
+
+// The phases of a job.
+const (
+	PhaseWaiting  Phase = "waiting"
+	PhaseStarting Phase = "starting" // prepared in part
+	PhaseRunning  Phase = "running"
+	PhaseStopping Phase = "stopping" // being reclaimed, cancelled or torn down
+	PhaseEnded    Phase = "ended"
+)
+
+// JobStatus is what is known of a job. Only the leader knows of running ones.
+type JobStatus struct {
+	Job      Job
+	Phase    Phase
+	Attempt  int
+	Accepted time.Time
+	Started  time.Time // of the running attempt, zero when it does not run
+	Ended    time.Time // zero until it ends
+	Outcome  Outcome   // once ended
+	Reason   string    // why it is being stopped or how it ended
+	Workers  []string  // by task number, empty while it waits
+}
+
+// Jobs returns the status of every known job, sorted by id. Ended jobs are known
+// for the retention of the log.
+func (s State) Jobs() []JobStatus {
+	all := make([]JobStatus, 0, s.jobs.Len())
+	for i := s.jobs.Iterator(); !i.Done(); {
+		_, j, _ := i.Next()
+		all = append(all, s.status(j))
+	}
+	return all
+}
+
+// Job returns the status of one job.
+func (s State) Job(id string) (JobStatus, bool) {
+	j, ok := s.jobs.Get(id)
+	if !ok {
+		return JobStatus{}, false
+	}
+	return s.status(j), true
+}
+
+func (s State) status(j *job) JobStatus {
+	v := JobStatus{Job: j.Job, Phase: PhaseWaiting, Attempt: j.attempt, Accepted: j.accepted}
+	switch {
+	case j.end != nil:
+		v.Phase = PhaseEnded
+		v.Attempt = j.end.record.Attempt
+		v.Ended = j.end.at
+		v.Outcome = j.end.record.Outcome
+		v.Reason = j.end.record.Reason
+	case j.closing:
+		v.Phase = PhaseStopping
+		v.Reason = "its end is being recorded"
+	default:
+		if g, ok := s.gangs.Get(j.ID); ok {
+			v.Phase = phaseOf(g)
+			v.Started = g.started
+			v.Workers = g.workers()
+			v.Reason = g.reason
+		}
+	}
+	return v
+}
+
+func phaseOf(g *gang) Phase {
+	switch g.stage {
+	case stageRunning:
+		return PhaseRunning
+	case stageStopping:
+		return PhaseStopping
+	default:
+		return PhaseStarting
+	}
+}
+
+// Over reports whether the leases of an attempt need not be listed any more once
+// they are over: the job has ended by the log, or the log knows no such job. It
+// is for leaser.Acknowledgements.
+func (s State) Over(id string, _ int) bool {
+	if s.caughtAt.IsZero() {
+		return false
+	}
+	j, ok := s.jobs.Get(id)
+	return !ok || j.end != nil
+}
+
+// Workers returns the last known inventory of every worker, sorted by id.
+func (s State) Workers() []leaser.Inventory {
+	all := make([]leaser.Inventory, 0, s.workers.Len())
+	for i := s.workers.Iterator(); !i.Done(); {
+		_, w, _ := i.Next()
+		if w.known {
+			all = append(all, w.inventory)
+		}
+	}
+	return all
+}
+
+// Snapshot returns the records that still count as events, in the order in which
+// a new VM takes them, and the offset from which it reads on.
+func (s State) Snapshot() ([]RecordRead, int64) {
+	var all []RecordRead
+	if s.term != 0 {
+		all = append(all, RecordRead{Offset: s.term, Record: LeaderClaimed{VM: s.leader}})
+	}
+	for i := s.jobs.Iterator(); !i.Done(); {
+		_, j, _ := i.Next()
+		all = append(all, j.records()...)
+	}
+	slices.SortStableFunc(all, func(a, b RecordRead) int { return cmp.Compare(a.Offset, b.Offset) })
+	return all, s.next
+}
+
+// records returns what the log says of a job.
+func (j *job) records() []RecordRead {
+	all := []RecordRead{{Offset: j.offset, Appended: j.recorded, Record: JobAccepted{Job: j.Job, Accepted: j.accepted}}}
+	if j.cancelled != 0 {
+		all = append(all, RecordRead{
+			Offset: j.cancelled, Appended: j.recorded,
+			Record: JobCancelled{Job: j.ID, Organisation: j.Organisation},
+		})
+	}
+	if j.start.offset != 0 {
+		all = append(all, RecordRead{Offset: j.start.offset, Appended: j.start.at, Record: j.start.record})
+	}
+	if j.end != nil {
+		all = append(all, RecordRead{Offset: j.end.offset, Appended: j.end.at, Record: j.end.record})
+	}
+	return all
+}
+
+// Why explains why a job waits: which resource, which rack, whose guarantee,
+// which reservation, until when.
+func (s State) Why(now time.Time, id string) string {
+	j, ok := s.jobs.Get(id)
+	if !ok {
+		return fmt.Sprintf("job %q is not known", id)
+	}
+	v := s.status(j)
+	switch {
+	case v.Phase == PhaseEnded:
+		return fmt.Sprintf("it has ended: %s %s", v.Outcome, v.Reason)
+	case v.Phase != PhaseWaiting:
+		return fmt.Sprintf("it is %s %s", v.Phase, v.Reason)
+	case s.leader == "" && !s.holding():
+		return "no VM leads"
+	case !s.holding():
+		return fmt.Sprintf("it waits; the leader %s knows why", s.leader)
+	case s.recovery.active:
+		return s.whyRecovering(now)
+	case j.notBefore.After(now):
+		return fmt.Sprintf("its next attempt is at %s, after %d failures", j.notBefore.UTC().Format(time.TimeOnly), j.failures)
+	default:
+		return s.whyWaiting(now, j)
+	}
+}
+
+func (s State) whyRecovering(now time.Time) string {
+	for _, l := range s.listed {
+		if w, ok := s.workers.Get(l.ID); ok && !w.fenced {
+			return fmt.Sprintf("this VM took leadership and waits for worker %s until %s at the latest",
+				l.ID, w.triedAt.Add(leaser.TTL).UTC().Format(time.TimeOnly))
+		}
+	}
+	return fmt.Sprintf("this VM took leadership %s ago and waits for the list of workers", now.Sub(s.recovery.since))
+}
+
+func (s State) whyWaiting(now time.Time, j *job) string {
+	if r, ok := s.reclaims.Get(j.ID); ok {
+		return fmt.Sprintf("guarantee %q is being reclaimed for it on %v, at the latest until %s",
+			r.named, slices.Compact(slices.Clone(r.at)), r.until.UTC().Format(time.TimeOnly))
+	}
+	if s.reserved.job == j.ID {
+		return fmt.Sprintf("it holds a reservation on %v for %s",
+			slices.Compact(slices.Clone(s.reserved.Placement)), s.reserved.At.UTC().Format(time.TimeOnly))
+	}
+	views := s.views(func(w *worker) bool { return w.usable(now) })
+	if len(views) == 0 {
+		return "no worker may take new tasks"
+	}
+	if _, ok := placer.Place(j.Gang, views); !ok {
+		return s.short(j, views)
+	}
+	if s.reserved.job != "" {
+		return fmt.Sprintf("it would delay job %s, which has a reservation for %s",
+			s.reserved.job, s.reserved.At.UTC().Format(time.TimeOnly))
+	}
+	return "jobs before it are placed first, or free capacity is guaranteed to others"
+}
+
+// short names what a job lacks: the resource, and the worker or rack that comes
+// nearest.
+func (s State) short(j *job, views []placer.Worker) string {
+	free := make([]placer.Worker, len(views))
+	for i, w := range views {
+		w.Capacity = w.Free
+		free[i] = w
+	}
+	if err := placer.Feasible(j.Gang, free); err != nil {
+		return "not enough is free: " + err.Error()
+	}
+	return "not enough is free"
+}
