Keep a starting VM from claiming leadership before it knows its peers

Cause: a VM that has just started has heard nobody, so the leader that the log names is missing from its list of live VMs and it claims at once. Three VMs started together took leadership from each other seven times in a third of a second: 20 records in the control stream, read from the log by hand. The change: heartbeater.Settled, and the reducer is told of peers only after SuspectAfter. Ruled out: the lagging list (all three were on it) and lost appends (each claim was confirmed). Conclusion: silence counts only for a VM that has listened for as long.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -60,7 +60,8 @@
 // State is the membership as one entry VM sees it. It is immutable.
 type State struct {
 	self     string
-	members  []Member // sorted by VM, without self
+	members  []Member  // sorted by VM, without self
+	born     time.Time // of the first tick
 	lastTick time.Time
 	woke     time.Time // when a pause of this process was last noticed
 }
@@ -71,6 +72,9 @@
 // WithTick notes that this process runs at now. It reports whether the process
 // was paused since the last tick; all that was known before is then stale.
 func (s State) WithTick(now time.Time) (State, bool) {
+	if s.born.IsZero() {
+		s.born = now
+	}
 	paused := !s.lastTick.IsZero() && now.Sub(s.lastTick) > PauseAfter
 	s.lastTick = now
 	if paused {
@@ -130,6 +134,12 @@
 	return s
 }
 
+// Settled reports whether this VM has run for long enough to have heard from
+// every live VM. Before that, a VM that is missing from Live may well be live.
+func (s State) Settled(now time.Time) bool {
+	return !s.born.IsZero() && now.Sub(s.born) >= SuspectAfter
+}
+
 // Live returns the sorted VMs that are thought to be live and to stay, self
 // included unless leaving is set. Suspicion is never final: a VM that is heard
 // again is live again.
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -142,19 +142,19 @@
 	}
 	v.control = s.newControl()
 	v.controlReady = false
-	for _, e := range s.known(now, v) {
+	for _, e := range s.known(v) {
 		v = s.event(ctx, now, v, e)
 	}
 	return v
 }
 
 // known returns the events that tell a new control state what the view knows.
-func (s *Server) known(now time.Time, v view) []reducer.Event {
+func (s *Server) known(v view) []reducer.Event {
 	return []reducer.Event{
 		reducer.LogChanged{Up: v.logUp},
 		reducer.ConfigChanged{Config: v.config.Config()},
 		workersListed(v),
-		reducer.PeersChanged{Live: v.members.Live(now, s.leaving.Load())},
+		reducer.PeersChanged{Live: s.lastLive},
 	}
 }
 
@@ -169,10 +169,12 @@
 	return s.event(ctx, now, v, reducer.Ticked{})
 }
 
-// membership tells the reducer and traffic of live VMs, when they changed.
+// membership tells the reducer and traffic of live VMs, when they changed. A VM
+// that has just started tells the reducer nothing yet: it would take a leader
+// that it has not heard so far for dead, and claim its place.
 func (s *Server) membership(ctx context.Context, now time.Time, v view) view {
 	live := v.members.Live(now, s.leaving.Load())
-	if !slices.Equal(live, s.lastLive) {
+	if v.members.Settled(now) && !slices.Equal(live, s.lastLive) {
 		s.lastLive = live
 		s.log("beat").WithField("live", live).Info("live entry VMs changed")
 		v = s.event(ctx, now, v, reducer.PeersChanged{Live: live})
--- a/internal/server/renewer.go
+++ b/internal/server/renewer.go
@@ -236,6 +236,5 @@
 	if !v.controlReady {
 		return false
 	}
-	j, ok := v.control.Job(job)
-	return ok && (j.Phase == reducer.PhaseEnded || j.Attempt > attempt)
+	return v.control.Over(job, attempt)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -199,7 +199,12 @@
 
 func (s *Server) controlState() reducer.State { return s.view.Load().control }
 
-func (s *Server) newControl() reducer.State { return reducer.New(s.Settings.VM) }
+// newControl returns a control state that knows nothing yet.
+func (s *Server) newControl() reducer.State {
+	return reducer.New(s.Settings.VM).WithSettings(reducer.Settings{
+		Retention: s.Settings.Retention,
+	})
+}
 
 func (s *Server) log(step string) *logrus.Entry {
 	return s.Logger.WithField("step", step)
