--- a/reducer/record.go
+++ b/reducer/record.go
@@ -18,7 +18,7 @@
 
 // Job is what an organisation asked to be run. It never changes once accepted.
 type Job struct {
-	ID             string         `json:"id"` // submission id; the same id twice is one job
+	ID             string         `json:"id"` // ORGANISATION:SUBMISSION; the same id twice is one job
 	Organisation   string         `json:"organisation"`
 	Team           string         `json:"team"`
 	Service        string         `json:"service"`
@@ -31,6 +31,15 @@
 	Payload        string         `json:"payload"`
 }
 
+// Same reports whether j and o ask for the same thing.
+func (j Job) Same(o Job) bool {
+	if !j.Deadline.Equal(o.Deadline) {
+		return false
+	}
+	j.Deadline = o.Deadline
+	return j == o
+}
+
 // Outcome is how a job ended.
 type Outcome string
 
@@ -65,6 +74,14 @@
 	Previous int64  `json:"previous"` // term that the claim replaces
 }
 
+// LeaderVouched says which term is in force, for readers that start where the log
+// no longer keeps the claim. The leader appends it when it takes leadership and
+// again before the log would drop it.
+type LeaderVouched struct {
+	VM   string `json:"vm"`
+	Term int64  `json:"term"`
+}
+
 // StartRecorded allows one attempt of a non-idempotent job to start. It is void
 // when Epoch is not the epoch in force at its place in the log.
 type StartRecorded struct {
@@ -85,5 +102,6 @@
 func (JobAccepted) isRecord()   {}
 func (JobCancelled) isRecord()  {}
 func (LeaderClaimed) isRecord() {}
+func (LeaderVouched) isRecord() {}
 func (StartRecorded) isRecord() {}
 func (JobEnded) isRecord()      {}
