--- /dev/null
+++ b/internal/cmd/checkcmd.go
@@ -0,0 +1,72 @@
+package cmd
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+)
+
+// CheckCmd checks configuration files without a server.
+type CheckCmd struct {
+	Output string   `default:"text" enum:"text,json" help:"Form of the output: text or json."`
+	Paths  []string `arg:"" help:"Files, or directories of which every *.toml file is checked." name:"path"`
+}
+
+// checkReport is the JSON that a check prints.
+type checkReport struct {
+	Valid         bool             `json:"valid"`
+	Files         int              `json:"files"`
+	Organisations int              `json:"organisations"`
+	Services      int              `json:"services"`
+	Problems      decoder.Problems `json:"problems"`
+}
+
+// Run prints every problem of the files, taken as a whole. The exit code is
+// ExitUsage when there is one.
+func (k *CheckCmd) Run(c *Config) error {
+	files, err := readPaths(k.Paths)
+	if err != nil {
+		return &ExitError{ExitUsage, err}
+	}
+	r := checkReport{Files: len(files), Problems: decoder.Problems{}}
+	config, err := decoder.Decode(files)
+	if err != nil && !errors.As(err, &r.Problems) {
+		return err
+	}
+	r.Valid = err == nil
+	r.Organisations, r.Services = len(config.Organisations), len(config.Services)
+	if err := k.write(c.stdout, r); err != nil {
+		return err
+	}
+	if !r.Valid {
+		return &ExitError{ExitUsage, fmt.Errorf("%d problems in %d files", len(r.Problems), r.Files)}
+	}
+	return nil
+}
+
+func (k *CheckCmd) write(w io.Writer, r checkReport) error {
+	if k.Output == outputJSON {
+		return writeJSON(w, r)
+	}
+	for _, p := range r.Problems {
+		fmt.Fprintln(w, p)
+	}
+	if r.Valid {
+		fmt.Fprintf(w, "valid: %d files, %d organisations, %d services\n", r.Files, r.Organisations, r.Services)
+	}
+	return nil
+}
+
+const outputJSON = "json"
+
+func writeJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(v); err != nil {
+		return fmt.Errorf("write output: %w", err)
+	}
+	return nil
+}
--- a/internal/cmd/client.go
+++ b/internal/cmd/client.go
@@ -31,6 +31,11 @@
 func (c *Client) call(method, path string, body, answer any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
+	return c.callContext(ctx, method, path, body, answer)
+}
+
+// callContext is call within the deadline of ctx.
+func (c *Client) callContext(ctx context.Context, method, path string, body, answer any) error {
 	key, err := os.ReadFile(c.KeyFile)
 	if err != nil {
 		return &ExitError{ExitUsage, fmt.Errorf("read key: %w", err)}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -32,7 +32,10 @@
 // Config is the command line; every command is a field of it.
 type Config struct {
 	Cancel  CancelCmd  `cmd:"" help:"Cancel a job."`
+	Check   CheckCmd   `cmd:"" help:"Check configuration files without a server."`
 	Jobs    JobsCmd    `cmd:"" help:"List jobs."`
+	Key     KeyCmd     `cmd:"" help:"Print a new bearer key and its hash."`
+	Publish PublishCmd `cmd:"" help:"Bring configuration files into force."`
 	Status  StatusCmd  `cmd:"" help:"Show what an entry VM says of itself."`
 	Submit  SubmitCmd  `cmd:"" help:"Submit a job."`
 	Serve   ServeCmd   `cmd:"" help:"Run the entry daemon."`
--- /dev/null
+++ b/internal/cmd/keycmd.go
@@ -0,0 +1,32 @@
+package cmd
+
+import (
+	"fmt"
+
+	"github.com/lacewingdoor/lacewingdoor/authenticator"
+)
+
+// KeyCmd prints a new bearer key and its hash.
+type KeyCmd struct {
+	Output string `default:"text" enum:"text,json" help:"Form of the output: text or json."`
+}
+
+// keyReport is the JSON that the command prints.
+type keyReport struct {
+	Key  string `json:"key"`
+	Hash string `json:"hash"`
+}
+
+// Run prints the key, which its organisation keeps, and the hash, which goes
+// into key-hashes of the organisation's file. Nothing else holds the key.
+func (k *KeyCmd) Run(c *Config) error {
+	key, hash, err := authenticator.NewKey()
+	if err != nil {
+		return fmt.Errorf("make key: %w", err)
+	}
+	if k.Output == outputJSON {
+		return writeJSON(c.stdout, keyReport{Key: key, Hash: hash})
+	}
+	_, err = fmt.Fprintf(c.stdout, "key   %s\nhash  %s\n", key, hash)
+	return err
+}
--- a/publisher/property_test.go
+++ b/publisher/property_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -44,7 +45,7 @@
 func (h *history) reader(t *rapid.T) string { return rapid.SampledFrom(h.names).Draw(t, "reader") }
 
 func (h *history) randomChange(t *rapid.T) {
-	c := publisher.Change{ID: fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "id")), Publisher: "morfa"}
+	c := publisher.Change{ID: strconv.Itoa(rapid.IntRange(0, 30).Draw(t, "id")), Publisher: "morfa"}
 	known := h.readers[h.reader(t)].State()
 	for i := range rapid.IntRange(1, 2).Draw(t, "files") {
 		f := publisher.FileChange{Name: fmt.Sprintf("%d.toml", (i+rapid.IntRange(0, 2).Draw(t, "file"))%3)}
@@ -95,7 +96,7 @@
 			h.records = append(h.records, h.records[rapid.IntRange(0, len(h.records)-1).Draw(t, "again")])
 		}
 	case 9:
-		h.add(t, publisher.Withdrawal{ID: fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "withdrawn"))})
+		h.add(t, publisher.Withdrawal{ID: strconv.Itoa(rapid.IntRange(0, 30).Draw(t, "withdrawn"))})
 	case 10:
 		h.first = max(h.first, int64(rapid.IntRange(0, len(h.records)+1).Draw(t, "trim")))
 	case 11:
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -12,6 +12,9 @@
 // ErrNotAppended says that a change is surely not in the log, nor will be.
 var ErrNotAppended = errors.New("change was not appended")
 
+// ErrRefused says that a VM refuses to be read, and asking again is of no use.
+var ErrRefused = errors.New("reading is refused")
+
 // ErrUnknown says that a change may or may not be in force: its fate could not
 // be read back in time.
 var ErrUnknown = errors.New("change may or may not be in force")
@@ -135,6 +138,9 @@
 		if err == nil && s.Complete() {
 			return s, nil
 		}
+		if errors.Is(err, ErrRefused) {
+			return State{}, err
+		}
 		if err == nil {
 			err = errors.New("the VM lacks part of the configuration stream")
 		}
@@ -155,7 +161,7 @@
 		}
 		if !appended && p.Now().Sub(asked) >= p.settleTime() {
 			asked = p.Now()
-			p.report("change %s is not in the log, withdrawing it", id)
+			p.report("change %s was not seen in the log, withdrawing it if it is not there", id)
 			err = errors.Join(err, p.Withdraw(ctx, id))
 		}
 		if w := p.Wait(ctx); w != nil {
