--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -17,8 +17,12 @@
 	// not known here.
 	ErrHeld = errors.New("idempotency key is already claimed")
 	// ErrUnavailable says that no claim could be made in time. The request must
-	// not be sent; it was not run.
+	// not be sent; it was not run. No earlier claim of the key had been read here.
 	ErrUnavailable = errors.New("no claim can be made now")
+	// ErrUnjudged says that an earlier claim of the key may stand among records
+	// that this VM has not seen. The request must not be sent. It was not run, but
+	// an earlier one with the key may have been, so the outcome is unknown.
+	ErrUnjudged = errors.New("earlier claims of the idempotency key are not known")
 	// ErrBadKey says that the key has a wrong form or is out of its time.
 	ErrBadKey = errors.New("idempotency key is not accepted")
 )
@@ -76,6 +80,7 @@
 	Granted     int64 `json:"granted"`
 	Held        int64 `json:"held"`
 	Unavailable int64 `json:"unavailable"`
+	Unjudged    int64 `json:"unjudged"`
 	Released    int64 `json:"released"`
 	Appends     int64 `json:"appends"`
 	Failed      int64 `json:"failed-appends"`
@@ -110,8 +115,8 @@
 }
 
 // Claim returns nil when this VM holds the key for request and may send it,
-// once. Otherwise the error is ErrHeld, ErrUnavailable or ErrBadKey, and the
-// request must not be sent. It waits for the log as long as ctx allows; a claim
+// once. Otherwise the error is ErrHeld, ErrUnavailable, ErrUnjudged or ErrBadKey,
+// and the request must not be sent. It waits for the log as long as ctx allows; a claim
 // that is given up is released, should it have reached the log.
 func (c *Claimer) Claim(ctx context.Context, now time.Time, key, request string) error {
 	c.init()
@@ -138,10 +143,6 @@
 func (c *Claimer) enqueue(k Key, request string) (*pending, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ready || !c.table.Judges(k.Minted) {
-		c.counts.Unavailable++
-		return nil, fmt.Errorf("%w: earlier claims are not known yet", ErrUnavailable)
-	}
 	if h, ok := c.table.Holder(k.Hash); ok {
 		c.counts.Held++
 		return nil, fmt.Errorf("%w by request %s at VM %s", ErrHeld, h.Request, h.VM)
@@ -150,6 +151,10 @@
 		c.counts.Held++
 		return nil, fmt.Errorf("%w by request %s at this VM", ErrHeld, p.claim.Request)
 	}
+	if !c.ready || !c.table.Judges(k.Minted) {
+		c.counts.Unjudged++
+		return nil, ErrUnjudged
+	}
 	if len(c.queue) >= c.Waiting {
 		c.counts.Unavailable++
 		return nil, fmt.Errorf("%w: %d records wait for the log", ErrUnavailable, len(c.queue))
@@ -176,9 +181,9 @@
 		c.counts.Held++
 		return ErrHeld
 	default:
-		c.counts.Unavailable++
+		c.counts.Unjudged++
 		c.release(p.claim)
-		return fmt.Errorf("%w: claim is %s", ErrUnavailable, r)
+		return fmt.Errorf("%w: claim is %s", ErrUnjudged, r)
 	}
 }
 
@@ -187,19 +192,35 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.forget(p)
+	if err := c.lateResult(p); err != nil {
+		return err
+	}
+	c.counts.Unavailable++
+	if p.tried {
+		c.release(p.claim)
+	}
+	return fmt.Errorf("%w: claim was not read back from the log: %w", ErrUnavailable, cause)
+}
+
+// lateResult returns the error of a claim that was decided when its request had
+// just stopped waiting. A granted one is given up all the same.
+func (c *Claimer) lateResult(p *pending) error {
 	select {
 	case r := <-p.result:
-		if r == ResultHeld {
+		switch r {
+		case ResultHeld:
 			c.counts.Held++
 			return ErrHeld
+		case ResultVoid, ResultUnjudged:
+			c.counts.Unjudged++
+			c.release(p.claim)
+			return ErrUnjudged
+		default:
+			return nil
 		}
 	default:
+		return nil
 	}
-	c.counts.Unavailable++
-	if p.tried {
-		c.release(p.claim)
-	}
-	return fmt.Errorf("%w: claim was not read back from the log: %w", ErrUnavailable, cause)
 }
 
 // Release gives back the key of a request that this VM claimed and did not send,
--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -57,7 +57,7 @@
 	switch {
 	case err == nil:
 		return router.Granted, nil
-	case errors.Is(err, claimer.ErrHeld):
+	case errors.Is(err, claimer.ErrHeld), errors.Is(err, claimer.ErrUnjudged):
 		return router.Taken, err
 	default:
 		return router.Unavailable, err
