Add the demonstration: the whole path in one process, with its promises judged

Cause: nothing showed the whole path at work. The demonstration runs the platform's stand-ins and three entry VMs on loopback ports, publishes a configuration, answers requests (each non-idempotent one sent twice through different VMs), a crest, a gang on every accelerator, the reclaim of a guaranteed shape, the death of the leader and a graceful shutdown, and compares what callers were told with what the executors ran. Jobs are asked of the leader, since other VMs know only the log. Found on the way: the claimer's loop was not run, so every claim was refused as not-run after its deadline. Ruled out: the log (its answers came in 1 ms).

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -32,6 +32,7 @@
 // Config is the command line; every command is a field of it.
 type Config struct {
 	Cancel  CancelCmd  `cmd:"" help:"Cancel a job."`
+	Demo    DemoCmd    `cmd:"" help:"Run the whole path in one process and check its promises."`
 	Jobs    JobsCmd    `cmd:"" help:"List jobs."`
 	Status  StatusCmd  `cmd:"" help:"Show what an entry VM says of itself."`
 	Submit  SubmitCmd  `cmd:"" help:"Submit a job."`
--- a/internal/responder/jobs.go
+++ b/internal/responder/jobs.go
@@ -42,6 +42,9 @@
 	// AppendConfig appends a record to the configuration stream, waits until it is
 	// read back, and returns its offset.
 	AppendConfig func(ctx context.Context, id string, r publisher.Record) (int64, error)
+	// Detail returns what the leader knows of jobs, by full id; all jobs when ids
+	// is empty. It is nil when this VM leads or the leader can't be asked.
+	Detail func(ctx context.Context, ids []string, why bool) map[string]JobResponse
 	// Configuration returns the configuration in force, here and elsewhere.
 	Configuration func() publisher.ConfigurationResponse
 	// Status returns what this VM says of itself.
@@ -109,7 +112,7 @@
 	if s.Job.Organisation != o.Name {
 		return refuser.New(http.StatusConflict, "id-taken", "another job has this id")
 	}
-	answer(w, http.StatusCreated, response(s))
+	answer(w, http.StatusCreated, Response(s))
 	return nil
 }
 
@@ -118,7 +121,7 @@
 	if !s.Job.Same(j) {
 		return refuser.New(http.StatusConflict, "id-taken", "another job has this id")
 	}
-	answer(w, http.StatusOK, response(s))
+	answer(w, http.StatusOK, Response(s))
 	return nil
 }
 
@@ -131,11 +134,12 @@
 	return p
 }
 
-func (r *Responder) list(w http.ResponseWriter, _ *http.Request, o decoder.Organisation) *refuser.ProblemError {
+func (r *Responder) list(w http.ResponseWriter, q *http.Request, o decoder.Organisation) *refuser.ProblemError {
 	b := JobsResponse{Jobs: []JobResponse{}}
+	detail := r.Detail(q.Context(), nil, false)
 	for _, s := range r.Control().Jobs() {
 		if o.Operator || s.Job.Organisation == o.Name {
-			b.Jobs = append(b.Jobs, response(s))
+			b.Jobs = append(b.Jobs, detailed(s, detail))
 		}
 	}
 	answer(w, http.StatusOK, b)
@@ -148,8 +152,9 @@
 	if p != nil {
 		return p
 	}
-	b := response(s)
-	if q.URL.Query().Has("why") {
+	why := q.URL.Query().Has("why")
+	b := detailed(s, r.Detail(q.Context(), []string{s.Job.ID}, why))
+	if why && b.Why == "" {
 		b.Why = c.Why(r.Now(), s.Job.ID)
 	}
 	answer(w, http.StatusOK, b)
@@ -166,7 +171,7 @@
 		return r.notAppended(err)
 	}
 	s, _ = r.Control().Job(s.Job.ID)
-	answer(w, http.StatusOK, response(s))
+	answer(w, http.StatusOK, Response(s))
 	return nil
 }
 
@@ -278,7 +283,18 @@
 	return decoder.Service{}, false
 }
 
-func response(s reducer.JobStatus) JobResponse {
+// detailed returns what the leader says of a job, unless this VM knows that the
+// job has ended or the leader said nothing.
+func detailed(s reducer.JobStatus, detail map[string]JobResponse) JobResponse {
+	d, ok := detail[s.Job.ID]
+	if !ok || s.Phase == reducer.PhaseEnded {
+		return Response(s)
+	}
+	return d
+}
+
+// Response returns what is told of a job.
+func Response(s reducer.JobStatus) JobResponse {
 	return JobResponse{
 		ID: s.Job.ID, Organisation: s.Job.Organisation, Service: s.Job.Service,
 		Class: string(s.Job.Class), Tasks: s.Job.Gang.Tasks,
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -152,6 +152,7 @@
 		Config:        func() decoder.Config { return s.view.Load().config.Config() },
 		Control:       s.controlState,
 		Configuration: s.configuration,
+		Detail:        s.detail,
 		Now:           s.Now,
 		Status:        s.status,
 	}
--- a/internal/server/renewer.go
+++ b/internal/server/renewer.go
@@ -179,12 +179,7 @@
 }
 
 func (r *renewer) send(ctx context.Context, v *view, leader string, at time.Time, i leaser.Inventory) error {
-	address := ""
-	for _, m := range v.members.Members() {
-		if m.Digest.VM == leader {
-			address = m.Address
-		}
-	}
+	address := v.leaderAddress()
 	if address == "" {
 		return fmt.Errorf("report worker %s to leader %s: its address is not known", i.Worker, leader)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -29,6 +29,10 @@
 	"github.com/lacewingdoor/lacewingdoor/router"
 )
 
+// ErrKilled as the cause of the end of Run's context stops the daemon at once,
+// with no word to anybody, as if its process had died.
+var ErrKilled = errors.New("killed")
+
 // inboxSize is how many messages may wait for the control goroutine.
 const inboxSize = 8192 // a second of reports from 1,000 workers, several times over
 
@@ -157,6 +161,10 @@
 		case <-ctx.Done():
 		case <-run.Done():
 		}
+		if errors.Is(context.Cause(ctx), ErrKilled) {
+			stop()
+			return errors.Join(front.Close(), back.Close())
+		}
 		err := s.shutDown(context.WithoutCancel(ctx), front)
 		stop()
 		return errors.Join(err, back.Close())
@@ -176,6 +184,7 @@
 		s.followList,
 		s.keepSnapshot,
 		s.renewer.run,
+		func(c context.Context) { _ = s.claimer.Run(c) },
 		func(c context.Context) { _ = s.claimsAppender.Run(c) },
 		func(c context.Context) { _ = s.configAppender.Run(c) },
 		func(c context.Context) { _ = s.controlAppender.Run(c) },
--- a/internal/server/view.go
+++ b/internal/server/view.go
@@ -49,3 +49,13 @@
 		return l.Role != connector.RoleWorker
 	})
 }
+
+// leaderAddress returns where the leader can be called, "" when it is not known.
+func (v *view) leaderAddress() string {
+	for _, m := range v.members.Members() {
+		if m.Digest.VM == v.control.Leader() {
+			return m.Address
+		}
+	}
+	return ""
+}
--- a/proto/peer/v1/peerv1connect/peer.connect.go
+++ b/proto/peer/v1/peerv1connect/peer.connect.go
@@ -38,6 +38,8 @@
 	PeerBeatProcedure = "/peer.v1.Peer/Beat"
 	// PeerReportProcedure is the fully-qualified name of the Peer's Report RPC.
 	PeerReportProcedure = "/peer.v1.Peer/Report"
+	// PeerJobsProcedure is the fully-qualified name of the Peer's Jobs RPC.
+	PeerJobsProcedure = "/peer.v1.Peer/Jobs"
 	// PeerSnapshotProcedure is the fully-qualified name of the Peer's Snapshot RPC.
 	PeerSnapshotProcedure = "/peer.v1.Peer/Snapshot"
 )
@@ -48,6 +50,8 @@
 	Beat(context.Context, *connect.Request[v1.BeatRequest]) (*connect.Response[v1.BeatResponse], error)
 	// Report brings inventories of workers to the leader.
 	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
+	// Jobs asks the leader where jobs stand.
+	Jobs(context.Context, *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error)
 	// Snapshot gives a starting VM what it would otherwise read from the log.
 	Snapshot(context.Context, *connect.Request[v1.SnapshotRequest]) (*connect.Response[v1.SnapshotResponse], error)
 }
@@ -75,6 +79,12 @@
 			connect.WithSchema(peerMethods.ByName("Report")),
 			connect.WithClientOptions(opts...),
 		),
+		jobs: connect.NewClient[v1.JobsRequest, v1.JobsResponse](
+			httpClient,
+			baseURL+PeerJobsProcedure,
+			connect.WithSchema(peerMethods.ByName("Jobs")),
+			connect.WithClientOptions(opts...),
+		),
 		snapshot: connect.NewClient[v1.SnapshotRequest, v1.SnapshotResponse](
 			httpClient,
 			baseURL+PeerSnapshotProcedure,
@@ -88,6 +98,7 @@
 type peerClient struct {
 	beat     *connect.Client[v1.BeatRequest, v1.BeatResponse]
 	report   *connect.Client[v1.ReportRequest, v1.ReportResponse]
+	jobs     *connect.Client[v1.JobsRequest, v1.JobsResponse]
 	snapshot *connect.Client[v1.SnapshotRequest, v1.SnapshotResponse]
 }
 
@@ -101,6 +112,11 @@
 	return c.report.CallUnary(ctx, req)
 }
 
+// Jobs calls peer.v1.Peer.Jobs.
+func (c *peerClient) Jobs(ctx context.Context, req *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error) {
+	return c.jobs.CallUnary(ctx, req)
+}
+
 // Snapshot calls peer.v1.Peer.Snapshot.
 func (c *peerClient) Snapshot(ctx context.Context, req *connect.Request[v1.SnapshotRequest]) (*connect.Response[v1.SnapshotResponse], error) {
 	return c.snapshot.CallUnary(ctx, req)
@@ -112,6 +128,8 @@
 	Beat(context.Context, *connect.Request[v1.BeatRequest]) (*connect.Response[v1.BeatResponse], error)
 	// Report brings inventories of workers to the leader.
 	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
+	// Jobs asks the leader where jobs stand.
+	Jobs(context.Context, *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error)
 	// Snapshot gives a starting VM what it would otherwise read from the log.
 	Snapshot(context.Context, *connect.Request[v1.SnapshotRequest]) (*connect.Response[v1.SnapshotResponse], error)
 }
@@ -135,6 +153,12 @@
 		connect.WithSchema(peerMethods.ByName("Report")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerJobsHandler := connect.NewUnaryHandler(
+		PeerJobsProcedure,
+		svc.Jobs,
+		connect.WithSchema(peerMethods.ByName("Jobs")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerSnapshotHandler := connect.NewUnaryHandler(
 		PeerSnapshotProcedure,
 		svc.Snapshot,
@@ -147,6 +171,8 @@
 			peerBeatHandler.ServeHTTP(w, r)
 		case PeerReportProcedure:
 			peerReportHandler.ServeHTTP(w, r)
+		case PeerJobsProcedure:
+			peerJobsHandler.ServeHTTP(w, r)
 		case PeerSnapshotProcedure:
 			peerSnapshotHandler.ServeHTTP(w, r)
 		default:
@@ -166,6 +192,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Report is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Jobs(context.Context, *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Jobs is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Snapshot(context.Context, *connect.Request[v1.SnapshotRequest]) (*connect.Response[v1.SnapshotResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Snapshot is not implemented"))
 }
