--- a/internal/forwarder/header.go
+++ b/internal/forwarder/header.go
@@ -11,8 +11,6 @@
 	"Connection":          true,
 	"Content-Length":      true,
 	"Expect":              true,
-	"Idempotency-Key":     true, // net/http would send the request again by itself
-	"X-Idempotency-Key":   true,
 	"Keep-Alive":          true,
 	"Proxy-Authenticate":  true,
 	"Proxy-Authorization": true,
--- a/internal/forwarder/helper_test.go
+++ b/internal/forwarder/helper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -92,12 +93,18 @@
 	_, _ = w.Write(append([]byte(r.URL.Path+" "), b...))
 }
 
-// post sends one request as a caller, and returns the status, the body, and the
-// problem when it is one.
+// post sends a POST request as a caller.
 func (b *bench) post(ctx context.Context, t *testing.T, path, body string, headers ...string) (int, string, forwarder.Problem) {
+	t.Helper()
+	return b.call(ctx, t, http.MethodPost, path, body, headers...)
+}
+
+// call sends one request as a caller, and returns the status, the body, and the
+// problem when it is one.
+func (b *bench) call(ctx context.Context, t *testing.T, method, path, body string, headers ...string) (int, string, forwarder.Problem) {
 	t.Helper()
 	is := is.New(t)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+path, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, b.url+path, strings.NewReader(body))
 	is.NoErr(err)
 	r.Header.Set("X-Organisation", "etiquetar")
 	for i := 0; i < len(headers); i += 2 {
@@ -116,3 +123,13 @@
 	}
 	return a.StatusCode, string(whole), p
 }
+
+// newListener listens at a port that the system chooses.
+func newListener(t *testing.T) net.Listener {
+	t.Helper()
+	v, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
--- a/internal/forwarder/sender.go
+++ b/internal/forwarder/sender.go
@@ -127,6 +127,9 @@
 	copyHeader(h, q.Header)
 	h[connector.HeaderRequestID] = []string{q.ID}
 	h[connector.HeaderOrganisation] = []string{q.Organisation}
+	if q.Key != "" {
+		h[connector.HeaderIdempotencyKey] = []string{q.Key}
+	}
 	if d, ok := ctx.Deadline(); ok {
 		h[connector.HeaderDeadlineMS] = []string{strconv.FormatInt(max(time.Until(d).Milliseconds(), 0), 10)}
 	}
--- a/router/call.go
+++ b/router/call.go
@@ -62,6 +62,10 @@
 		c.dispatcher.finish(c.ticket)
 		return verdict{refusal: refusal}
 	}
+	if err := ctx.Err(); err != nil {
+		c.dispatcher.finish(c.ticket)
+		return verdict{refusal: &Refusal{Code: CodeCallerGone, Step: "send", Err: err}}
+	}
 	c.attempts++
 	c.started = c.router.now()
 	x := c.ticket.executor
@@ -100,6 +104,8 @@
 			Code: CodeClaimed, Outcome: Unknown, Step: "claim idempotency key", Err: err,
 			Detail: "a request with this key was accepted before",
 		}
+	case Rejected:
+		return &Refusal{Code: CodeMalformedKey, Outcome: NotRun, Step: "claim idempotency key", Err: err}
 	default:
 		return &Refusal{
 			Code: CodeClaimUnavailable, Outcome: NotRun, RetryAfter: minRetryAfter, Step: "claim idempotency key", Err: err,
--- a/router/key.go
+++ b/router/key.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	maxKeyLength  = 200             // bytes; a key is kept in the log
-	minKeyRandom  = 8               // characters; fewer would collide within a day's requests
-	maxClockSkew  = time.Minute     // between a caller's clock and ours
-	defaultWindow = 24 * time.Hour  // age at which a key is refused, unless set
-	minRetryAfter = 1 * time.Second // least time that callers are told to wait; HTTP counts in seconds
+	maxKeyLength  = 200              // bytes; a key is kept in the log
+	minKeyRandom  = 8                // characters; fewer would collide within a day's requests
+	maxClockSkew  = 5 * time.Second  // between a caller's clock and ours
+	defaultWindow = 15 * time.Minute // age at which a key is refused, unless set
+	minRetryAfter = 1 * time.Second  // least time that callers are told to wait; HTTP counts in seconds
 )
 
 // checkKey refuses an idempotency key that is not UNIXSECONDS-RANDOM, or was
@@ -40,7 +40,7 @@
 
 func printable(s string) bool {
 	for i := range len(s) {
-		if s[i] <= ' ' || s[i] > '~' {
+		if s[i] <= ' ' || s[i] > '~' || s[i] == '/' {
 			return false
 		}
 	}
--- a/router/request.go
+++ b/router/request.go
@@ -115,6 +115,7 @@
 const (
 	Granted     Claim = "granted"     // the request may be sent
 	Taken       Claim = "taken"       // the key was claimed before
+	Rejected    Claim = "rejected"    // the key has a wrong form or is out of its time
 	Unavailable Claim = "unavailable" // it could not be found out
 )
 
--- a/router/router.go
+++ b/router/router.go
@@ -34,7 +34,7 @@
 	// Estimate returns how long a request of a route holds a slot, a high
 	// quantile of what was seen, or 0 when nothing is known; nil for the
 	// declared run times.
-	Estimate func(service, route string) time.Duration
+	Estimate func(service string, o *decoder.Route) time.Duration
 	// Leaving is told when an executor's answer says that it is leaving; nil
 	// for nobody.
 	Leaving func(executor string)
@@ -44,7 +44,7 @@
 	Now func() time.Time
 	// Random returns a number in [0, 1); nil for the system's.
 	Random func() float64
-	// KeyWindow is the age at which a key is refused; 0 for a day.
+	// KeyWindow is the age at which a key is refused; 0 for 15 min.
 	KeyWindow time.Duration
 	// ShortRun is the run time up to which work counts as short; 0 for 1 s.
 	ShortRun time.Duration
@@ -183,7 +183,7 @@
 	weight := s.Weights[q.Organisation]
 	estimate := time.Duration(0)
 	if r.Estimate != nil {
-		estimate = r.Estimate(q.Service, o.Path)
+		estimate = r.Estimate(q.Service, o)
 	}
 	t := &ticket{}
 	t.item.Long = o.Class == classLong
