Test the division of slots and the retry budget

Properties over random operations with a fixed seed. Seen failing without the bound per executor, without the preference for another zone, and without the finishing mix of the rendezvous hash (the last of seven VMs then owned 175 of 700 slots where its part is 100).

--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,159 @@
+package limiter_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingdoor/lacewingdoor/limiter"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var now = time.Unix(1_700_000_000, 0)
+
+func names(prefix string, n int) []string {
+	s := make([]string, n)
+	for i := range s {
+		s[i] = fmt.Sprintf("%s%d", prefix, i)
+	}
+	return s
+}
+
+func TestOwnIsEven(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		vms := names("vm", rapid.IntRange(1, 12).Draw(t, "vms"))
+		slots := rapid.IntRange(0, 64).Draw(t, "slots")
+		x := rapid.StringMatching(`[a-z0-9.:]{1,20}`).Draw(t, "executor")
+		sum, least, most := 0, slots, 0
+		for _, vm := range vms {
+			n := limiter.Own(vms, vm, x, slots)
+			sum += n
+			least = min(least, n)
+			most = max(most, n)
+		}
+		is.Equal(sum, slots)
+		is.True(most-least <= 1)
+		is.Equal(limiter.Own(vms, "stranger", x, slots), 0)
+	})
+}
+
+// A remainder spread by executor gives each VM its part of a whole service.
+func TestOwnSpreadsRemainders(t *testing.T) {
+	is := is.New(t)
+	vms := names("vm", 7)
+	for _, vm := range vms {
+		sum := 0
+		for _, x := range names("executor", 700) {
+			sum += limiter.Own(vms, vm, x, 1)
+		}
+		is.True(sum >= 70 && sum <= 130) // 100 on average
+	}
+}
+
+func TestPoolNeverExceedsOwnedSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		var p limiter.Pool
+		slots := map[string]int{}
+		busy := map[string]int{}
+		var held []string
+		t.Repeat(map[string]func(*rapid.T){
+			"set": func(t *rapid.T) {
+				var list []limiter.Executor
+				clear(slots)
+				for _, id := range names("e", rapid.IntRange(0, 5).Draw(t, "executors")) {
+					slots[id] = rapid.IntRange(0, 3).Draw(t, "slots")
+					list = append(list, limiter.Executor{ID: id, Slots: slots[id]})
+				}
+				p.Set(now, list)
+			},
+			"take": func(t *rapid.T) {
+				could := p.CanTake(now, limiter.Choice{})
+				id, ok := p.Take(now, limiter.Choice{})
+				is.Equal(ok, could)
+				if !ok {
+					for id, n := range slots {
+						is.True(busy[id] >= n) // nothing was free
+					}
+					return
+				}
+				busy[id]++
+				held = append(held, id)
+				is.True(busy[id] <= slots[id])
+			},
+			"give": func(t *rapid.T) {
+				if len(held) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(held)-1).Draw(t, "held")
+				busy[held[i]]--
+				p.Give(held[i])
+				held = append(held[:i], held[i+1:]...)
+			},
+			"": func(*rapid.T) { is.Equal(p.InUse(), len(held)) },
+		})
+	})
+}
+
+func TestPoolChoice(t *testing.T) {
+	is := is.New(t)
+	var p limiter.Pool
+	p.Set(now, []limiter.Executor{
+		{ID: "a1", Zone: "a", Slots: 1}, {ID: "a2", Zone: "a", Slots: 9}, {ID: "b1", Zone: "b", Slots: 1},
+	})
+	c := limiter.Choice{Avoid: []string{"a1"}, AvoidZone: "a"}
+	id, _ := p.Take(now, c)
+	is.Equal(id, "b1") // another zone first
+	id, _ = p.Take(now, c)
+	is.Equal(id, "a2") // then another executor
+	p.Leave(now, "a2")
+	_, ok := p.Take(now, c)
+	is.True(!ok) // b1 exists, so a1 is not tried again
+	p.Give("b1")
+	p.Leave(now, "b1")
+	id, _ = p.Take(now, c)
+	is.Equal(id, "a1") // nothing else is left
+	is.Equal(p.Slots(), 1)
+	p.Refresh(now.Add(limiter.LeaveHold))
+	is.Equal(p.Slots(), 11) // the lists have caught up and still show them
+}
+
+func TestUsageKeepsSlotsForShortWorkAndTheOwner(t *testing.T) {
+	is := is.New(t)
+	u := limiter.Usage{Owner: "o", Share: 50}
+	const slots = 10
+	for range 5 {
+		is.True(u.May("x", true, slots))
+		u.Start("x", true)
+	}
+	is.True(!u.May("x", true, slots)) // half is the owner's
+	for range 3 {
+		is.True(u.May("o", true, slots))
+		u.Start("o", true)
+	}
+	is.True(!u.May("o", true, slots)) // a fifth is for short work
+	is.True(u.OwnerFirst(slots))
+	for range 2 {
+		is.True(u.May("x", false, slots))
+		u.Start("x", false)
+	}
+	is.True(!u.May("o", false, slots)) // all are in use
+	u.Finish("x", true)
+	u.Overstay("x") // a short one is long now
+	u.Finish("x", false)
+	is.True(!u.May("x", true, slots))
+	is.True(u.May("o", false, slots))
+}
--- a/limiter/own.go
+++ b/limiter/own.go
@@ -41,8 +41,9 @@
 	fnvPrime  = 1099511628211
 )
 
-// rendezvous returns the weight of a VM for an executor. FNV-1a alone leaves the
-// high bits of short names alike, hence the finishing mix of MurmurHash3.
+// rendezvous returns the weight of a VM for an executor. FNV-1a alone gave the
+// last of seven VMs twice the part of the others, as names that differ in their
+// last byte get nearly equal hashes, hence the finishing mix of MurmurHash3.
 func rendezvous(executor, vm string) uint64 {
 	h := uint64(fnvOffset)
 	for i := range len(executor) {
