--- a/queuer/class.go
+++ b/queuer/class.go
@@ -3,7 +3,7 @@
 import "time"
 
 // class is the heap of one organisation's waiting requests of one class, with
-// the earliest latest start first.
+// the one that is due first in front.
 type class struct {
 	items []*Item
 	work  time.Duration // sum of the estimates
@@ -61,11 +61,12 @@
 	return i
 }
 
-// before orders requests by their latest start, then by arrival.
+// before orders requests by when they are due, then by arrival. Half of the time
+// until the latest start is kept in hand: ordered by the latest start itself, long
+// work beside a stream of short work was started when most of it was too late.
 func before(a, b *Item) bool {
-	x, y := a.LatestStart(), b.LatestStart()
-	if x.Equal(y) {
+	if a.due.Equal(b.due) {
 		return a.order < b.order
 	}
-	return x.Before(y)
+	return a.due.Before(b.due)
 }
--- a/queuer/queue.go
+++ b/queuer/queue.go
@@ -21,6 +21,7 @@
 	AvoidZone    string
 	Owner        any // the caller's own reference
 
+	due   time.Time // half-way from the offer to the latest start
 	queue *class
 	index int // in the heap, -1 when it does not wait
 	order uint64
@@ -39,6 +40,10 @@
 	TooLate  Verdict = "deadline-too-near" // it would not be answered in time
 )
 
+// leastPart is the part of a slot that a tenant is reckoned to get when others
+// have a right to all slots, for they may not use it for long.
+const leastPart = 0.1
+
 // Queue holds the waiting requests of one service.
 type Queue struct {
 	Limit int // longest queue, in requests
@@ -67,13 +72,20 @@
 	return 0
 }
 
+// Capacity is what serves a queue.
+type Capacity struct {
+	Slots      int
+	LongSlots  int    // how many of them long work may hold
+	Owner      string // organisation with the guaranteed share
+	Guaranteed int    // slots that are the owner's when it wants them
+}
+
 // Offer queues a request, or refuses it with the time after which to try again.
-// Slots says how many slots serve the queue, and longSlots how many of them long
-// work may hold. When the queue is full, the organisation that is furthest above
-// its weighted part of it gives way: its last request is returned as evicted.
-func (q *Queue) Offer(now time.Time, i *Item, slots, longSlots int) (v Verdict, retry time.Duration, evicted *Item) {
+// When the queue is full, the organisation that is furthest above its weighted
+// part of it gives way: its last request is returned as evicted.
+func (q *Queue) Offer(now time.Time, i *Item, c Capacity) (v Verdict, retry time.Duration, evicted *Item) {
 	t := q.tenant(i.Organisation, i.Weight)
-	wait := q.wait(t, i.Long, slots, longSlots)
+	wait := q.wait(t, i.Long, c)
 	slack := i.LatestStart().Sub(now)
 	if wait > slack {
 		return TooLate, wait - max(slack, 0), nil
@@ -84,35 +96,60 @@
 			return Full, wait, nil
 		}
 	}
+	i.due = now.Add(slack / 2)
 	q.push(t, i)
 	return Accepted, 0, evicted
 }
 
 // Predict returns how long a request of an organisation and class would wait if
 // it were offered now, as [Queue.Offer] reckons.
-func (q *Queue) Predict(organisation string, weight int, long bool, slots, longSlots int) time.Duration {
-	return q.wait(q.tenant(organisation, weight), long, slots, longSlots)
+func (q *Queue) Predict(organisation string, weight int, long bool, c Capacity) time.Duration {
+	return q.wait(q.tenant(organisation, weight), long, c)
 }
 
 // wait predicts how long a request of a tenant and class waits: the work ahead
-// of it, done by the tenant's weighted part of the slots. Short work is taken as
-// going ahead of long work, which it does unless the long work is nearly late.
-func (q *Queue) wait(t *tenant, long bool, slots, longSlots int) time.Duration {
+// of it, done by the tenant's part of the slots, and what is left of the work in
+// them, which is at most one more round. Short work is taken as going ahead of
+// long work, which it does until the long work is due.
+func (q *Queue) wait(t *tenant, long bool, c Capacity) time.Duration {
 	work := t.short.work
+	length := len(t.short.items)
+	slots := q.part(t, c)
 	if long {
 		work += t.long.work
-		slots = longSlots
+		length += len(t.long.items)
+		slots = min(slots, float64(c.LongSlots))
 	}
-	if work == 0 || slots <= 0 {
+	if length == 0 {
 		return 0
 	}
+	mean := work / time.Duration(length)
+	return mean + time.Duration(float64(work)/max(slots, leastPart))
+}
+
+// part returns how many of the slots a tenant gets while all that have something
+// waiting now go on.
+func (q *Queue) part(t *tenant, c Capacity) float64 {
 	weights := 0
+	var owner *tenant
 	for _, o := range q.tenants {
-		if o == t || o.length() > 0 {
-			weights += o.weight
+		if o != t && o.length() == 0 {
+			continue
+		}
+		weights += o.weight
+		if o.organisation == c.Owner {
+			owner = o
 		}
 	}
-	return time.Duration(float64(work) * float64(weights) / (float64(slots) * float64(t.weight)))
+	slots := float64(c.Slots)
+	if owner == nil {
+		return slots * float64(t.weight) / float64(weights)
+	}
+	owned := max(slots*float64(owner.weight)/float64(weights), float64(c.Guaranteed))
+	if t == owner {
+		return owned
+	}
+	return (slots - owned) * float64(t.weight) / float64(weights-owner.weight)
 }
 
 // evict removes the last request of the tenant with the longest weighted queue,
@@ -140,8 +177,7 @@
 type Eligible func(i *Item) bool
 
 // Next removes and returns the request that goes next: of the organisation with
-// the lowest rank that has an eligible one, the request with the earliest latest
-// start. It returns nil when none is eligible.
+// the lowest rank that has an eligible one, the request that is due first. It returns nil when none is eligible.
 func (q *Queue) Next(eligible Eligible, rank func(organisation string) float64) *Item {
 	var best *Item
 	lowest := 0.0
--- a/router/dispatcher.go
+++ b/router/dispatcher.go
@@ -120,8 +120,7 @@
 	defer d.mu.Unlock()
 	d.apply(now, d.router.Snapshot())
 	d.pool.Refresh(now)
-	slots := d.pool.Slots()
-	if slots == 0 {
+	if d.pool.Slots() == 0 {
 		return &Refusal{
 			Code: CodeNoExecutor, Outcome: NotRun, RetryAfter: minRetryAfter, Step: "find a slot",
 			Detail: "no executor of the service takes work from this entry VM",
@@ -132,7 +131,7 @@
 		d.shares.Activate(i.Organisation)
 	}
 	t.ready = nil
-	v, retry, evicted := d.queue.Offer(now, i, slots, d.usage.LongLimit(slots))
+	v, retry, evicted := d.queue.Offer(now, i, d.capacity())
 	if v != queuer.Accepted {
 		return queueRefusal(v, retry)
 	}
@@ -266,9 +265,17 @@
 	}
 }
 
-func (d *dispatcher) tooLate(i *queuer.Item) *Refusal {
+// capacity returns what serves the queue now.
+func (d *dispatcher) capacity() queuer.Capacity {
 	slots := d.pool.Slots()
-	wait := d.queue.Predict(i.Organisation, i.Weight, i.Long, slots, d.usage.LongLimit(slots))
+	return queuer.Capacity{
+		Slots: slots, LongSlots: d.usage.LongLimit(slots),
+		Owner: d.usage.Owner, Guaranteed: d.usage.Guaranteed(slots),
+	}
+}
+
+func (d *dispatcher) tooLate(i *queuer.Item) *Refusal {
+	wait := d.queue.Predict(i.Organisation, i.Weight, i.Long, d.capacity())
 	return queueRefusal(queuer.TooLate, wait)
 }
 
