Judge the demonstration by what the slots can do in the time that passed

Cause: the crest counted its capacity from the planned second, while sending 2400 requests took 2.8 s, so it showed 175 %.

--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -100,7 +101,7 @@
 		}
 		_, _ = fmt.Fprintf(d.Out, "%v\n", time.Since(at).Round(time.Millisecond))
 	}
-	w.judge(&r)
+	w.judge(ctx, &r)
 	return r, nil
 }
 
@@ -119,7 +120,7 @@
 		last = err
 		select {
 		case <-c.Done():
-			return fmt.Errorf("wait until %s: %w (last error: %v)", what, c.Err(), last)
+			return errors.Join(fmt.Errorf("wait until %s: %w", what, c.Err()), last)
 		case <-t.C:
 		}
 	}
--- a/internal/demonstrator/jobs.go
+++ b/internal/demonstrator/jobs.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/responder"
@@ -125,13 +124,6 @@
 			return false, err
 		}
 		n, err := w.held(ctx, borrower)
-		if os.Getenv("DBG") != "" {
-			for _, v := range w.vms {
-				var k responder.JobResponse
-				w.call(ctx, v, "GET", "/-/jobs/gather?why", w.keys[borrower], nil, &k)
-				fmt.Println(v.id, k.Phase, k.Why, n)
-			}
-		}
 		if j.Phase == "running" && n < allAccelerators {
 			partial++
 		}
@@ -179,7 +171,6 @@
 // goOn waits for the owner's job to end, and runs small ones.
 func goOn(ctx context.Context, w *world, r *Report) error {
 	const small = 6
-	at := time.Now()
 	for i := range small {
 		q := responder.JobRequest{ID: fmt.Sprintf("batch-%d", i), Service: ownerService, Payload: `{"run-ms":200}`}
 		if err := w.submit(ctx, owner, q); err != nil {
@@ -191,7 +182,7 @@
 		ids = append(ids, fmt.Sprintf("batch-%d", i))
 	}
 	for _, id := range ids {
-		if err := w.awaitEnd(ctx, id, at); err != nil {
+		if err := w.awaitEnd(ctx, id); err != nil {
 			return err
 		}
 	}
@@ -204,7 +195,7 @@
 	return nil
 }
 
-func (w *world) awaitEnd(ctx context.Context, id string, since time.Time) error {
+func (w *world) awaitEnd(ctx context.Context, id string) error {
 	err := until(ctx, "job "+id+" ends", func() (bool, error) {
 		j, err := w.job(ctx, owner, id)
 		return j.Phase == "ended", err
--- a/internal/demonstrator/report.go
+++ b/internal/demonstrator/report.go
@@ -42,8 +42,8 @@
 }
 
 // judge compares what callers were told with what executors ran.
-func (w *world) judge(r *Report) {
-	runs, keyed := w.runs()
+func (w *world) judge(ctx context.Context, r *Report) {
+	runs, keyed := w.runs(ctx)
 	ranThough, crossed, unsaid := 0, 0, 0
 	for _, c := range w.calls {
 		switch {
@@ -75,12 +75,12 @@
 
 // runs returns how often each request ran, by the digest of its body, and how
 // often each idempotency key ran.
-func (w *world) runs() (digests, keys map[string]int) {
+func (w *world) runs(ctx context.Context) (digests, keys map[string]int) {
 	digests, keys = map[string]int{}, map[string]int{}
 	for s, all := range w.executors {
 		for _, x := range all {
 			var h standin.ExecutorHistory
-			if err := w.get(context.Background(), x.address, "/history", &h); err != nil {
+			if err := w.get(ctx, x.address, "/history", &h); err != nil {
 				keys[err.Error()] = -1 // the promise is then not kept
 				continue
 			}
--- a/internal/demonstrator/requests.go
+++ b/internal/demonstrator/requests.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,8 +30,7 @@
 	service, route, digest string
 	status                 int    // 0 when there was no answer
 	outcome                string // of a refusal
-	code                   string
-	own                    bool // the answer is to this request
+	own                    bool   // the answer is to this request
 	took                   time.Duration
 	crest                  bool
 }
@@ -81,7 +79,6 @@
 		var p refuser.ProblemError
 		_ = json.Unmarshal(b, &p) // a body that is no problem has no outcome, which is counted
 		c.outcome = p.Outcome
-		c.code = p.Code + " " + p.Detail
 		return
 	}
 	var x standin.ExecutorAnswer
@@ -110,11 +107,6 @@
 		}
 	}
 	g.Wait()
-	if os.Getenv("DBG") != "" {
-		for _, c := range w.calls {
-			fmt.Println(c.service, c.route, c.status, c.outcome, c.code, c.took)
-		}
-	}
 	answered := 0
 	for _, c := range w.calls {
 		if c.status == http.StatusOK {
@@ -136,6 +128,7 @@
 		longOne = 50 // every how manieth request is long
 	)
 	var g sync.WaitGroup
+	at := time.Now()
 	for i := range sent {
 		time.Sleep(length / time.Duration(sent))
 		q := request{service: ownerService, route: routeShort, body: fmt.Sprintf("crest %d", i), run: run, crest: true}
@@ -144,6 +137,7 @@
 		}
 		g.Go(func() { w.send(ctx, w.live(i), q) })
 	}
+	spent := time.Since(at)
 	g.Wait()
 	var times []time.Duration
 	for _, c := range w.calls {
@@ -151,8 +145,9 @@
 			times = append(times, c.took)
 		}
 	}
-	r.measure("service at the crest", "%d of %d sent were answered in time, %.0f %% of what the slots can do until the last deadline",
-		len(times), sent, 100*float64(len(times))/float64(executors*slots*int((length+shortDeadline)/run)))
+	able := float64(executors*slots) * float64(spent+shortDeadline) / float64(run)
+	r.measure("service at the crest", "%d of %d short and long sent in %v were answered in time, %.0f %% of what the slots can do until the last deadline",
+		len(times), sent, spent.Round(time.Millisecond), 100*float64(len(times))/able)
 	r.measure("head-of-line blocking", "short work among long: median %v, 99th percentile %v, with runs of %v",
 		quantile(times, 50).Round(time.Millisecond), quantile(times, 99).Round(time.Millisecond), run)
 	return nil
