Report to whoever leads now, also when the log does not name it

Cause: with the log down and its leader dead, entry-2 led provisionally under epoch 1.1, but the other VMs went on sending reports and questions to the dead leader that the log names; the new one had to probe each silent worker itself. The change: a digest says whether its VM leads and under which epoch, and the highest counts. Ruled out: passing the leader's name on, which outlives it. Seen by hand: before, entry-3 said leader entry-1, a waiting job started 4 s later by probing; after, entry-3 says entry-2.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -7,6 +7,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/leaser"
 )
 
 // The timing of heartbeats.
@@ -28,7 +30,9 @@
 	Leaving         bool
 	Ready           bool
 	ConfigRevision  int64
-	ControlOffset   int64    // next offset of the control stream
+	ControlOffset   int64 // next offset of the control stream
+	Leading         bool  // it decides placements
+	Epoch           leaser.Epoch
 	Heard           []string // VMs heard directly within SuspectAfter
 	LeavingExecutor []string // executors that said that they leave
 }
@@ -180,6 +184,18 @@
 	return c
 }
 
+// Leader returns the member heard lately that leads under the highest epoch. It
+// may be a provisional leader, whom the log does not name.
+func (s State) Leader(now time.Time) (Member, bool) {
+	var best Member
+	for _, m := range s.members {
+		if m.Digest.Leading && s.direct(now, m) && (!best.Digest.Leading || best.Digest.Epoch.Less(m.Digest.Epoch)) {
+			best = m
+		}
+	}
+	return best, best.Digest.Leading
+}
+
 // LeavingExecutors returns the sorted executors that a live peer says are leaving.
 func (s State) LeavingExecutors(now time.Time) []string {
 	var v []string
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -12,6 +12,7 @@
 	"github.com/rogpeppe/go-internal/txtar"
 
 	"github.com/lacewingdoor/lacewingdoor/heartbeater"
+	"github.com/lacewingdoor/lacewingdoor/leaser"
 )
 
 // Each archive holds a script and what it prints. The commands are
@@ -21,7 +22,8 @@
 //	listed VM...          the platform's list
 //	heard VM SEQ [HEARD]  a digest arrives; HEARD are VMs that it has heard
 //	leaving VM SEQ        a digest arrives that says so
-//	live, present, calls, settled
+//	leads VM SEQ TERM SUB a digest arrives of a VM that leads
+//	live, present, calls, settled, leader
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txtar")
 	if err != nil || len(files) == 0 {
@@ -76,6 +78,14 @@
 		d := heartbeater.Digest{VM: args[0], Address: args[0] + ":2", Sequence: uint64(number(args[1])), Heard: args[2:]}
 		d.Leaving = command == "leaving"
 		x.s = x.s.WithHeard(x.now, d)
+	case "leads":
+		d := heartbeater.Digest{VM: args[0], Sequence: uint64(number(args[1])), Leading: true}
+		d.Epoch = leaser.Epoch{Term: int64(number(args[2])), SubTerm: int64(number(args[3]))}
+		x.s = x.s.WithHeard(x.now, d)
+	case "leader":
+		m, ok := x.s.Leader(x.now)
+		x.print("leader", m.Digest.VM)
+		x.print("known", ok)
 	case "live":
 		x.print("live", x.s.Live(x.now, false))
 	case "present":
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -53,22 +53,22 @@
 // leader can't be asked.
 func (s *Server) detail(ctx context.Context, ids []string, why bool) map[string]responder.JobResponse {
 	v := s.view.Load()
-	address := v.leaderAddress()
-	if v.control.Leading() || address == "" {
+	leader, address := v.leader(s.Now())
+	if address == "" {
 		return nil
 	}
 	c, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	a, err := s.peer(address).Jobs(c, connect.NewRequest(&peerv1.JobsRequest{Ids: ids, Why: why}))
 	if err != nil {
-		s.quiet.log("jobs", address, fmt.Errorf("ask leader %s for jobs: %w", v.control.Leader(), err))
+		s.quiet.log("jobs", address, fmt.Errorf("ask leader %s for jobs: %w", leader, err))
 		return nil
 	}
 	m := map[string]responder.JobResponse{}
 	for _, b := range a.Msg.GetJobs() {
 		var j responder.JobResponse
 		if err := json.Unmarshal(b, &j); err != nil {
-			s.quiet.log("jobs", address, fmt.Errorf("decode job of leader %s: %w", v.control.Leader(), err))
+			s.quiet.log("jobs", address, fmt.Errorf("decode job of leader %s: %w", leader, err))
 			return nil
 		}
 		m[j.ID] = j
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -162,10 +162,11 @@
 func (s *Server) status() responder.StatusResponse {
 	v := s.view.Load()
 	why := v.notReady()
+	leader, _ := v.leader(s.Now())
 	a := responder.StatusResponse{
 		VM: s.Settings.VM, Zone: s.Settings.Zone,
 		Ready: why == "", NotReady: why,
-		Leading: v.control.Leading(), Leader: v.control.Leader(), Epoch: v.control.Epoch().String(),
+		Leading: v.control.Leading(), Leader: leader, Epoch: v.control.Epoch().String(),
 		LogUp: v.logUp, ConfigRevision: v.config.Revision(), ControlOffset: v.controlOffset,
 		Live: v.members.Live(s.Now(), s.leaving.Load()),
 	}
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -124,6 +124,8 @@
 		Ready:           d.GetReady(),
 		ConfigRevision:  d.GetConfigRevision(),
 		ControlOffset:   d.GetControlOffset(),
+		Leading:         d.GetLeading(),
+		Epoch:           leaser.Epoch{Term: d.GetTerm(), SubTerm: d.GetSubTerm()},
 		Heard:           d.GetHeard(),
 		LeavingExecutor: d.GetLeavingExecutors(),
 	}})
@@ -144,7 +146,7 @@
 		Ready:            v.notReady() == "",
 		Term:             e.Term,
 		SubTerm:          e.SubTerm,
-		Leader:           v.control.Leader(),
+		Leading:          v.control.Leading(),
 		ConfigRevision:   v.config.Revision(),
 		ControlOffset:    v.controlOffset,
 		LeavingExecutors: v.leaving,
--- a/internal/server/renewer.go
+++ b/internal/server/renewer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -106,7 +107,9 @@
 	slots := make(chan struct{}, maxRenewals)
 	every(ctx, renewInterval, func() {
 		told := r.all(r.s.Now())
-		for _, w := range r.owned() {
+		owned := r.owned()
+		r.forget(owned)
+		for _, w := range owned {
 			select {
 			case slots <- struct{}{}:
 			case <-ctx.Done():
@@ -120,6 +123,19 @@
 	})
 }
 
+// forget drops what is known of workers that this VM does not renew any more.
+func (r *renewer) forget(owned []connector.ListedVM) {
+	keep := make(map[string]bool, len(owned))
+	for _, w := range owned {
+		keep[w.ID] = true
+	}
+	gone := func(id string) bool { return !keep[id] }
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.readings, func(id string, _ leaser.Reading) bool { return gone(id) })
+	maps.DeleteFunc(r.reported, func(id string, _ report) bool { return gone(id) })
+}
+
 // owned returns the listed workers that this VM renews. Workers of one rack have
 // one owner, so that gangs within a rack are counted by a single VM.
 func (r *renewer) owned() []connector.ListedVM {
@@ -161,28 +177,27 @@
 // report tells the leader what a worker said, when that is news to it.
 func (r *renewer) report(ctx context.Context, at time.Time, i leaser.Inventory) {
 	v := r.s.view.Load()
-	leader := v.control.Leader()
+	leader, address := v.leader(r.s.Now())
 	now := report{leader: leader, at: at, leases: states(i)}
 	if leader == "" || !r.news(i.Worker, now) {
 		return
 	}
-	if leader == r.s.Settings.VM {
+	if leader == r.s.Settings.VM && v.control.Leading() {
 		r.s.post(eventMessage{reducer.WorkerReported{Inventory: i, Age: r.s.Now().Sub(at)}})
 		r.noted(i.Worker, now)
 		return
 	}
-	if err := r.send(ctx, v, leader, at, i); err != nil {
+	if address == "" {
+		return // nobody leads at present
+	}
+	if err := r.send(ctx, leader, address, at, i); err != nil {
 		r.s.quiet.log("report", leader, err)
 		return
 	}
 	r.noted(i.Worker, now)
 }
 
-func (r *renewer) send(ctx context.Context, v *view, leader string, at time.Time, i leaser.Inventory) error {
-	address := v.leaderAddress()
-	if address == "" {
-		return fmt.Errorf("report worker %s to leader %s: its address is not known", i.Worker, leader)
-	}
+func (r *renewer) send(ctx context.Context, leader, address string, at time.Time, i leaser.Inventory) error {
 	b, err := json.Marshal(i)
 	if err != nil {
 		return fmt.Errorf("report worker %s to leader %s: %w", i.Worker, leader, err)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -131,6 +131,7 @@
 	}
 	s.prepareTraffic()
 	s.view.Store(&view{
+		self:    s.Settings.VM,
 		control: s.newControl(),
 		config:  s.config.State(),
 		members: heartbeater.New(s.Settings.VM),
--- a/internal/server/view.go
+++ b/internal/server/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/heartbeater"
 	"github.com/lacewingdoor/lacewingdoor/internal/connector"
@@ -13,6 +14,7 @@
 // view is everything that the control goroutine knows, as one immutable value.
 // Other goroutines read it through an atomic pointer.
 type view struct {
+	self          string // id of this VM
 	control       reducer.State
 	config        publisher.State
 	members       heartbeater.State
@@ -50,12 +52,14 @@
 	})
 }
 
-// leaderAddress returns where the leader can be called, "" when it is not known.
-func (v *view) leaderAddress() string {
-	for _, m := range v.members.Members() {
-		if m.Digest.VM == v.control.Leader() {
-			return m.Address
-		}
+// leader returns the VM that leads, and where it can be called; the address is ""
+// when this VM leads or nobody is known to.
+func (v *view) leader(now time.Time) (vm, address string) {
+	if v.control.Leading() {
+		return v.self, ""
 	}
-	return ""
+	if m, ok := v.members.Leader(now); ok {
+		return m.Digest.VM, m.Address
+	}
+	return v.control.Leader(), ""
 }
