--- a/reducer/blame.go
+++ b/reducer/blame.go
@@ -10,13 +10,13 @@
 		if !slices.Contains(w.failed, job) {
 			w.failed = append(slices.Clone(w.failed), job)
 		}
-		if len(w.failed) < quarantineJobs {
+		if len(w.failed) < quarantineJobs || t.now.Before(w.until) {
 			return
 		}
 		w.sentence = min(max(quarantineTime, w.sentence*2), quarantineLimit)
 		w.until = t.now.Add(w.sentence)
-		w.failed = w.failed[:quarantineJobs-1]
-		t.arm(timerPlace, "", w.until)
+		w.failed = slices.Clone(w.failed[:quarantineJobs-1])
+		t.arm(timerPlace, "worker "+id, w.until)
 	})
 }
 
--- a/reducer/election.go
+++ b/reducer/election.go
@@ -31,11 +31,14 @@
 		t.goneAt = t.now
 	}
 	rank := slices.Index(t.live, t.self)
-	if rank < 0 || t.now.Before(t.goneAt.Add(time.Duration(rank)*claimPause)) {
+	if !t.logUp {
+		t.goneAt = t.now // once the log answers, a provisional leader comes first
+		if rank == 0 {
+			t.leadProvisionally()
+		}
 		return
 	}
-	if !t.logUp {
-		t.leadProvisionally()
+	if rank < 0 || t.now.Before(t.goneAt.Add(time.Duration(rank)*claimPause)) {
 		return
 	}
 	if !t.caughtAt.After(t.goneAt) || !t.caughtAt.After(t.claim.failedAt) {
@@ -65,7 +68,8 @@
 	}
 }
 
-// leadProvisionally takes a sub-term of the last epoch while the log is down. It
+// leadProvisionally takes a sub-term of the last epoch while the log is down. Only
+// the first of the live VMs does so, for nothing tells the others that it did. It
 // decides only once a majority of the workers has accepted it; they refuse an
 // epoch that they have seen from another VM, so two cannot both decide.
 func (t *turn) leadProvisionally() {
--- a/reducer/placement.go
+++ b/reducer/placement.go
@@ -56,6 +56,7 @@
 		p.advance(&cursors[i])
 	}
 	p.reserve()
+	p.arm(timerPlace, "", p.now.Truncate(time.Minute).Add(time.Minute)) // guarantees begin and end at whole minutes
 }
 
 func (p *pass) cursors() []cursor {
@@ -136,11 +137,12 @@
 	n, _ := p.tenants.Get(j.Organisation)
 	_, covered := n.covers(p.now, j.Gang, used)
 	if !p.failed[j.Gang] {
-		if at, ok := p.find(j, covered); ok {
+		at, ok := p.avoiding(j)
+		if ok && (covered || p.allowed(j, at)) {
 			p.start(j, at)
 			return
 		}
-		p.failed[j.Gang] = true
+		p.failed[j.Gang] = !ok
 	}
 	if covered {
 		p.callSince(j, p.now)
@@ -151,28 +153,25 @@
 	}
 }
 
-// find chooses workers for a job that does not delay the reservation, nor lend
-// guaranteed capacity to work that could not be stopped without harm.
-func (p *pass) find(j *job, covered bool) (placer.Placement, bool) {
-	at, ok := p.avoiding(j)
-	if !ok || covered {
-		return at, ok
-	}
+// allowed reports whether a job may start on workers that have room: it neither
+// delays the reservation nor borrows guaranteed capacity for work that could not
+// be stopped without harm.
+func (p *pass) allowed(j *job, at placer.Placement) bool {
 	if j.NonIdempotent && !p.spare(j) {
-		return nil, false
+		return false
 	}
 	v := p.reserved
 	if v.job == "" || v.job == j.ID {
-		return at, ok
+		return true
 	}
 	run := p.estimate(j)
 	if !v.Allows(p.now, at, j.Gang.PerTask, run) {
-		return nil, false
+		return false
 	}
 	if p.now.Add(run).After(v.At) {
 		p.reserved.Reservation = v.With(at, j.Gang.PerTask)
 	}
-	return at, true
+	return true
 }
 
 // avoiding places a job away from the workers on which it failed, if it can.
@@ -211,11 +210,14 @@
 }
 
 // take counts resources on workers as used.
-func (p *pass) take(at placer.Placement, per placer.Resources) {
+func (p *pass) take(at placer.Placement, per placer.Resources) { takeFrom(p.workers, at, per) }
+
+// takeFrom takes resources off workers, which are sorted by id.
+func takeFrom(workers []placer.Worker, at placer.Placement, per placer.Resources) {
 	for _, id := range at {
-		i, ok := slices.BinarySearchFunc(p.workers, id, func(w placer.Worker, id string) int { return cmp.Compare(w.ID, id) })
+		i, ok := slices.BinarySearchFunc(workers, id, func(w placer.Worker, id string) int { return cmp.Compare(w.ID, id) })
 		if ok {
-			p.workers[i].Free = p.workers[i].Free.Minus(per)
+			workers[i].Free = workers[i].Free.Minus(per)
 		}
 	}
 }
--- /dev/null
+++ b/reducer/promised.go
@@ -0,0 +1,114 @@
+package reducer
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// OverpromisedError says that the guarantees of some hour do not fit together.
+type OverpromisedError struct {
+	Organisation string
+	Guarantee    string    // the one for which no room is left
+	At           time.Time // an instant at which it and the others hold
+	Block        int       // first of its blocks that has no room, counting from 1
+}
+
+// Error names the guarantee, the block and the hour.
+func (e *OverpromisedError) Error() string {
+	return fmt.Sprintf("guarantee %q of organisation %q: no room for block %d at %s beside the other guarantees of that hour",
+		e.Guarantee, e.Organisation, e.Block, e.At.Format(time.RFC3339))
+}
+
+// Promised reports whether idle workers could hold the guarantees of every hour
+// at once. The error is an *OverpromisedError. It looks at the moments at which a
+// guarantee begins, on a day in winter and one in summer, as clocks that are put
+// forward make hours in different zones overlap otherwise.
+func Promised(c decoder.Config, workers []placer.Worker) error {
+	for _, at := range beginnings(c) {
+		if err := promisedAt(c, workers, at); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// promise is a guarantee with its owner.
+type promise struct {
+	decoder.Guarantee
+
+	owner string
+}
+
+func promises(c decoder.Config) []promise {
+	var all []promise
+	for _, o := range c.Organisations {
+		for _, g := range o.Guarantees {
+			all = append(all, promise{g, o.Name})
+		}
+	}
+	return all
+}
+
+// beginnings returns the moments at which guarantees begin on two days of a year.
+func beginnings(c decoder.Config) []time.Time {
+	var all []time.Time
+	for _, month := range []time.Month{time.January, time.July} {
+		for _, p := range promises(c) {
+			zone := p.Location
+			if zone == nil {
+				zone = time.UTC
+			}
+			const year, day = 2025, 15
+			all = append(all, time.Date(year, month, day, 0, 0, int(p.From/time.Second), 0, zone))
+		}
+	}
+	return all
+}
+
+// promisedAt packs the blocks that hold at a time onto idle workers, the closest
+// and largest ones first.
+func promisedAt(c decoder.Config, workers []placer.Worker, at time.Time) error {
+	free := make([]placer.Worker, len(workers))
+	for i, w := range workers {
+		w.Free = w.Capacity
+		free[i] = w
+	}
+	in := slices.DeleteFunc(promises(c), func(p promise) bool { return !InHours(p.Guarantee, at) })
+	slices.SortStableFunc(in, harder)
+	for _, p := range in {
+		for n := range p.Blocks {
+			if !placeBlock(p.Guarantee, free) {
+				return &OverpromisedError{Organisation: p.owner, Guarantee: p.Name, At: at, Block: n + 1}
+			}
+		}
+	}
+	return nil
+}
+
+// harder orders guarantees by how hard their blocks are to place.
+func harder(a, b promise) int {
+	rank := []placer.Adjacency{placer.AdjacencyWorker, placer.AdjacencyRack, placer.AdjacencyNone}
+	if x, y := slices.Index(rank, a.Adjacency), slices.Index(rank, b.Adjacency); x != y {
+		return x - y
+	}
+	return b.Block.Accelerators - a.Block.Accelerators
+}
+
+// placeBlock takes a block off the free resources. One that may span workers is
+// taken accelerator by accelerator, each with its part of the rest.
+func placeBlock(g decoder.Guarantee, free []placer.Worker) bool {
+	r := placer.Request{Tasks: 1, PerTask: g.Block, Adjacency: placer.AdjacencyWorker}
+	if n := g.Block.Accelerators; n > 0 && g.Adjacency != placer.AdjacencyWorker {
+		part := placer.Resources{MilliCores: g.Block.MilliCores / n, MemoryMB: g.Block.MemoryMB / n, Accelerators: 1}
+		r = placer.Request{Tasks: n, PerTask: part, Adjacency: g.Adjacency}
+	}
+	at, ok := placer.Place(r, free)
+	if ok {
+		takeFrom(free, at, r.PerTask)
+	}
+	return ok
+}
--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -25,7 +25,7 @@
 	t.queues = t.queues.Set(j.Organisation, q.Set(j.queueKey(), j.ID))
 	t.placeable = true
 	if j.notBefore.After(t.now) {
-		t.arm(timerPlace, "", j.notBefore)
+		t.arm(timerPlace, "job "+j.ID, j.notBefore)
 		return
 	}
 	if j.Class == ClassUrgent {
--- a/reducer/reclaim.go
+++ b/reducer/reclaim.go
@@ -45,7 +45,7 @@
 		return
 	}
 	p.take(r.at, r.per)
-	p.arm(timerPlace, "", r.until)
+	p.arm(timerPlace, "job "+j.ID, r.until)
 }
 
 // callSince stops borrowers for a job that called first at since. The later it
@@ -68,7 +68,7 @@
 	r := &reclaim{job: j.ID, at: at, per: j.Gang.PerTask, since: since, until: stopAt.Add(reclaimOverrun), named: g.Name}
 	p.reclaims = p.reclaims.Set(j.ID, r)
 	p.take(at, j.Gang.PerTask)
-	p.arm(timerPlace, "", r.until)
+	p.arm(timerPlace, "job "+j.ID, r.until)
 	for _, v := range victims {
 		p.stopVictim(v.Job, j, stopAt)
 	}
--- a/reducer/reservation.go
+++ b/reducer/reservation.go
@@ -19,7 +19,11 @@
 func (p *pass) reserve() {
 	p.reserved = reservation{}
 	j := p.blocked
-	if j == nil || p.now.Sub(j.accepted) < reserveAfter {
+	if j == nil {
+		return
+	}
+	if due := j.accepted.Add(reserveAfter); p.now.Before(due) {
+		p.arm(timerPlace, "job "+j.ID, due)
 		return
 	}
 	v, ok := placer.Reserve(p.now, j.Gang, p.workers, p.runningGangs())
