--- a/placer/reserve.go
+++ b/placer/reserve.go
@@ -17,6 +17,7 @@
 // the running gangs end as expected.
 type Reservation struct {
 	Placement Placement
+	PerTask   Resources
 	At        time.Time
 	spare     []Worker // free resources at that time besides the reservation
 }
@@ -54,7 +55,34 @@
 		return Reservation{}, false
 	}
 	take(free, p, r.PerTask)
-	return Reservation{Placement: p, At: at, spare: free}, true
+	return Reservation{Placement: p, PerTask: r.PerTask, At: at, spare: free}, true
+}
+
+// ReserveAt returns the reservation of a placement that was chosen already, as
+// by Victims: the gangs in running that end by then make room for it.
+func ReserveAt(at time.Time, p Placement, perTask Resources, workers []Worker, running []Running) Reservation {
+	free := slices.Clone(workers)
+	for _, g := range running {
+		if g.Ends.After(at) {
+			continue
+		}
+		for _, a := range g.Held {
+			if i, ok := slices.BinarySearchFunc(free, a.Worker, compareID); ok {
+				free[i].Free = free[i].Free.Plus(a.Held)
+			}
+		}
+	}
+	take(free, p, perTask)
+	return Reservation{Placement: p, PerTask: perTask, At: at, spare: free}
+}
+
+// TakenFrom returns the workers without what the reservation needs; what is free
+// may become negative. A next gang reserves on these, so that no two gangs count
+// on the same resources.
+func (v Reservation) TakenFrom(workers []Worker) []Worker {
+	free := slices.Clone(workers)
+	take(free, v.Placement, v.PerTask)
+	return free
 }
 
 // Allows reports whether a gang that is placed at p, with tasks of the size
