--- a/follower/write.go
+++ b/follower/write.go
@@ -110,7 +110,7 @@
 	a.stopped = true
 	for _, i := range a.byID {
 		err := ErrNotAppended
-		if i.maybe || i.state != itemReady {
+		if i.maybe {
 			err = ErrUnknown
 		}
 		a.finish(i, fmt.Errorf("append record %s to stream %s: appender has ended: %w", i.id, a.Stream, err))
