--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -59,13 +59,17 @@
 	answer(w, http.StatusOK, connector.ListResponse{VMs: l.visible(time.Now())})
 }
 
-// visible returns the rows that are shown.
+// visible returns the rows that are shown: those of the latest change whose lag
+// is over. An earlier change is part of it, whatever its own lag.
 func (l *List) visible(now time.Time) []connector.ListedVM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.changes) > 0 && !now.Before(l.changes[0].from) {
-		l.seen = l.changes[0].rows
-		l.changes = l.changes[1:]
+	for i, c := range slices.Backward(l.changes) {
+		if !now.Before(c.from) {
+			l.seen = c.rows
+			l.changes = l.changes[i+1:]
+			break
+		}
 	}
 	return l.seen
 }
