--- a/scripts_load_test.go
+++ b/scripts_load_test.go
@@ -80,7 +80,8 @@
 	if l.keyed {
 		r.Header.Set("Idempotency-Key", fmt.Sprintf("%d-%s", time.Now().Unix(), digest[:32]))
 	}
-	result, last := "lost", ""
+	result := "lost"
+	var last string
 	a, err := client.Do(r)
 	if err == nil {
 		b, err := io.ReadAll(a.Body)
