--- a/decoder/builder.go
+++ b/decoder/builder.go
@@ -20,8 +20,9 @@
 // builder collects the organisations and services of all files.
 type builder struct {
 	organisations []placed[Organisation]
+	guarantees    []placed[Guarantee]
 	services      []placed[Service]
-	capacity      []WorkerGroup
+	capacity      []placed[WorkerGroup]
 	files         []*parsed
 }
 
@@ -31,14 +32,17 @@
 	root := scope{file: p}
 	for _, n := range slices.Sorted(maps.Keys(p.raw.Organisation)) {
 		s := root.child("organisation").child(n)
-		b.organisations = append(b.organisations, placed[Organisation]{organisation(s, n, p.raw.Organisation[n]), s})
+		o, gs := organisation(s, n, p.raw.Organisation[n])
+		b.organisations = append(b.organisations, placed[Organisation]{o, s})
+		b.guarantees = append(b.guarantees, gs...)
 	}
 	for _, n := range slices.Sorted(maps.Keys(p.raw.Service)) {
 		s := root.child("service").child(n)
 		b.services = append(b.services, placed[Service]{service(s, n, p.raw.Service[n]), s})
 	}
 	for i, r := range p.raw.Capacity {
-		b.capacity = append(b.capacity, workerGroup(root.entry("capacity", i), r))
+		e := root.entry("capacity", i)
+		b.capacity = append(b.capacity, placed[WorkerGroup]{workerGroup(e, r), e})
 	}
 }
 
@@ -48,7 +52,8 @@
 	maxGroup      = 10_000 // racks, workers of a rack, blocks, tasks
 )
 
-func organisation(s scope, name string, r rawOrganisation) Organisation {
+func organisation(s scope, name string, r rawOrganisation) (Organisation, []placed[Guarantee]) {
+	var gs []placed[Guarantee]
 	s.checkName(name)
 	o := Organisation{
 		Name:      name,
@@ -63,6 +68,7 @@
 			e.note("name", v.Name, "a name that no other guarantee of the organisation has")
 		}
 		o.Guarantees = append(o.Guarantees, v)
+		gs = append(gs, placed[Guarantee]{v, e})
 	}
 	slices.SortStableFunc(o.Guarantees, func(a, b Guarantee) int { return strings.Compare(a.Name, b.Name) })
 	for _, n := range slices.Sorted(maps.Keys(r.Team)) {
@@ -70,7 +76,7 @@
 		t.checkName(n)
 		o.Teams = append(o.Teams, Team{Name: n, Quota: t.resources(r.Team[n].rawResources, placer.Resources{})})
 	}
-	return o
+	return o, gs
 }
 
 var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
--- a/decoder/decode.go
+++ b/decoder/decode.go
@@ -19,7 +19,11 @@
 }
 
 // MaxFileSize is the largest file that is read, in bytes.
-const MaxFileSize = 256 << 10 // many times the longest useful file, and small beside a record of the log
+const MaxFileSize = 64 << 10 // many times the longest useful file; the library's time grows with the square of the keys
+
+// maxUnknown is the most unknown keys that are noted for one file. The rest of
+// such a file is not decoded.
+const maxUnknown = 100
 
 // Decode returns the configuration that files amount to together. The error, if
 // any, is Problems: everything that is wrong, sorted. The revision of the result
@@ -68,40 +72,30 @@
 // reports whether the file could be read as TOML of that layout, apart from keys
 // that are not known.
 func parseInto(f File, raw any) (*parsed, bool) {
-	p := &parsed{name: f.Name, layout: reflect.TypeOf(raw).Elem()}
+	p := &parsed{name: f.Name}
 	if len(f.Content) > MaxFileSize {
 		p.problems = Problems{{File: f.Name, Line: 1, Allowed: fmt.Sprintf("a file of at most %d bytes", MaxFileSize)}}
 		return p, false
 	}
 	doc := []byte(f.Content)
-	p.lines = mapLines(doc)
-	d := toml.NewDecoder(bytes.NewReader(doc)).DisallowUnknownFields()
-	err := d.Decode(raw)
-	var missing *toml.StrictMissingError
-	if errors.As(err, &missing) {
-		for i := range missing.Errors {
-			p.unknownKey(&missing.Errors[i])
-		}
-		return p, true
+	var unknown []Problem
+	p.lines, unknown = outline(doc, reflect.TypeOf(raw).Elem())
+	for _, q := range unknown[:min(len(unknown), maxUnknown)] {
+		q.File = f.Name
+		p.problems = append(p.problems, q)
 	}
-	if err != nil {
-		p.syntax(err)
+	if len(unknown) > maxUnknown {
+		return p, false
 	}
-	return p, err == nil
-}
-
-// unknownKey notes a key that the layout does not have.
-func (p *parsed) unknownKey(e *toml.DecodeError) {
-	row, _ := e.Position()
-	path := e.Key()
-	q := Problem{File: p.name, Line: max(row, 1), Key: strings.Join(path, "."), Allowed: "no such key"}
-	for n := len(path) - 1; n >= 0; n-- {
-		if known := knownKeys(p.layout, path[:n]); known != nil {
-			q.Allowed = "one of the keys " + strings.Join(known, ", ")
-			break
-		}
+	d := toml.NewDecoder(bytes.NewReader(doc))
+	if len(unknown) == 0 {
+		d.DisallowUnknownFields() // the library formats the whole document for each unknown key
 	}
-	p.problems = append(p.problems, q)
+	if err := d.Decode(raw); err != nil {
+		p.syntax(err)
+		return p, false
+	}
+	return p, true
 }
 
 // syntax notes an error of TOML itself, or a value where a table must stand.
@@ -118,7 +112,10 @@
 
 // config returns what was built, sorted by name.
 func (b *builder) config() Config {
-	c := Config{Capacity: b.capacity}
+	var c Config
+	for _, g := range b.capacity {
+		c.Capacity = append(c.Capacity, g.value)
+	}
 	for _, o := range b.organisations {
 		c.Organisations = append(c.Organisations, o.value)
 	}
--- a/decoder/decode_test.go
+++ b/decoder/decode_test.go
@@ -65,3 +65,32 @@
 	}
 	return b.String()
 }
+
+// TestDecodeHostile decodes files that would take long or much memory if every
+// key were followed. The problems that it finds are few.
+func TestDecodeHostile(t *testing.T) {
+	var many strings.Builder
+	for i := range 8000 {
+		fmt.Fprintf(&many, "k%d=1\n", i)
+	}
+	for name, c := range map[string]struct {
+		content  string
+		problems int
+	}{
+		"many":   {many.String(), 100},
+		"large":  {many.String() + strings.Repeat("#", 20_000), 1},
+		"dotted": {strings.Repeat("a.", 20_000) + "a=1", 1},
+		"table":  {"[" + strings.Repeat("a.", 20_000) + "a]", 1},
+		"arrays": {"a=" + strings.Repeat("[", 9000) + strings.Repeat("]", 9000), 1},
+		"tables": {"service.a.share=" + strings.Repeat("{a=", 5000) + "1" + strings.Repeat("}", 5000), 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := decoder.Decode([]decoder.File{{Name: "a.toml", Content: c.content}})
+			var ps decoder.Problems
+			is.True(errors.As(err, &ps))
+			is.Equal(len(ps), c.problems)
+			is.True(len(ps.Error()) < 20_000) // no problem repeats the file
+		})
+	}
+}
--- /dev/null
+++ b/decoder/fuzz_test.go
@@ -0,0 +1,58 @@
+package decoder_test
+
+import (
+	"errors"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+)
+
+// FuzzDecode checks that no file makes Decode panic, that each problem names a
+// line of its file, and that the same file gives the same result.
+func FuzzDecode(f *testing.F) {
+	paths, err := filepath.Glob("testdata/decode/*.txtar")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, p := range paths {
+		a, err := txtar.ParseFile(p)
+		if err != nil {
+			f.Fatal(err)
+		}
+		for _, d := range a.Files {
+			if strings.HasSuffix(d.Name, ".toml") {
+				f.Add(string(d.Data))
+			}
+		}
+	}
+	f.Fuzz(func(t *testing.T, content string) {
+		files := []decoder.File{
+			{Name: "fuzzed.toml", Content: content},
+			{Name: "other.toml", Content: "[organisation.other]\n"},
+		}
+		c, err := decoder.Decode(files)
+		if err == nil {
+			if len(c.Organisations) == 0 {
+				t.Fatal("the organisation of the other file is missing")
+			}
+			return
+		}
+		var ps decoder.Problems
+		if !errors.As(err, &ps) {
+			t.Fatalf("error is not Problems: %v", err)
+		}
+		for _, p := range ps {
+			lines := strings.Count(content, "\n") + 1
+			if p.File == "" || p.Line < 1 || p.File == "fuzzed.toml" && p.Line > lines || p.Allowed == "" {
+				t.Fatalf("problem without its place: %+v", p)
+			}
+		}
+		if _, again := decoder.Decode(files); again == nil || again.Error() != err.Error() {
+			t.Fatalf("the second time: %v", again)
+		}
+	})
+}
--- a/decoder/lines.go
+++ b/decoder/lines.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"sort"
 	"strings"
 
@@ -28,91 +29,113 @@
 	return 1
 }
 
-// liner builds a lineMap from the expressions of a document.
-type liner struct {
-	starts []int // offset of the start of each line
-	counts map[string]int
-	lines  lineMap
+// place is a table or value of a document while it is walked. The layout is nil
+// below what the layout knows; keys there are not followed, so the time that a
+// document takes does not grow with its depth.
+type place struct {
+	path   string
+	layout reflect.Type
 }
 
-// mapLines returns the lines of the keys of doc. It stops at the first error of
-// syntax, which decoding reports.
-func mapLines(doc []byte) lineMap {
-	l := liner{starts: []int{0}, counts: map[string]int{}, lines: lineMap{}}
+// outliner walks the expressions of a document, notes the line of each key, and
+// the keys that the layout does not know.
+type outliner struct {
+	starts  []int          // offset of the start of each line
+	counts  map[string]int // entries of each array of tables
+	lines   lineMap
+	unknown []Problem
+}
+
+// outline returns the lines of the keys of doc and a problem for each key that
+// the layout does not know. It stops at the first error of syntax, which
+// decoding reports.
+func outline(doc []byte, layout reflect.Type) (lineMap, []Problem) {
+	o := outliner{starts: []int{0}, counts: map[string]int{}, lines: lineMap{}}
 	for i, b := range doc {
 		if b == '\n' {
-			l.starts = append(l.starts, i+1)
+			o.starts = append(o.starts, i+1)
 		}
 	}
 	var p unstable.Parser
 	p.Reset(doc)
-	prefix := ""
+	root := place{layout: layout}
+	at := root
 	for p.NextExpression() {
-		prefix = l.expression(p.Expression(), prefix)
+		e := p.Expression()
+		switch e.Kind {
+		case unstable.Table:
+			at = o.keys(e.Key(), root)
+		case unstable.ArrayTable:
+			at = o.arrayEntry(o.keys(e.Key(), root))
+		case unstable.KeyValue:
+			o.keyValue(e, at)
+		default:
+		}
 	}
-	return l.lines
+	return o.lines, o.unknown
 }
 
-// expression notes the lines of e and returns the table that it leaves open.
-func (l *liner) expression(e *unstable.Node, prefix string) string {
-	switch e.Kind {
-	case unstable.Table:
-		return l.keys(e.Key(), "")
-	case unstable.ArrayTable:
-		path := l.keys(e.Key(), "")
-		n := l.counts[path]
-		l.counts[path] = n + 1
-		entry := fmt.Sprintf("%s[%d]", path, n)
-		l.lines[entry] = l.lines[path]
-		return entry
-	case unstable.KeyValue:
-		l.keyValue(e, prefix)
-		return prefix
-	default:
-		return prefix
-	}
+// arrayEntry returns the place of a new entry of an array of tables.
+func (o *outliner) arrayEntry(p place) place {
+	n := o.counts[p.path]
+	o.counts[p.path] = n + 1
+	entry := place{path: fmt.Sprintf("%s[%d]", p.path, n), layout: p.layout}
+	o.lines[entry.path] = o.lines[p.path]
+	return entry
 }
 
-func (l *liner) keyValue(e *unstable.Node, prefix string) {
-	path := l.keys(e.Key(), prefix)
-	l.value(e.Value(), path)
+func (o *outliner) keyValue(e *unstable.Node, p place) {
+	o.value(e.Value(), o.keys(e.Key(), p))
 }
 
-// value notes the lines of the keys within an inline value.
-func (l *liner) value(v *unstable.Node, path string) {
+// value follows the keys within an inline value.
+func (o *outliner) value(v *unstable.Node, p place) {
+	if p.layout == nil {
+		return
+	}
 	it := v.Children()
 	switch v.Kind {
 	case unstable.InlineTable:
 		for it.Next() {
-			l.keyValue(it.Node(), path)
+			o.keyValue(it.Node(), p)
 		}
 	case unstable.Array:
 		for i := 0; it.Next(); i++ {
-			l.value(it.Node(), fmt.Sprintf("%s[%d]", path, i))
+			if it.Node().Kind == unstable.InlineTable {
+				o.value(it.Node(), place{fmt.Sprintf("%s[%d]", p.path, i), p.layout})
+			}
 		}
 	default:
 	}
 }
 
-// keys notes the line of each step of a dotted key, and returns its whole path.
-// A step into an array of tables means the array's last entry.
-func (l *liner) keys(it unstable.Iterator, prefix string) string {
-	path := prefix
-	for it.Next() {
-		if n := l.counts[path]; n > 0 && path != prefix {
-			path = fmt.Sprintf("%s[%d]", path, n-1)
-		}
-		path = join(path, string(it.Node().Data))
-		line := l.line(it.Node().Raw)
-		if _, ok := l.lines[path]; !ok || it.IsLast() {
-			l.lines[path] = line
+// keys follows the steps of a dotted key from a table. A step into an array of
+// tables means the array's last entry.
+func (o *outliner) keys(it unstable.Iterator, p place) place {
+	from := p.path
+	for p.layout != nil && it.Next() {
+		if n := o.counts[p.path]; n > 0 && p.path != from {
+			p.path = fmt.Sprintf("%s[%d]", p.path, n-1)
 		}
+		p = o.key(it.Node(), p, it.IsLast())
 	}
-	return path
+	return p
 }
 
-func (l *liner) line(r unstable.Range) int {
-	return sort.SearchInts(l.starts, int(r.Offset)+1)
+// key follows one step of a key, and notes its line.
+func (o *outliner) key(n *unstable.Node, p place, last bool) place {
+	k := string(n.Data)
+	line := sort.SearchInts(o.starts, int(n.Raw.Offset)+1)
+	next := place{path: join(p.path, k), layout: step(p.layout, k)}
+	if known := knownKeys(p.layout); next.layout == nil && known != nil {
+		o.unknown = append(o.unknown, Problem{
+			Line: line, Key: next.path, Allowed: "one of the keys " + strings.Join(known, ", "),
+		})
+	}
+	if _, ok := o.lines[next.path]; !ok || last {
+		o.lines[next.path] = line
+	}
+	return next
 }
 
 // join adds key to a path.
--- a/decoder/raw.go
+++ b/decoder/raw.go
@@ -77,31 +77,19 @@
 	}
 )
 
-// knownKeys returns the keys that the table at path may hold in a layout, in the
-// order of the raw types. The parts of path that name an entry of a map or a slice count
-// as steps into it.
-func knownKeys(layout reflect.Type, path []string) []string {
-	t := layout
-	for _, p := range path {
-		t = step(t, p)
-		if t == nil {
-			return nil
-		}
-	}
-	if t.Kind() == reflect.Slice {
-		t = t.Elem()
-	}
+// knownKeys returns the keys that a table of a layout may hold, in the order of
+// the raw types, and nil when it may hold any or is no table.
+func knownKeys(layout reflect.Type) []string {
+	t := entryOf(layout)
 	if t.Kind() != reflect.Struct {
 		return nil
 	}
 	return fieldKeys(t)
 }
 
-// step returns the type of key within t, nil when there is none.
-func step(t reflect.Type, key string) reflect.Type {
-	if t.Kind() == reflect.Slice {
-		t = t.Elem()
-	}
+// step returns the layout of a key within a table, nil when there is none.
+func step(layout reflect.Type, key string) reflect.Type {
+	t := entryOf(layout)
 	if t.Kind() == reflect.Map {
 		return t.Elem()
 	}
@@ -109,6 +97,11 @@
 		return nil
 	}
 	for f := range t.Fields() {
+		if f.Anonymous {
+			if g := step(f.Type, key); g != nil {
+				return g
+			}
+		}
 		if f.Tag.Get("toml") == key {
 			return f.Type
 		}
@@ -116,6 +109,15 @@
 	return nil
 }
 
+// entryOf returns the layout of the entries of an array of tables, and any other
+// layout as it is.
+func entryOf(layout reflect.Type) reflect.Type {
+	if layout.Kind() == reflect.Slice {
+		return layout.Elem()
+	}
+	return layout
+}
+
 func fieldKeys(t reflect.Type) []string {
 	var keys []string
 	for f := range t.Fields() {
--- a/decoder/scope.go
+++ b/decoder/scope.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"reflect"
 	"regexp"
 	"slices"
 	"strings"
@@ -21,8 +20,7 @@
 // parsed is a file while it is decoded.
 type parsed struct {
 	name     string
-	layout   reflect.Type // raw type of the whole file
-	raw      rawFile      // unless the file is of settings
+	raw      rawFile // unless the file is of settings
 	lines    lineMap
 	problems Problems
 }
--- a/decoder/whole.go
+++ b/decoder/whole.go
@@ -57,6 +57,3 @@
 		}
 	}
 }
-
-// checkCapacity notes guarantees that cannot all be kept at once.
-func (b *builder) checkCapacity() {}
