Script the commands that check and publish files

Scripts run check, key and publish against an entry VM's interface in memory, with lost answers, a log that is down and a VM that cannot be read. Errors of a publication stay on one line.

--- /dev/null
+++ b/internal/cmd/files_test.go
@@ -0,0 +1,100 @@
+package cmd_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/cmd"
+	"github.com/lacewingdoor/lacewingdoor/internal/refuser"
+	"github.com/lacewingdoor/lacewingdoor/publisher"
+)
+
+// TestFileCommands runs the commands that concern configuration files. Beside
+// the usual commands of testscript there are:
+//
+//	lacewingdoor CODE ARGUMENTS  run the command line and check its exit code
+//	entry-vm MODE                start an entry VM's configuration API at $SERVER;
+//	                             MODE is up, lost (answers to changes get lost),
+//	                             unreadable (once it has a change) or refusing
+func TestFileCommands(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/files",
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"lacewingdoor": runCommand,
+			"entry-vm":     startEntryVM,
+		},
+	})
+}
+
+func runCommand(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	full := args[1:]
+	for i, a := range full {
+		if strings.HasPrefix(a, "./") {
+			full[i] = ts.MkAbs(a)
+		}
+	}
+	if got := cmd.Main(full, ts.Stdout(), ts.Stderr()); got != want {
+		ts.Fatalf("exit code is %d, want %d", got, want)
+	}
+}
+
+// entryVM is the configuration API of an entry VM whose log is in memory.
+type entryVM struct {
+	mu     sync.Mutex
+	state  publisher.State
+	offset int64
+	mode   string
+}
+
+func startEntryVM(ts *testscript.TestScript, _ bool, args []string) {
+	e := &entryVM{state: publisher.New(), mode: args[0]}
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+publisher.PathConfiguration, e.get)
+	m.HandleFunc("POST "+publisher.PathChanges, e.change)
+	s := httptest.NewServer(m)
+	ts.Defer(s.Close)
+	ts.Setenv("SERVER", strings.TrimPrefix(s.URL, "http://"))
+}
+
+func (e *entryVM) get(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.Header.Get("Authorization") != "Bearer key" {
+		refuser.Write(w, refuser.New(http.StatusForbidden, "not-operator", "the key may not"))
+		return
+	}
+	if e.mode == "unreadable" && e.offset > 0 {
+		refuser.Write(w, refuser.New(http.StatusServiceUnavailable, "not-ready", "starting"))
+		return
+	}
+	_ = json.NewEncoder(w).Encode(publisher.ConfigurationResponse{
+		State: e.state, VMs: []publisher.VMRevision{{VM: "vm-1", Revision: e.state.Revision()}},
+	})
+}
+
+func (e *entryVM) change(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var c publisher.Change
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil || e.mode == "refusing" {
+		refuser.Write(w, refuser.New(http.StatusServiceUnavailable, "log-down", "the log does not answer"))
+		return
+	}
+	c.Publisher = "morfa"
+	e.offset++
+	e.state, _ = publisher.Apply(e.state, e.offset, c)
+	if e.mode == "lost" {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(http.StatusAccepted)
+	_ = json.NewEncoder(w).Encode(publisher.ChangeResponse{Offset: e.offset})
+}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -1,6 +1,7 @@
 package publisher
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -162,10 +163,10 @@
 		if !appended && p.Now().Sub(asked) >= p.settleTime() {
 			asked = p.Now()
 			p.report("change %s was not seen in the log, withdrawing it if it is not there", id)
-			err = errors.Join(err, p.Withdraw(ctx, id))
+			err = because(p.Withdraw(ctx, id), err)
 		}
 		if w := p.Wait(ctx); w != nil {
-			return Verdict{}, fmt.Errorf("%w: read back change %s: %w", ErrUnknown, id, errors.Join(w, err))
+			return Verdict{}, fmt.Errorf("%w: read back change %s: %w", ErrUnknown, id, because(w, err))
 		}
 	}
 }
@@ -194,12 +195,20 @@
 			return arrived, nil
 		}
 		if w := p.Wait(ctx); w != nil {
-			p.report("in force, but not yet seen everywhere: missing %q: %v", missing, errors.Join(w, err))
+			p.report("in force, but not yet seen everywhere: missing %q: %v", missing, because(w, err))
 			return arrived, missing
 		}
 	}
 }
 
+// because adds the cause of an error, on the same line. Both may be nil.
+func because(err, cause error) error {
+	if err == nil || cause == nil {
+		return cmp.Or(err, cause)
+	}
+	return fmt.Errorf("%w (%w)", err, cause)
+}
+
 func (p *Publisher) report(format string, args ...any) {
 	if p.Report != nil {
 		p.Report(fmt.Sprintf(format, args...))
