--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -35,11 +35,12 @@
 
 // WorkerEvent is a start or an end of a task.
 type WorkerEvent struct {
-	Lease  leaser.ID    `json:"lease"`
-	Event  string       `json:"event"` // "start" or "end"
-	State  leaser.State `json:"state"` // in which it ended
-	Reason string       `json:"reason"`
-	AtMS   int64        `json:"at-ms"` // Unix milliseconds
+	Lease    leaser.ID    `json:"lease"`
+	GangSize int          `json:"gang-size"`
+	Event    string       `json:"event"` // "start" or "end"
+	State    leaser.State `json:"state"` // in which it ended
+	Reason   string       `json:"reason"`
+	AtMS     int64        `json:"at-ms"` // Unix milliseconds
 }
 
 // WorkerHistory answers GET /history.
@@ -148,13 +149,13 @@
 		if _, ok := w.tasks[l.ID]; !ok {
 			w.tasks[l.ID] = newTask(now, l, w.control.get().FailEverything)
 			w.history.Starts++
-			w.note(now, WorkerEvent{Lease: l.ID, Event: "start", State: l.State})
+			w.note(now, WorkerEvent{Lease: l.ID, GangSize: l.GangSize, Event: "start", State: l.State})
 		}
 	}
 	for _, l := range w.table.Over() {
 		if _, ok := w.tasks[l.ID]; ok && !running[l.ID] {
 			delete(w.tasks, l.ID)
-			w.note(now, WorkerEvent{Lease: l.ID, Event: "end", State: l.State, Reason: l.Reason})
+			w.note(now, WorkerEvent{Lease: l.ID, GangSize: l.GangSize, Event: "end", State: l.State, Reason: l.Reason})
 		}
 	}
 }
