--- a/scripts_load_test.go
+++ b/scripts_load_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,20 +39,27 @@
 
 // load sends requests to one URL until it is stopped.
 type load struct {
-	url    string
-	keyed  bool
-	stop   context.CancelFunc
-	wait   func()
-	mu     sync.Mutex
-	tally  tally
-	result map[string]string // by digest of the body
+	urls    []string // each request goes to all of them at once
+	keyed   bool
+	stop    context.CancelFunc
+	wait    func()
+	mu      sync.Mutex
+	tally   tally
+	results map[string][]string // by digest of the body
 }
 
-// cmdLoad sends requests in the background: load NAME URL [keyed]. With keyed
-// each has an idempotency key.
+// cmdLoad sends requests in the background: load NAME URL... [keyed]. With keyed
+// each has an idempotency key. Several URLs get each request at the same time.
 func cmdLoad(t *testscript.TestScript, _ bool, a []string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &load{url: os.Expand(a[1], t.Getenv), keyed: len(a) > 2, stop: cancel, result: map[string]string{}}
+	l := &load{stop: cancel, results: map[string][]string{}}
+	for _, u := range a[1:] {
+		if u == "keyed" {
+			l.keyed = true
+			continue
+		}
+		l.urls = append(l.urls, os.Expand(u, t.Getenv))
+	}
 	l.wait = once(func() { l.run(ctx, a[0]) })
 	t.Defer(func() { cancel(); l.wait() })
 	processesOf(t).loads[a[0]] = l
@@ -63,7 +71,7 @@
 	for c := range loadCallers {
 		g.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				l.one(fmt.Sprintf("%s-%d-%d-%d", name, c, n, time.Now().UnixNano()))
+				l.each(fmt.Sprintf("%s-%d-%d-%d", name, c, n, time.Now().UnixNano()))
 				select {
 				case <-time.After(loadInterval):
 				case <-ctx.Done():
@@ -73,14 +81,24 @@
 	}
 }
 
+// each sends one request to every URL.
+func (l *load) each(body string) {
+	var g sync.WaitGroup
+	defer g.Wait()
+	key := fmt.Sprintf("%d-%x", time.Now().Unix(), sha256.Sum224([]byte(body)))
+	for _, u := range l.urls {
+		g.Go(func() { l.one(u, key, body) })
+	}
+}
+
 // one sends one request and takes its answer.
-func (l *load) one(body string) {
+func (l *load) one(url, key, body string) {
 	h := sha256.Sum256([]byte(body))
 	digest := hex.EncodeToString(h[:])
-	r, _ := http.NewRequest(http.MethodPost, l.url, bytes.NewReader([]byte(body)))
+	r, _ := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
 	r.Header.Set("Authorization", "Bearer "+callerKey)
 	if l.keyed {
-		r.Header.Set("Idempotency-Key", fmt.Sprintf("%d-%s", time.Now().Unix(), digest[:32]))
+		r.Header.Set("Idempotency-Key", key)
 	}
 	var result, last string
 	a, err := client.Do(r)
@@ -97,7 +115,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.result[digest] = result
+	l.results[digest] = append(l.results[digest], result)
 	l.tally.Sent++
 	if result == "lost" || result == "wrong" {
 		l.tally.Last = last
@@ -183,14 +201,17 @@
 			runs[r.Digest]++
 		}
 	}
-	for d, result := range l.result {
-		switch n := runs[d]; {
-		case (result == "not-run" || result == "refused") && n > 0:
-			t.Fatalf("a request that was %s has run %d times", result, n)
-		case result == "answered" && n == 0:
+	for d, results := range l.results {
+		n := runs[d]
+		answered := slices.Contains(results, "answered")
+		refused := !slices.ContainsFunc(results, func(r string) bool { return r != "not-run" && r != "refused" })
+		switch {
+		case refused && n > 0:
+			t.Fatalf("a request that was refused as %v has run %d times", results, n)
+		case answered && n == 0:
 			t.Fatalf("a request that was answered has not run")
 		case l.keyed && n > 1:
-			t.Fatalf("a request with an idempotency key (%s) has run %d times", result, n)
+			t.Fatalf("a request with an idempotency key (%v) has run %d times", results, n)
 		}
 	}
 }
