Keep the tasks of a gang together where one worker holds them

Filling the smallest holes first spread a gang over many workers, whose holes stayed small when it ended. Now what is left of a gang goes to the smallest hole that holds all of it, else as much as fits to the largest hole.

--- a/placer/place.go
+++ b/placer/place.go
@@ -8,8 +8,9 @@
 // Place chooses a worker for each task of r, or reports that none can be found
 // now. The workers are sorted by id; equal inputs give equal placements.
 //
-// It finds a placement whenever one exists, fills the smallest holes first and
-// breaks into a worker with all its accelerators free only when it has to.
+// It finds a placement whenever one exists. It keeps the tasks together in the
+// smallest hole that holds them, and breaks into a worker with all its
+// accelerators free only when no hole does.
 func Place(r Request, workers []Worker) (Placement, bool) {
 	if r.Tasks <= 0 || !mayFit(r, workers) {
 		return nil, false
@@ -187,17 +188,37 @@
 	return x.fill(x.candidates), true
 }
 
-// fill puts the tasks on the candidates in order; there is room for all.
+// fill puts the tasks on the candidates, which are ordered by better and have
+// room for all: what is left of the gang goes to the first worker that holds it
+// whole, or else as much of it as fits into the largest hole. Tasks that end
+// together then leave large holes rather than many small ones.
 func (x *index) fill(in []candidate) Placement {
 	p := make(Placement, 0, x.request.Tasks)
-	for _, c := range in {
-		for range min(c.tasks, x.request.Tasks-len(p)) {
-			p = append(p, x.workers[c.worker].ID)
+	for len(p) < x.request.Tasks {
+		left := x.request.Tasks - len(p)
+		i := next(in, left)
+		for range min(in[i].tasks, left) {
+			p = append(p, x.workers[in[i].worker].ID)
 		}
+		in = slices.Delete(in, i, i+1)
 	}
 	return p
 }
 
+// next returns the position of the candidate to use for the tasks that are left.
+func next(in []candidate, left int) int {
+	hole := 0
+	for i, c := range in {
+		if c.tasks >= left {
+			return i
+		}
+		if !c.whole {
+			hole = i
+		}
+	}
+	return hole
+}
+
 // Count returns how many tasks of the size need fit into free. A need of
 // nothing counts as one that fits without end.
 func Count(need, free Resources) int {
