--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -36,6 +36,7 @@
 	Demo    DemoCmd    `cmd:"" help:"Run the whole path in one process and check its promises."`
 	Jobs    JobsCmd    `cmd:"" help:"List jobs."`
 	Key     KeyCmd     `cmd:"" help:"Print a new bearer key and its hash."`
+	Measure MeasureCmd `cmd:"" help:"Measure policies of placement in virtual time."`
 	Publish PublishCmd `cmd:"" help:"Bring configuration files into force."`
 	Serve   ServeCmd   `cmd:"" help:"Run the entry daemon."`
 	Standin StandinCmd `cmd:"" help:"Run a stand-in for a part of the platform." name:"stand-in"`
