--- a/reducer/placement.go
+++ b/reducer/placement.go
@@ -7,7 +7,6 @@
 
 	"github.com/benbjohnson/immutable"
 
-	"github.com/lacewingdoor/lacewingdoor/decoder"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
 
@@ -127,7 +126,8 @@
 	return float64(a) / float64(b)
 }
 
-// try starts a job if it fits. Else a covered one calls its guarantee back.
+// try starts a job if it fits and may. Else a covered one calls its guarantee
+// back, and the first that lacks room waits for the reservation.
 func (p *pass) try(j *job) {
 	if r, ok := p.reclaims.Get(j.ID); ok {
 		p.collect(j, r)
@@ -144,11 +144,10 @@
 		}
 		p.failed[j.Gang] = !ok
 	}
-	if covered {
+	switch {
+	case covered:
 		p.callSince(j, p.now)
-		return
-	}
-	if p.blocked == nil {
+	case p.blocked == nil && p.failed[j.Gang]:
 		p.blocked = j
 	}
 }
@@ -157,14 +156,14 @@
 // delays the reservation nor borrows guaranteed capacity for work that could not
 // be stopped without harm.
 func (p *pass) allowed(j *job, at placer.Placement) bool {
-	if j.NonIdempotent && !p.spare(j) {
+	run := p.estimate(j)
+	if j.NonIdempotent && !p.spare(p.now, j, run, p.workers) {
 		return false
 	}
 	v := p.reserved
 	if v.job == "" || v.job == j.ID {
 		return true
 	}
-	run := p.estimate(j)
 	if !v.Allows(p.now, at, j.Gang.PerTask, run) {
 		return false
 	}
@@ -187,19 +186,6 @@
 	return placer.Place(j.Gang, p.workers)
 }
 
-// estimate returns how long a job runs at most, by what was learned.
-func (p *pass) estimate(j *job) time.Duration {
-	d := p.estimates.Quantile(j.estimateKey(), runQuantile, j.DeclaredRun)
-	if d == 0 {
-		return unknownRun
-	}
-	return d
-}
-
-// unknownRun is taken for jobs of which nothing is known, so that they delay no
-// reservation.
-const unknownRun = 24 * time.Hour
-
 // start has a job's gang prepared on its workers.
 func (p *pass) start(j *job, at placer.Placement) {
 	p.take(at, j.Gang.PerTask)
@@ -221,31 +207,3 @@
 		}
 	}
 }
-
-// spare reports whether a job leaves room for all guarantees that are not used.
-func (p *pass) spare(j *job) bool {
-	var free, owed placer.Resources
-	for _, w := range p.workers {
-		free = free.Plus(w.Free)
-	}
-	for i := p.tenants.Iterator(); !i.Done(); {
-		name, n, _ := i.Next()
-		used, _ := p.used.Get(name)
-		owed = owed.Plus(unused(n.Guarantees, used))
-	}
-	return j.Gang.Total().Plus(owed).Fits(free)
-}
-
-// unused returns what is left of guarantees, at any hour of the day.
-func unused(all []decoder.Guarantee, used placer.Resources) placer.Resources {
-	var sum placer.Resources
-	for _, g := range all {
-		sum = sum.Plus(total(g))
-	}
-	left := sum.Minus(used)
-	return placer.Resources{
-		MilliCores:   max(0, left.MilliCores),
-		MemoryMB:     max(0, left.MemoryMB),
-		Accelerators: max(0, left.Accelerators),
-	}
-}
--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -14,7 +14,7 @@
 		t.cancel(j)
 		return
 	}
-	if err := t.feasible(j.Gang); err != nil {
+	if err := t.impossible(j.Job); err != nil {
 		t.end(j, OutcomeRefused, err.Error(), 0)
 		return
 	}
@@ -47,6 +47,14 @@
 	t.queues = t.queues.Set(j.Organisation, q)
 }
 
+// impossible reports why a job can never run.
+func (s State) impossible(j Job) error {
+	if err := s.feasible(j.Gang); err != nil {
+		return err
+	}
+	return s.lendable(j)
+}
+
 // feasible reports why a gang can never be placed. It says nothing as long as the
 // size of a listed worker is not known. Workers that are gone for a short time
 // count, so that an outage of a rack refuses no job.
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -197,11 +197,14 @@
 	if _, ok := placer.Place(j.Gang, views); !ok {
 		return s.short(j, views)
 	}
+	if j.NonIdempotent && !s.spare(now, j, s.estimate(j), views) {
+		return "what is free is guaranteed to others, and a non-idempotent job may not borrow it"
+	}
 	if s.reserved.job != "" {
 		return fmt.Sprintf("it would delay job %s, which has a reservation for %s",
 			s.reserved.job, s.reserved.At.UTC().Format(time.TimeOnly))
 	}
-	return "jobs before it are placed first, or free capacity is guaranteed to others"
+	return "jobs before it are placed first"
 }
 
 // short names what a job lacks: the resource, and the worker or rack that comes
--- a/reducer/tenant.go
+++ b/reducer/tenant.go
@@ -27,21 +27,25 @@
 // InHours reports whether a guarantee holds at a time, by the clock on the wall
 // in its time zone. One without a zone goes by UTC.
 func InHours(g decoder.Guarantee, at time.Time) bool {
-	zone := g.Location
-	if zone == nil {
-		zone = time.UTC
-	}
-	local := at.In(zone)
-	h, m, s := local.Clock()
-	clock := time.Duration(h)*time.Hour + time.Duration(m)*time.Minute + time.Duration(s)*time.Second
+	c := clock(g, at)
 	switch {
 	case g.From == g.To:
 		return true
 	case g.From < g.To:
-		return g.From <= clock && clock < g.To
+		return g.From <= c && c < g.To
 	default:
-		return clock >= g.From || clock < g.To
+		return c >= g.From || c < g.To
+	}
+}
+
+// clock returns the time of day by the wall clock of a guarantee's zone.
+func clock(g decoder.Guarantee, at time.Time) time.Duration {
+	zone := g.Location
+	if zone == nil {
+		zone = time.UTC
 	}
+	h, m, s := at.In(zone).Clock()
+	return time.Duration(h)*time.Hour + time.Duration(m)*time.Minute + time.Duration(s)*time.Second
 }
 
 // total returns what all blocks of a guarantee amount to.
--- a/reducer/validate.go
+++ b/reducer/validate.go
@@ -45,7 +45,7 @@
 	if err := n.allows(j); err != nil {
 		return fmt.Errorf("job %q: %w", j.ID, err)
 	}
-	if err := s.feasible(j.Gang); err != nil {
+	if err := s.impossible(j); err != nil {
 		return fmt.Errorf("job %q: %w", j.ID, err)
 	}
 	return nil
