Measure the cost of an event, and remember which jobs can run

Cause: accepting a job checked whether it can ever fit on all workers, which grew with their number. Change: a need that was found possible is remembered until the workers or the configuration change.

Ruled out: keeping the placer's view in the state, as a pass runs at most four times a second but for urgent jobs.

--- /dev/null
+++ b/reducer/bench_test.go
@@ -0,0 +1,111 @@
+package reducer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/leaser"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+	"github.com/lacewingdoor/lacewingdoor/reducer"
+)
+
+var benchStart = time.Date(2026, 1, 5, 12, 0, 0, 0, time.UTC)
+
+const tasksPerWorker = 29
+
+// benchInventory returns what a worker shows that runs 29 gangs of one task and
+// has room for two more.
+func benchInventory(n int, epoch leaser.Epoch) leaser.Inventory {
+	i := leaser.Inventory{
+		Worker: fmt.Sprintf("w%04d", n), Epoch: epoch,
+		Capacity: placer.Resources{MilliCores: 31000, MemoryMB: 31000, Accelerators: 8},
+	}
+	for k := range tasksPerWorker {
+		i.Leases = append(i.Leases, leaser.Lease{
+			ID: leaser.ID{Job: fmt.Sprintf("j%04d-%02d", n, k), Attempt: 1}, Epoch: epoch, GangSize: 1,
+			Organisation: "a", Resources: placer.Resources{MilliCores: 1000, MemoryMB: 1000},
+			State: leaser.StateRunning,
+		})
+	}
+	return i
+}
+
+// benchLeader returns the state of a leader with so many workers, all busy.
+func benchLeader(b *testing.B, workers int) reducer.State {
+	b.Helper()
+	s := reducer.New("vm-1")
+	now := benchStart
+	take := func(e reducer.Event) { s, _ = reducer.Reduce(now, s, e) }
+	take(reducer.ConfigChanged{Config: decoder.Config{Organisations: []decoder.Organisation{{Name: "a"}}}})
+	var list []reducer.WorkerListed
+	offset := int64(0)
+	for n := range workers {
+		list = append(list, reducer.WorkerListed{ID: fmt.Sprintf("w%04d", n), Rack: fmt.Sprintf("r%04d", n/8)})
+		for k := range tasksPerWorker {
+			offset++
+			take(reducer.RecordRead{Offset: offset, Appended: now, Record: benchJob(fmt.Sprintf("j%04d-%02d", n, k))})
+		}
+	}
+	take(reducer.WorkersListed{Workers: list})
+	take(reducer.PeersChanged{Live: []string{"vm-1"}})
+	now = now.Add(time.Second)
+	take(reducer.CaughtUp{Next: offset + 1})
+	take(reducer.Ticked{})
+	take(reducer.RecordRead{Offset: offset + 1, Appended: now, Record: reducer.LeaderClaimed{VM: "vm-1"}})
+	for n := range workers {
+		i := benchInventory(n, s.Epoch())
+		take(reducer.InventoryRead{Epoch: s.Epoch(), Asked: now, Inventory: i})
+	}
+	for n := range workers {
+		take(reducer.WorkerReported{Inventory: benchInventory(n, s.Epoch()), Age: -time.Millisecond})
+	}
+	take(reducer.RecordRead{Offset: offset + 2, Appended: now, Record: benchJob("warm")})
+	take(reducer.Ticked{})
+	if !s.Leading() {
+		b.Fatal("not leading")
+	}
+	return s
+}
+
+func benchJob(id string) reducer.JobAccepted {
+	return reducer.JobAccepted{Accepted: benchStart, Job: reducer.Job{
+		ID: id, Organisation: "a", Service: "service", Class: reducer.ClassBatch,
+		Gang: placer.Request{Tasks: 1, PerTask: placer.Resources{MilliCores: 1000, MemoryMB: 1000}, Adjacency: placer.AdjacencyNone},
+	}}
+}
+
+// BenchmarkReduce measures the commonest events on a leader with 29 tasks on each
+// worker. Each starts from the same state.
+func BenchmarkReduce(b *testing.B) {
+	for _, workers := range []int{50, 200, 1000} {
+		s := benchLeader(b, workers)
+		now := benchStart.Add(1100 * time.Millisecond)
+		unchanged := reducer.WorkerReported{Inventory: benchInventory(workers/2, s.Epoch())}
+		changed := reducer.WorkerReported{Inventory: benchInventory(workers/2, s.Epoch())}
+		changed.Inventory.Leases[3].State = leaser.StateSucceeded
+		accepted := reducer.RecordRead{Offset: 1 << 40, Appended: now, Record: benchJob("new")}
+		urgent := accepted
+		job := benchJob("new")
+		job.Job.Class = reducer.ClassUrgent
+		urgent.Record = job
+		for _, e := range []struct {
+			name  string
+			event reducer.Event
+		}{
+			{"report-unchanged", unchanged},
+			{"report-task-ended", changed},
+			{"tick-idle", reducer.Ticked{}},
+			{"accept-only", accepted},
+			{"accept-and-place", urgent},
+		} {
+			b.Run(fmt.Sprintf("%s/workers=%d", e.name, workers), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					_, _ = reducer.Reduce(now, s, e.event)
+				}
+			})
+		}
+	}
+}
--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"fmt"
+
 	"github.com/lacewingdoor/lacewingdoor/estimator"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
@@ -18,6 +20,7 @@
 		t.end(j, OutcomeRefused, err.Error(), 0)
 		return
 	}
+	t.notePossible(j.Job)
 	q, ok := t.queues.Get(j.Organisation)
 	if !ok {
 		q = newTable[string]()
@@ -47,8 +50,31 @@
 	t.queues = t.queues.Set(j.Organisation, q)
 }
 
+// maxPossible is how many different needs are remembered.
+const maxPossible = 1024
+
+// needKey names what decides whether a job can ever run.
+func needKey(j Job) string { return fmt.Sprintf("%s %t %v", j.Organisation, j.NonIdempotent, j.Gang) }
+
+// notePossible remembers that jobs like j can run, until the workers or the
+// configuration change. It keeps the cost of a burst of equal jobs independent of
+// the number of workers.
+func (t *turn) notePossible(j Job) {
+	key := needKey(j)
+	if _, ok := t.possible.Get(key); ok || !t.sized() {
+		return
+	}
+	if t.possible.Len() >= maxPossible {
+		t.possible = newTable[struct{}]()
+	}
+	t.possible = t.possible.Set(key, struct{}{})
+}
+
 // impossible reports why a job can never run.
 func (s State) impossible(j Job) error {
+	if _, ok := s.possible.Get(needKey(j)); ok {
+		return nil
+	}
 	if err := s.feasible(j.Gang); err != nil {
 		return err
 	}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -44,6 +44,7 @@
 	listed    []WorkerListed
 	workers   table[*worker]
 	estimates estimator.Estimator
+	possible  table[struct{}] // what jobs need and was found possible, by needKey
 
 	// What the leader alone keeps.
 	epoch     leaser.Epoch // own epoch, zero when not leading
@@ -68,6 +69,7 @@
 		jobs:      newTable[*job](),
 		endings:   newTable[string](),
 		tenants:   newTable[*tenant](),
+		possible:  newTable[struct{}](),
 		workers:   newTable[*worker](),
 		estimates: estimator.New(estimator.DefaultKeys),
 	}
--- a/reducer/stopping.go
+++ b/reducer/stopping.go
@@ -149,6 +149,7 @@
 	}
 	if !w.listed && len(w.holds) == 0 && t.now.Sub(w.goneAt) > forgetWorker {
 		t.workers = t.workers.Delete(id)
+		t.possible = newTable[struct{}]()
 		return
 	}
 	if w.doubtful(t.now) && (w.listed || len(w.holds) > 0) {
--- a/reducer/tenant.go
+++ b/reducer/tenant.go
@@ -18,6 +18,7 @@
 	}
 	t.config = e.Config
 	t.tenants = newTable[*tenant]()
+	t.possible = newTable[struct{}]()
 	for _, o := range e.Config.Organisations {
 		t.tenants = t.tenants.Set(o.Name, &tenant{o})
 	}
--- a/reducer/worker.go
+++ b/reducer/worker.go
@@ -78,7 +78,13 @@
 	return placer.Worker{ID: w.id, Rack: w.rack, Zone: w.zone, Capacity: w.inventory.Capacity, Free: w.free()}
 }
 
-func (t *turn) setWorker(w *worker) { t.workers = t.workers.Set(w.id, w) }
+func (t *turn) setWorker(w *worker) {
+	old, ok := t.workers.Get(w.id)
+	if !ok || old.known != w.known || old.rack != w.rack || old.inventory.Capacity != w.inventory.Capacity {
+		t.possible = newTable[struct{}]()
+	}
+	t.workers = t.workers.Set(w.id, w)
+}
 
 // changeWorker applies a change to a copy of a worker, if it is known.
 func (t *turn) changeWorker(id string, change func(*worker)) {
