Bound what a pass looks at, keep quotas, and tell staged from started work

Quotas of teams hold at placement.

Ruled out: keeping the list of borrowers up to date at every event, which pays for each ended task to save a scan that is rare.

--- a/reducer/borrower.go
+++ b/reducer/borrower.go
@@ -26,42 +26,60 @@
 	return since.Add(grace)
 }
 
+// loan is a gang, and whether its organisation's guarantees of this hour cover it.
+type loan struct {
+	job     *job
+	gang    *gang
+	covered bool
+}
+
 // borrowers returns the gangs that use more than their organisation's guarantees
-// of this hour, other than those of the job's own organisation. Within one
-// organisation the oldest gangs count as covered.
+// of this hour, other than those of the job's own organisation.
 func (p *pass) borrowers(j *job) []placer.Borrower {
-	type running struct {
-		job  *job
-		gang *gang
+	if !p.read {
+		p.readLoans()
+	}
+	var found []placer.Borrower
+	for _, v := range p.loans {
+		if v.covered || v.job.Organisation == j.Organisation {
+			continue
+		}
+		if g, ok := p.gangs.Get(v.job.ID); ok && g.attempt == v.gang.attempt {
+			found = append(found, placer.Borrower{Job: v.job.ID, Held: allocations(v.job, g), Cost: p.cost(v.job, g)})
+		}
 	}
-	var all []running
+	return found
+}
+
+// readLoans finds out which gangs are covered. Within one organisation the oldest
+// jobs are.
+func (p *pass) readLoans() {
+	p.read = true
 	for i := p.gangs.Iterator(); !i.Done(); {
 		id, g, _ := i.Next()
-		if v, ok := p.jobs.Get(id); ok && v.Organisation != j.Organisation {
-			all = append(all, running{v, g})
+		if v, ok := p.jobs.Get(id); ok {
+			p.loans = append(p.loans, loan{job: v, gang: g})
 		}
 	}
-	slices.SortFunc(all, func(a, b running) int {
+	slices.SortFunc(p.loans, func(a, b loan) int {
 		return cmp.Or(
 			cmp.Compare(a.job.Organisation, b.job.Organisation),
 			a.job.accepted.Compare(b.job.accepted),
 			cmp.Compare(a.job.ID, b.job.ID),
 		)
 	})
-	var found []placer.Borrower
-	used := placer.Resources{}
-	for i, v := range all {
-		if i > 0 && all[i-1].job.Organisation != v.job.Organisation {
+	var used placer.Resources
+	for i, v := range p.loans {
+		if i > 0 && p.loans[i-1].job.Organisation != v.job.Organisation {
 			used = placer.Resources{}
 		}
 		n, _ := p.tenants.Get(v.job.Organisation)
-		if _, covered := n.covers(p.now, v.job.Gang, used); covered && v.gang.stage != stageStopping {
+		_, covered := n.covers(p.now, v.job.Gang, used)
+		if covered && v.gang.stage != stageStopping {
 			used = used.Plus(v.job.Gang.Total())
-			continue
+			p.loans[i].covered = true
 		}
-		found = append(found, placer.Borrower{Job: v.job.ID, Held: allocations(v.job, v.gang), Cost: p.cost(v.job, v.gang)})
 	}
-	return found
 }
 
 // cost returns the accelerator-seconds that stopping a gang loses.
--- a/reducer/gang.go
+++ b/reducer/gang.go
@@ -122,12 +122,13 @@
 	if len(f.leases) == 0 {
 		return nil
 	}
-	g := &gang{job: j.ID, attempt: f.attempt, stage: stageRunning, since: now, began: true, started: now}
+	g := &gang{job: j.ID, attempt: f.attempt, stage: stageRunning, since: now, started: now}
 	g.tasks = make([]task, j.Gang.Tasks)
 	for i := range g.tasks {
 		g.tasks[i].state = taskGone
 	}
 	for i, l := range f.leases {
+		g.began = g.began || l.State != leaser.StatePrepared
 		if l.ID.Task < len(g.tasks) {
 			run := time.Duration(l.RunMS) * time.Millisecond
 			g.tasks[l.ID.Task] = task{worker: f.workers[i], state: stateOf(l.State), run: run}
--- a/reducer/job.go
+++ b/reducer/job.go
@@ -22,7 +22,8 @@
 	failedOn  []string // workers on which it failed, each once
 	failures  int
 	notBefore time.Time
-	closing   bool // its JobEnded is being appended
+	callAfter time.Time // when it may call its guarantee back again
+	closing   bool      // its JobEnded is being appended
 }
 
 // started is a start record.
--- a/reducer/placement.go
+++ b/reducer/placement.go
@@ -20,6 +20,8 @@
 	size    placer.Resources
 	failed  map[placer.Request]bool // requests that had no room; looked up, never ranged over
 	blocked *job                    // the first that waits for room
+	loans   []loan                  // gangs of all organisations, read at the first call
+	read    bool                    // loans were read
 }
 
 // cursor is the head of the queue of one organisation.
@@ -44,6 +46,7 @@
 	for _, w := range p.workers {
 		p.size = p.size.Plus(w.Capacity)
 	}
+	p.passed = p.now
 	p.setAside()
 	cursors := p.cursors()
 	for {
@@ -76,7 +79,7 @@
 	for !c.queue.Done() && c.seen < passDepth {
 		_, id, _ := c.queue.Next()
 		j, ok := p.liveJob(id)
-		if ok && !j.notBefore.After(p.now) {
+		if ok && !j.notBefore.After(p.now) && (!j.NonIdempotent || p.recording()) {
 			c.seen++
 			c.job = j
 			return
@@ -84,6 +87,10 @@
 	}
 }
 
+// recording reports whether starts can be recorded. A provisional leader records
+// none, for the leader of the term might record one too.
+func (s State) recording() bool { return s.logUp && s.epoch.SubTerm == 0 }
+
 // next returns the cursor whose job comes first: an urgent one, else the one of
 // the organisation that uses least for its weight, where waiting counts too.
 func (p *pass) next(all []cursor) int {
@@ -129,6 +136,9 @@
 // try starts a job if it fits and may. Else a covered one calls its guarantee
 // back, and the first that lacks room waits for the reservation.
 func (p *pass) try(j *job) {
+	if !p.withinQuota(j.Job) {
+		return
+	}
 	if r, ok := p.reclaims.Get(j.ID); ok {
 		p.collect(j, r)
 		return
--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 
+	"github.com/lacewingdoor/lacewingdoor/decoder"
 	"github.com/lacewingdoor/lacewingdoor/estimator"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
@@ -113,16 +115,33 @@
 	return v
 }
 
-// charge counts a gang as in use by its organisation.
-func (t *turn) charge(j Job) {
+// charge counts a gang as in use by its organisation and team.
+func (t *turn) charge(j Job) { t.addUse(j, j.Gang.Total()) }
+
+// refund takes a gang off the use of its organisation and team.
+func (t *turn) refund(j Job) { t.addUse(j, placer.Resources{}.Minus(j.Gang.Total())) }
+
+func (t *turn) addUse(j Job, r placer.Resources) {
 	u, _ := t.used.Get(j.Organisation)
-	t.used = t.used.Set(j.Organisation, u.Plus(j.Gang.Total()))
+	t.used = t.used.Set(j.Organisation, u.Plus(r))
+	if j.Team != "" {
+		u, _ = t.used.Get(teamKey(j))
+		t.used = t.used.Set(teamKey(j), u.Plus(r))
+	}
 }
 
-// refund takes a gang off the use of its organisation.
-func (t *turn) refund(j Job) {
-	u, _ := t.used.Get(j.Organisation)
-	t.used = t.used.Set(j.Organisation, u.Minus(j.Gang.Total()))
+// teamKey names a team's use; no organisation's name has a slash.
+func teamKey(j Job) string { return j.Organisation + "/" + j.Team }
+
+// withinQuota reports whether a job's team may use as much as the job needs now.
+func (s State) withinQuota(j Job) bool {
+	n, ok := s.tenants.Get(j.Organisation)
+	if !ok || j.Team == "" {
+		return true
+	}
+	i := slices.IndexFunc(n.Teams, func(v decoder.Team) bool { return v.Name == j.Team })
+	u, _ := s.used.Get(teamKey(j))
+	return i < 0 || within(u.Plus(j.Gang.Total()), n.Teams[i].Quota)
 }
 
 // estimateKey names the jobs that are expected to run for similar times.
--- a/reducer/reclaim.go
+++ b/reducer/reclaim.go
@@ -54,11 +54,12 @@
 	used, _ := p.used.Get(j.Organisation)
 	n, _ := p.tenants.Get(j.Organisation)
 	g, ok := n.covers(p.now, j.Gang, used)
-	if !ok {
+	if !ok || p.now.Before(j.callAfter) {
 		return
 	}
 	victims, at, ok := placer.Victims(j.Gang, p.workers, p.borrowers(j))
 	if !ok {
+		p.callLater(j)
 		return
 	}
 	stopAt := p.now
@@ -74,6 +75,14 @@
 	}
 }
 
+// callLater keeps a job from calling for a while, as a call looks at every gang.
+func (p *pass) callLater(j *job) {
+	n := *j
+	n.callAfter = p.now.Add(callPause)
+	p.setJob(&n)
+	p.arm(timerPlace, "job "+j.ID, n.callAfter)
+}
+
 // stopVictim stops a borrower; one that can checkpoint has until stopAt.
 func (p *pass) stopVictim(id string, owner *job, stopAt time.Time) {
 	g, ok := p.gangs.Get(id)
--- a/reducer/records.go
+++ b/reducer/records.go
@@ -38,12 +38,13 @@
 		t.verified = true
 	}
 	t.caughtAt = t.now
-	t.logUp = true
+	t.logChanged(LogChanged{Up: true})
 }
 
 func (t *turn) logChanged(e LogChanged) {
 	if e.Up && !t.logUp {
 		t.retryAppends()
+		t.placeable = true
 	}
 	t.logUp = e.Up
 }
--- a/reducer/recovery.go
+++ b/reducer/recovery.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/leaser"
@@ -152,10 +153,10 @@
 		t.gangs = t.gangs.Set(j.ID, g)
 		t.charge(n.Job)
 		t.adopted(g)
-	case g != nil && len(f.leases) > 0:
+	case g != nil:
 		t.gangs = t.gangs.Set(j.ID, g)
 		t.charge(n.Job)
-		t.stopGang(g, t.lossOf(&n), "part of the gang was missing when the leader changed")
+		t.stopGang(g, t.leftOver(&n, g), "part of the gang was missing when the leader changed")
 	case n.NonIdempotent && n.start.offset != 0:
 		t.end(&n, OutcomeUnknown, "started before the leader changed, and no lease of it was found", 0)
 	default:
@@ -166,6 +167,18 @@
 	}
 }
 
+// leftOver returns what becomes of a job of which only a part of a gang was found.
+// A non-idempotent one has not run for sure if no start of it was recorded, or if
+// every task of that attempt is still just staged, on workers that obey the old
+// leader no more.
+func (t *turn) leftOver(j *job, g *gang) ending {
+	staged := !slices.ContainsFunc(g.tasks, func(v task) bool { return v.state != taskPrepared })
+	if j.start.offset == 0 || staged && j.start.record.Attempt == g.attempt {
+		return ending{}
+	}
+	return t.lossOf(j)
+}
+
 // adopted goes on with a gang that runs whole.
 func (t *turn) adopted(g *gang) {
 	if g.succeeded() {
--- a/reducer/reduce.go
+++ b/reducer/reduce.go
@@ -15,16 +15,20 @@
 	if _, ok := e.(Ticked); ok {
 		t.fire()
 	}
-	if t.Leading() && (t.urgent || t.placeable && isTick(e)) {
+	if t.Leading() && t.due(e) {
 		t.place()
 	}
 	t.elect()
 	return t.State, t.effects
 }
 
-func isTick(e Event) bool {
-	_, ok := e.(Ticked)
-	return ok
+// due reports whether a placement pass is made now. A wave of events shares one at
+// the next tick; urgent jobs wait for that only if a pass was just made.
+func (t *turn) due(e Event) bool {
+	if _, ok := e.(Ticked); ok {
+		return t.urgent || t.placeable
+	}
+	return t.urgent && t.now.Sub(t.passed) >= urgentPause
 }
 
 // turn is one call of Reduce: its own copy of the state, and the effects so far.
--- a/reducer/reservation.go
+++ b/reducer/reservation.go
@@ -17,8 +17,11 @@
 
 // reserve renews the reservation for the gang that was blocked first.
 func (p *pass) reserve() {
-	p.reserved = reservation{}
 	j := p.blocked
+	if j != nil && p.reserved.job == j.ID && p.now.Sub(p.reserved.made) < reserveEvery {
+		return
+	}
+	p.reserved = reservation{}
 	if j == nil {
 		return
 	}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -57,8 +57,9 @@
 	outbox    table[*pending]
 	reclaims  table[*reclaim]
 	reserved  reservation
-	placeable bool // something changed that may let a waiting job start
-	urgent    bool // an urgent job waits for the next pass
+	placeable bool      // something changed that may let a waiting job start
+	urgent    bool      // an urgent job waits for the next pass
+	passed    time.Time // when the last pass was
 }
 
 // New returns the state of an entry VM that knows nothing yet.
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -164,6 +164,8 @@
 		return fmt.Sprintf("it waits; the leader %s knows why", s.leader)
 	case s.recovery.active:
 		return s.whyRecovering(now)
+	case j.NonIdempotent && !s.recording():
+		return "its start has to be recorded first, and the log does not answer"
 	case j.notBefore.After(now):
 		return fmt.Sprintf("its next attempt is at %s, after %d failures", j.notBefore.UTC().Format(time.TimeOnly), j.failures)
 	default:
@@ -190,6 +192,9 @@
 		return fmt.Sprintf("it holds a reservation on %v for %s",
 			slices.Compact(slices.Clone(s.reserved.Placement)), s.reserved.At.UTC().Format(time.TimeOnly))
 	}
+	if !s.withinQuota(j.Job) {
+		return fmt.Sprintf("team %q of its organisation uses its quota", j.Team)
+	}
 	views := s.views(func(w *worker) bool { return w.usable(now) })
 	if len(views) == 0 {
 		return "no worker may take new tasks"
