--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -1,6 +1,10 @@
 package reducer
 
 import (
+	"fmt"
+	"slices"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
 	"github.com/lacewingdoor/lacewingdoor/estimator"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
@@ -14,10 +18,11 @@
 		t.cancel(j)
 		return
 	}
-	if err := t.feasible(j.Gang); err != nil {
+	if err := t.impossible(j.Job); err != nil {
 		t.end(j, OutcomeRefused, err.Error(), 0)
 		return
 	}
+	t.notePossible(j.Job)
 	q, ok := t.queues.Get(j.Organisation)
 	if !ok {
 		q = newTable[string]()
@@ -47,6 +52,37 @@
 	t.queues = t.queues.Set(j.Organisation, q)
 }
 
+// maxPossible is how many different needs are remembered.
+const maxPossible = 1024
+
+// needKey names what decides whether a job can ever run.
+func needKey(j Job) string { return fmt.Sprintf("%s %t %v", j.Organisation, j.NonIdempotent, j.Gang) }
+
+// notePossible remembers that jobs like j can run, until the workers or the
+// configuration change. It keeps the cost of a burst of equal jobs independent of
+// the number of workers.
+func (t *turn) notePossible(j Job) {
+	key := needKey(j)
+	if _, ok := t.possible.Get(key); ok || !t.sized() {
+		return
+	}
+	if t.possible.Len() >= maxPossible {
+		t.possible = newTable[struct{}]()
+	}
+	t.possible = t.possible.Set(key, struct{}{})
+}
+
+// impossible reports why a job can never run.
+func (s State) impossible(j Job) error {
+	if _, ok := s.possible.Get(needKey(j)); ok {
+		return nil
+	}
+	if err := s.feasible(j.Gang); err != nil {
+		return err
+	}
+	return s.lendable(j)
+}
+
 // feasible reports why a gang can never be placed. It says nothing as long as the
 // size of a listed worker is not known. Workers that are gone for a short time
 // count, so that an outage of a rack refuses no job.
@@ -79,16 +115,33 @@
 	return v
 }
 
-// charge counts a gang as in use by its organisation.
-func (t *turn) charge(j Job) {
+// charge counts a gang as in use by its organisation and team.
+func (t *turn) charge(j Job) { t.addUse(j, j.Gang.Total()) }
+
+// refund takes a gang off the use of its organisation and team.
+func (t *turn) refund(j Job) { t.addUse(j, placer.Resources{}.Minus(j.Gang.Total())) }
+
+func (t *turn) addUse(j Job, r placer.Resources) {
 	u, _ := t.used.Get(j.Organisation)
-	t.used = t.used.Set(j.Organisation, u.Plus(j.Gang.Total()))
+	t.used = t.used.Set(j.Organisation, u.Plus(r))
+	if j.Team != "" {
+		u, _ = t.used.Get(teamKey(j))
+		t.used = t.used.Set(teamKey(j), u.Plus(r))
+	}
 }
 
-// refund takes a gang off the use of its organisation.
-func (t *turn) refund(j Job) {
-	u, _ := t.used.Get(j.Organisation)
-	t.used = t.used.Set(j.Organisation, u.Minus(j.Gang.Total()))
+// teamKey names a team's use; no organisation's name has a slash.
+func teamKey(j Job) string { return j.Organisation + "/" + j.Team }
+
+// withinQuota reports whether a job's team may use as much as the job needs now.
+func (s State) withinQuota(j Job) bool {
+	n, ok := s.tenants.Get(j.Organisation)
+	if !ok || j.Team == "" {
+		return true
+	}
+	i := slices.IndexFunc(n.Teams, func(v decoder.Team) bool { return v.Name == j.Team })
+	u, _ := s.used.Get(teamKey(j))
+	return i < 0 || within(u.Plus(j.Gang.Total()), n.Teams[i].Quota)
 }
 
 // estimateKey names the jobs that are expected to run for similar times.
