--- a/reducer/state.go
+++ b/reducer/state.go
@@ -44,6 +44,7 @@
 	listed    []WorkerListed
 	workers   table[*worker]
 	estimates estimator.Estimator
+	possible  table[struct{}] // what jobs need and was found possible, by needKey
 
 	// What the leader alone keeps.
 	epoch     leaser.Epoch // own epoch, zero when not leading
@@ -56,8 +57,9 @@
 	outbox    table[*pending]
 	reclaims  table[*reclaim]
 	reserved  reservation
-	placeable bool // something changed that may let a waiting job start
-	urgent    bool // an urgent job waits for the next pass
+	placeable bool      // something changed that may let a waiting job start
+	urgent    bool      // an urgent job waits for the next pass
+	passed    time.Time // when the last pass was
 }
 
 // New returns the state of an entry VM that knows nothing yet.
@@ -68,6 +70,7 @@
 		jobs:      newTable[*job](),
 		endings:   newTable[string](),
 		tenants:   newTable[*tenant](),
+		possible:  newTable[struct{}](),
 		workers:   newTable[*worker](),
 		estimates: estimator.New(estimator.DefaultKeys),
 	}
--- a/scripts_load_test.go
+++ b/scripts_load_test.go
@@ -9,8 +9,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,31 +27,39 @@
 
 // tally counts what became of the requests of a load.
 type tally struct {
-	Sent     int `json:"sent"`
-	Answered int `json:"answered"` // with the whole answer to the request
-	Wrong    int `json:"wrong"`    // with anything else that claims to be the answer
-	NotRun   int `json:"not-run"`  // refused with this outcome
-	Unknown  int `json:"unknown"`  // refused with this outcome
-	Lost     int `json:"lost"`     // no answer, or none that says what happened
-	Last     string
+	Sent     int    `json:"sent"`
+	Answered int    `json:"answered"` // with the whole answer to the request
+	Wrong    int    `json:"wrong"`    // with anything else that claims to be the answer
+	NotRun   int    `json:"not-run"`  // refused with this outcome
+	Unknown  int    `json:"unknown"`  // refused with this outcome
+	Lost     int    `json:"lost"`     // no answer, or none that says what happened
+	Refused  int    `json:"refused"`  // no connection was made
+	Last     string // what was lost or wrong last
 }
 
 // load sends requests to one URL until it is stopped.
 type load struct {
-	url    string
-	keyed  bool
-	stop   context.CancelFunc
-	wait   func()
-	mu     sync.Mutex
-	tally  tally
-	result map[string]string // by digest of the body
+	urls    []string // each request goes to all of them at once
+	keyed   bool
+	stop    context.CancelFunc
+	wait    func()
+	mu      sync.Mutex
+	tally   tally
+	results map[string][]string // by digest of the body
 }
 
-// cmdLoad sends requests in the background: load NAME URL [keyed]. With keyed
-// each has an idempotency key.
+// cmdLoad sends requests in the background: load NAME URL... [keyed]. With keyed
+// each has an idempotency key. Several URLs get each request at the same time.
 func cmdLoad(t *testscript.TestScript, _ bool, a []string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &load{url: os.Expand(a[1], t.Getenv), keyed: len(a) > 2, stop: cancel, result: map[string]string{}}
+	l := &load{stop: cancel, results: map[string][]string{}}
+	for _, u := range a[1:] {
+		if u == "keyed" {
+			l.keyed = true
+			continue
+		}
+		l.urls = append(l.urls, os.Expand(u, t.Getenv))
+	}
 	l.wait = once(func() { l.run(ctx, a[0]) })
 	t.Defer(func() { cancel(); l.wait() })
 	processesOf(t).loads[a[0]] = l
@@ -61,7 +71,7 @@
 	for c := range loadCallers {
 		g.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				l.one(fmt.Sprintf("%s-%d-%d-%d", name, c, n, time.Now().UnixNano()))
+				l.each(fmt.Sprintf("%s-%d-%d-%d", name, c, n, time.Now().UnixNano()))
 				select {
 				case <-time.After(loadInterval):
 				case <-ctx.Done():
@@ -71,35 +81,48 @@
 	}
 }
 
+// each sends one request to every URL.
+func (l *load) each(body string) {
+	var g sync.WaitGroup
+	defer g.Wait()
+	key := fmt.Sprintf("%d-%x", time.Now().Unix(), sha256.Sum224([]byte(body)))
+	for _, u := range l.urls {
+		g.Go(func() { l.one(u, key, body) })
+	}
+}
+
 // one sends one request and takes its answer.
-func (l *load) one(body string) {
+func (l *load) one(url, key, body string) {
 	h := sha256.Sum256([]byte(body))
 	digest := hex.EncodeToString(h[:])
-	r, _ := http.NewRequest(http.MethodPost, l.url, bytes.NewReader([]byte(body)))
-	r.Header.Set("Authorization", "Bearer "+operatorKey)
+	r, _ := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
+	r.Header.Set("Authorization", "Bearer "+callerKey)
 	if l.keyed {
-		r.Header.Set("Idempotency-Key", fmt.Sprintf("%d-%s", time.Now().Unix(), digest[:32]))
+		r.Header.Set("Idempotency-Key", key)
 	}
-	result := "lost"
-	var last string
+	var result, last string
 	a, err := client.Do(r)
 	if err == nil {
 		b, err := io.ReadAll(a.Body)
 		a.Body.Close()
 		result, last = judge(a.StatusCode, b, err, digest)
 	} else {
-		last = err.Error()
+		result, last = "lost", err.Error()
+		var o *net.OpError
+		if errors.As(err, &o) && o.Op == "dial" {
+			result = "refused"
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.result[digest] = result
+	l.results[digest] = append(l.results[digest], result)
 	l.tally.Sent++
-	if result != "answered" {
+	if result == "lost" || result == "wrong" {
 		l.tally.Last = last
 	}
 	m := map[string]*int{
 		"answered": &l.tally.Answered, "wrong": &l.tally.Wrong, "not-run": &l.tally.NotRun,
-		"unknown": &l.tally.Unknown, "lost": &l.tally.Lost,
+		"unknown": &l.tally.Unknown, "lost": &l.tally.Lost, "refused": &l.tally.Refused,
 	}
 	*m[result]++
 }
@@ -137,6 +160,7 @@
 	from := l.now().Answered
 	for end := time.Now().Add(deadline); time.Now().Before(end); time.Sleep(pollInterval) {
 		if l.now().Answered >= from+more {
+			t.Logf("load %s: %+v", a[0], l.now())
 			return
 		}
 	}
@@ -177,14 +201,17 @@
 			runs[r.Digest]++
 		}
 	}
-	for d, result := range l.result {
-		switch n := runs[d]; {
-		case result == "not-run" && n > 0:
-			t.Fatalf("a request that was refused as not-run has run %d times", n)
-		case result == "answered" && n == 0:
+	for d, results := range l.results {
+		n := runs[d]
+		answered := slices.Contains(results, "answered")
+		refused := !slices.ContainsFunc(results, func(r string) bool { return r != "not-run" && r != "refused" })
+		switch {
+		case refused && n > 0:
+			t.Fatalf("a request that was refused as %v has run %d times", results, n)
+		case answered && n == 0:
 			t.Fatalf("a request that was answered has not run")
 		case l.keyed && n > 1:
-			t.Fatalf("a request with an idempotency key (%s) has run %d times", result, n)
+			t.Fatalf("a request with an idempotency key (%v) has run %d times", results, n)
 		}
 	}
 }
