List and undo changes of configuration

The state keeps one earlier content of each file, and the rollback of a change publishes it as a new one. It refuses when a file was changed since. An id that was used before is refused before anything is sent, for its verdict is that of the first change. Seen failing without the check for later changes, for files that a change added, and for used ids.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -31,19 +31,21 @@
 
 // Config is the command line; every command is a field of it.
 type Config struct {
-	Cancel  CancelCmd  `cmd:"" help:"Cancel a job."`
-	Check   CheckCmd   `cmd:"" help:"Check configuration files without a server."`
-	Demo    DemoCmd    `cmd:"" help:"Run the whole path in one process and check its promises."`
-	Jobs    JobsCmd    `cmd:"" help:"List jobs."`
-	Key     KeyCmd     `cmd:"" help:"Print a new bearer key and its hash."`
-	Measure MeasureCmd `cmd:"" help:"Measure policies of placement in virtual time."`
-	Publish PublishCmd `cmd:"" help:"Bring configuration files into force."`
-	Serve   ServeCmd   `cmd:"" help:"Run the entry daemon."`
-	Standin StandinCmd `cmd:"" help:"Run a stand-in for a part of the platform." name:"stand-in"`
-	Status  StatusCmd  `cmd:"" help:"Show what an entry VM says of itself."`
-	Submit  SubmitCmd  `cmd:"" help:"Submit a job."`
-	Version VersionCmd `cmd:"" help:"Print the version."`
-	Why     WhyCmd     `cmd:"" help:"Explain why a job waits."`
+	Cancel   CancelCmd   `cmd:"" help:"Cancel a job."`
+	Check    CheckCmd    `cmd:"" help:"Check configuration files without a server."`
+	Demo     DemoCmd     `cmd:"" help:"Run the whole path in one process and check its promises."`
+	History  HistoryCmd  `cmd:"" help:"List the last changes of configuration."`
+	Jobs     JobsCmd     `cmd:"" help:"List jobs."`
+	Key      KeyCmd      `cmd:"" help:"Print a new bearer key and its hash."`
+	Measure  MeasureCmd  `cmd:"" help:"Measure policies of placement in virtual time."`
+	Publish  PublishCmd  `cmd:"" help:"Bring configuration files into force."`
+	Rollback RollbackCmd `cmd:"" help:"Undo a change of configuration."`
+	Serve    ServeCmd    `cmd:"" help:"Run the entry daemon."`
+	Standin  StandinCmd  `cmd:"" help:"Run a stand-in for a part of the platform." name:"stand-in"`
+	Status   StatusCmd   `cmd:"" help:"Show what an entry VM says of itself."`
+	Submit   SubmitCmd   `cmd:"" help:"Submit a job."`
+	Version  VersionCmd  `cmd:"" help:"Print the version."`
+	Why      WhyCmd      `cmd:"" help:"Explain why a job waits."`
 
 	stdout io.Writer
 	stderr io.Writer
--- a/publisher/apply.go
+++ b/publisher/apply.go
@@ -62,7 +62,7 @@
 
 // judge applies the rule to a change that was not seen before.
 func (s State) judge(offset int64, c Change) (State, Verdict) {
-	v := Verdict{Outcome: OutcomeInForce, Offset: offset, Publisher: c.Publisher}
+	v := Verdict{Outcome: OutcomeInForce, Offset: offset, Publisher: c.Publisher, Created: c.Created}
 	for _, f := range c.Files {
 		v.Files = append(v.Files, f.Name)
 	}
@@ -132,17 +132,18 @@
 func (s State) withFiles(offset int64, c Change) (State, error) {
 	s.files = slices.Clone(s.files)
 	for _, f := range c.Files {
+		n := FileState{
+			Name: f.Name, Revision: offset, Content: f.Content,
+			Publisher: c.Publisher, Change: c.ID, Created: c.Created,
+		}
 		i, ok := s.find(f.Name)
 		if ok {
+			n.Previous = &Version{Revision: s.files[i].Revision, Content: s.files[i].Content}
 			s.files = slices.Delete(s.files, i, i+1)
 		}
-		if f.Removed {
-			continue
+		if !f.Removed {
+			s.files = slices.Insert(s.files, i, n)
 		}
-		s.files = slices.Insert(s.files, i, FileState{
-			Name: f.Name, Revision: offset, Content: f.Content,
-			Publisher: c.Publisher, Change: c.ID, Created: c.Created,
-		})
 	}
 	total := 0
 	for _, f := range s.files {
@@ -174,7 +175,7 @@
 	if len(kept) >= maxSettled {
 		kept = kept[len(kept)-maxSettled+1:]
 	}
-	s.settled = append(slices.Clone(kept), settled{ID: id, Verdict: v})
+	s.settled = append(slices.Clone(kept), Settled{ID: id, Verdict: v})
 	return s
 }
 
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -66,7 +66,8 @@
 	if err != nil {
 		return Result{}, fmt.Errorf("read the configuration in force: %w", err)
 	}
-	plan, err := NewPlan(s, r, p.NewID(), p.Now())
+	id := p.NewID()
+	plan, err := NewPlan(s, r, id, p.Now())
 	if errors.Is(err, ErrNothing) {
 		p.report("nothing to publish: revision %d is in force with these files", s.Revision())
 		return Result{Revision: s.Revision()}, nil
@@ -75,6 +76,9 @@
 	if err != nil {
 		return Result{Diff: plan.Diff}, err
 	}
+	if v, ok := s.Verdict(id); ok {
+		return Result{ID: id, Diff: plan.Diff}, fmt.Errorf("%w: id %s was used before at offset %d, with the outcome %s", ErrNotAppended, id, v.Offset, v.Outcome)
+	}
 	if err := p.check(plan.Config); err != nil {
 		return Result{Diff: plan.Diff}, err
 	}
--- a/publisher/state.go
+++ b/publisher/state.go
@@ -18,13 +18,20 @@
 	Publisher string    `json:"publisher"`
 	Change    string    `json:"change"`
 	Created   time.Time `json:"created"`
+	Previous  *Version  `json:"previous,omitempty"` // nil when the file was new
+}
+
+// Version is an earlier content of a file.
+type Version struct {
+	Revision int64  `json:"revision"`
+	Content  string `json:"content"`
 }
 
 // State is what one reader of the stream knows. It is immutable; its zero value
 // is no state, New returns the first one.
 type State struct {
 	files    []FileState // sorted by name
-	settled  []settled   // the last maxSettled changes, oldest first
+	settled  []Settled   // the last maxSettled changes, oldest first
 	config   decoder.Config
 	revision int64 // offset of the last change in force
 	next     int64 // offset of the next record to apply
@@ -74,6 +81,10 @@
 	return Verdict{}, false
 }
 
+// History returns the last changes whose fate is known, oldest first, among them
+// withdrawn ones that never came.
+func (s State) History() []Settled { return slices.Clone(s.settled) }
+
 func (s State) find(name string) (int, bool) {
 	return slices.BinarySearchFunc(s.files, name, func(f FileState, n string) int {
 		return strings.Compare(f.Name, n)
@@ -136,7 +147,7 @@
 // stateJSON is the form of a state between VMs and in snapshots.
 type stateJSON struct {
 	Files    []FileState `json:"files"`
-	Settled  []settled   `json:"settled"`
+	Settled  []Settled   `json:"settled"`
 	Revision int64       `json:"revision"`
 	Next     int64       `json:"next"`
 	From     int64       `json:"from"`
--- a/publisher/verdict.go
+++ b/publisher/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/decoder"
 )
@@ -50,6 +51,7 @@
 	Outcome   Outcome          `json:"outcome"`
 	Offset    int64            `json:"offset"`              // of the record
 	Publisher string           `json:"publisher,omitempty"` // of a change
+	Created   time.Time        `json:"created,omitzero"`    // of a change, by its publisher's clock
 	Files     []string         `json:"files,omitempty"`     // that a change named
 	Conflicts []Conflict       `json:"conflicts,omitempty"`
 	Problems  decoder.Problems `json:"problems,omitempty"` // at most maxKeptProblems
@@ -82,8 +84,8 @@
 	return "another change was first: " + strings.Join(lines, "; ")
 }
 
-// settled is a change whose fate is known.
-type settled struct {
+// Settled is a change whose fate is known.
+type Settled struct {
 	ID      string  `json:"id"`
 	Verdict Verdict `json:"verdict"`
 }
