Parse each file of the configuration once

Problems between files are collected apart from those of a file, so parsed files may be shared by goroutines.

--- a/decoder/builder.go
+++ b/decoder/builder.go
@@ -17,33 +17,53 @@
 	scope scope
 }
 
-// builder collects the organisations and services of all files.
-type builder struct {
+// tables are the contents of one file, or of all files.
+type tables struct {
 	organisations []placed[Organisation]
 	guarantees    []placed[Guarantee]
 	services      []placed[Service]
 	capacity      []placed[WorkerGroup]
-	files         []*parsed
 }
 
-// add reads the tables of one file.
-func (b *builder) add(p *parsed) {
-	b.files = append(b.files, p)
+// builder collects the tables and problems of all files.
+type builder struct {
+	tables
+
+	problems Problems
+}
+
+func (b *builder) add(t tables) {
+	b.organisations = append(b.organisations, t.organisations...)
+	b.guarantees = append(b.guarantees, t.guarantees...)
+	b.services = append(b.services, t.services...)
+	b.capacity = append(b.capacity, t.capacity...)
+}
+
+// note records that the value at key of a table is not allowed beside the tables
+// of other files.
+func (b *builder) note(s scope, key string, value any, allowed string) {
+	b.problems = append(b.problems, s.problem(key, value, allowed))
+}
+
+// readTables reads the tables of one file.
+func readTables(p *parsed, r rawFile) tables {
+	var t tables
 	root := scope{file: p}
-	for _, n := range slices.Sorted(maps.Keys(p.raw.Organisation)) {
+	for _, n := range slices.Sorted(maps.Keys(r.Organisation)) {
 		s := root.child("organisation").child(n)
-		o, gs := organisation(s, n, p.raw.Organisation[n])
-		b.organisations = append(b.organisations, placed[Organisation]{o, s})
-		b.guarantees = append(b.guarantees, gs...)
+		o, gs := organisation(s, n, r.Organisation[n])
+		t.organisations = append(t.organisations, placed[Organisation]{o, s})
+		t.guarantees = append(t.guarantees, gs...)
 	}
-	for _, n := range slices.Sorted(maps.Keys(p.raw.Service)) {
+	for _, n := range slices.Sorted(maps.Keys(r.Service)) {
 		s := root.child("service").child(n)
-		b.services = append(b.services, placed[Service]{service(s, n, p.raw.Service[n]), s})
+		t.services = append(t.services, placed[Service]{service(s, n, r.Service[n]), s})
 	}
-	for i, r := range p.raw.Capacity {
+	for i, g := range r.Capacity {
 		e := root.entry("capacity", i)
-		b.capacity = append(b.capacity, placed[WorkerGroup]{workerGroup(e, r), e})
+		t.capacity = append(t.capacity, placed[WorkerGroup]{workerGroup(e, g), e})
 	}
+	return t
 }
 
 const (
--- a/decoder/capacity.go
+++ b/decoder/capacity.go
@@ -78,10 +78,10 @@
 // checkWorkers notes that too many workers are declared.
 func (b *builder) checkWorkers() bool {
 	n := 0
-	for i, g := range b.capacity {
+	for _, g := range b.capacity {
 		n += g.value.Racks * g.value.WorkersPerRack
 		if n > maxWorkers {
-			b.capacity[i].scope.note("racks", g.value.Racks, fmt.Sprintf("at most %d workers in all files", maxWorkers))
+			b.note(g.scope, "racks", g.value.Racks, fmt.Sprintf("at most %d workers in all files", maxWorkers))
 			return false
 		}
 	}
@@ -110,7 +110,7 @@
 		n := free.place(g.value)
 		if n < g.value.Blocks && !noted[g.scope.path] {
 			noted[g.scope.path] = true
-			g.scope.note("blocks", g.value.Blocks, fmt.Sprintf(
+			b.note(g.scope, "blocks", g.value.Blocks, fmt.Sprintf(
 				"guarantees that fit into the declared capacity together: only %d of its blocks fit at %s", n, t.UTC().Format(time.RFC3339)))
 		}
 	}
--- a/decoder/decode.go
+++ b/decoder/decode.go
@@ -25,47 +25,59 @@
 // such a file is not decoded.
 const maxUnknown = 100
 
-// Decode returns the configuration that files amount to together. The error, if
-// any, is Problems: everything that is wrong, sorted. The revision of the result
-// is 0. The order of files does not matter.
-func Decode(files []File) (Config, error) {
-	c, ps := decodeAll(files)
-	if len(ps) > 0 {
-		return Config{}, ps
+// Parsed is one file that was read. It is immutable, and can be combined with
+// others again and again.
+type Parsed struct {
+	name     string
+	tables   tables
+	problems Problems
+	readable bool // it is TOML of the layout, but for unknown keys and wrong values
+}
+
+// Parse reads one file by itself. What is wrong in it is told by Combine.
+func Parse(f File) Parsed {
+	var r rawFile
+	p, ok := parseInto(f, &r)
+	var t tables
+	if ok {
+		t = readTables(p, r)
 	}
-	return c, nil
+	return Parsed{name: f.Name, tables: t, problems: p.problems, readable: ok}
 }
 
-func decodeAll(files []File) (Config, Problems) {
+// Combine returns the configuration that files amount to together. The error, if
+// any, is Problems: everything that is wrong, sorted. The revision of the result
+// is 0. The order of files does not matter.
+func Combine(files []Parsed) (Config, error) {
 	fs := slices.Clone(files)
-	slices.SortFunc(fs, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
-	var ps Problems
+	slices.SortStableFunc(fs, func(a, b Parsed) int { return strings.Compare(a.name, b.name) })
 	var b builder
 	whole := true
 	for i, f := range fs {
-		if i > 0 && f.Name == fs[i-1].Name {
-			ps = append(ps, Problem{File: f.Name, Line: 1, Allowed: "each file once"})
+		if i > 0 && f.name == fs[i-1].name {
+			b.problems = append(b.problems, Problem{File: f.name, Line: 1, Allowed: "each file once"})
 			continue
 		}
-		p, ok := parse(f)
-		if ok {
-			b.add(p)
-		}
-		whole = whole && ok
-		ps = append(ps, p.problems...)
+		b.add(f.tables)
+		b.problems = append(b.problems, f.problems...)
+		whole = whole && f.readable
 	}
 	if whole {
-		ps = append(ps, b.checkWhole()...)
+		b.checkWhole()
 	}
-	return b.config(), ps.sorted()
+	if len(b.problems) > 0 {
+		return Config{}, b.problems.sorted()
+	}
+	return b.config(), nil
 }
 
-// parse reads a file of the configuration.
-func parse(f File) (*parsed, bool) {
-	var r rawFile
-	p, ok := parseInto(f, &r)
-	p.raw = r
-	return p, ok
+// Decode parses files and combines them.
+func Decode(files []File) (Config, error) {
+	ps := make([]Parsed, len(files))
+	for i, f := range files {
+		ps[i] = Parse(f)
+	}
+	return Combine(ps)
 }
 
 // parseInto reads the layout of one file into raw, a pointer to a raw type. It
--- a/decoder/lines.go
+++ b/decoder/lines.go
@@ -127,10 +127,8 @@
 	k := string(n.Data)
 	line := sort.SearchInts(o.starts, int(n.Raw.Offset)+1)
 	next := place{path: join(p.path, k), layout: step(p.layout, k)}
-	if known := knownKeys(p.layout); next.layout == nil && known != nil {
-		o.unknown = append(o.unknown, Problem{
-			Line: line, Key: next.path, Allowed: "one of the keys " + strings.Join(known, ", "),
-		})
+	if next.layout == nil {
+		o.unknownKey(line, next.path, p.layout)
 	}
 	if _, ok := o.lines[next.path]; !ok || last {
 		o.lines[next.path] = line
@@ -138,6 +136,16 @@
 	return next
 }
 
+// unknownKey notes a key that a table of a layout may not hold. Below a value
+// that is no table every key is unknown, and the value itself is noted elsewhere.
+func (o *outliner) unknownKey(line int, path string, table reflect.Type) {
+	if known := knownKeys(table); known != nil {
+		o.unknown = append(o.unknown, Problem{
+			Line: line, Key: path, Allowed: "one of the keys " + strings.Join(known, ", "),
+		})
+	}
+}
+
 // join adds key to a path.
 func join(path, key string) string {
 	if path == "" {
--- a/decoder/scope.go
+++ b/decoder/scope.go
@@ -34,17 +34,21 @@
 // note records that value at key is not allowed. An empty key is the table
 // itself.
 func (s scope) note(key string, value any, allowed string) {
+	s.file.problems = append(s.file.problems, s.problem(key, value, allowed))
+}
+
+func (s scope) problem(key string, value any, allowed string) Problem {
 	path := s.path
 	if key != "" {
 		path = join(path, key)
 	}
-	s.file.problems = append(s.file.problems, Problem{
+	return Problem{
 		File:    s.file.name,
 		Line:    s.file.lines.at(path),
 		Key:     path,
 		Value:   show(value),
 		Allowed: allowed,
-	})
+	}
 }
 
 // maxShown is the longest value that a problem repeats, in bytes.
--- a/decoder/whole.go
+++ b/decoder/whole.go
@@ -1,20 +1,11 @@
 package decoder
 
 // checkWhole notes what is wrong between the tables and files, beyond what is
-// wrong within one table, and returns the problems that it adds.
-func (b *builder) checkWhole() Problems {
-	before := make([]int, len(b.files))
-	for i, f := range b.files {
-		before[i] = len(f.problems)
-	}
+// wrong within one table.
+func (b *builder) checkWhole() {
 	organisations := b.checkOrganisations()
 	b.checkServices(organisations)
 	b.checkCapacity()
-	var ps Problems
-	for i, f := range b.files {
-		ps = append(ps, f.problems[before[i]:]...)
-	}
-	return ps
 }
 
 // checkOrganisations notes organisations that stand twice and keys that two of
@@ -24,12 +15,12 @@
 	keys := map[string]bool{}
 	for _, o := range b.organisations {
 		if names[o.value.Name] {
-			o.scope.note("", o.value.Name, "an organisation that no other file has")
+			b.note(o.scope, "", o.value.Name, "an organisation that no other file has")
 		}
 		names[o.value.Name] = true
 		for _, h := range o.value.KeyHashes {
 			if h != "" && keys[h] {
-				o.scope.note("key-hashes", h, "a hash that stands once in all files")
+				b.note(o.scope, "key-hashes", h, "a hash that stands once in all files")
 			}
 			keys[h] = true
 		}
@@ -45,15 +36,15 @@
 	for _, s := range b.services {
 		v := s.value
 		if names[v.Name] {
-			s.scope.note("", v.Name, "a service that no other file has")
+			b.note(s.scope, "", v.Name, "a service that no other file has")
 		}
 		names[v.Name] = true
 		if v.Organisation != "" && !organisations[v.Organisation] {
-			s.scope.note("organisation", v.Organisation, "the name of an [organisation] table in some file")
+			b.note(s.scope, "organisation", v.Organisation, "the name of an [organisation] table in some file")
 		}
 		sum += v.Share
 		if sum > maxShare && v.Share > 0 {
-			s.scope.note("share", v.Share, "shares of all services that add up to at most 100")
+			b.note(s.scope, "share", v.Share, "shares of all services that add up to at most 100")
 		}
 	}
 }
--- a/publisher/apply.go
+++ b/publisher/apply.go
@@ -142,7 +142,7 @@
 			s.files = slices.Delete(s.files, i, i+1)
 		}
 		if !f.Removed {
-			s.files = slices.Insert(s.files, i, n)
+			s.files = slices.Insert(s.files, i, n.withParsed())
 		}
 	}
 	total := 0
--- a/publisher/state.go
+++ b/publisher/state.go
@@ -19,6 +19,8 @@
 	Change    string    `json:"change"`
 	Created   time.Time `json:"created"`
 	Previous  *Version  `json:"previous,omitempty"` // nil when the file was new
+
+	parsed decoder.Parsed
 }
 
 // Version is an earlier content of a file.
@@ -173,6 +175,9 @@
 		files: j.Files, settled: j.Settled, revision: j.Revision,
 		next: j.Next, from: j.From, changed: j.Changed, complete: j.Complete,
 	}
+	for i, f := range t.files {
+		t.files[i] = f.withParsed()
+	}
 	c, err := decodeFiles(t.files)
 	if err != nil {
 		return fmt.Errorf("decode files of configuration at revision %d: %w", t.revision, err)
@@ -193,10 +198,17 @@
 	return s, err
 }
 
+// withParsed returns f with its content read, so that changes of other files
+// need not read it again.
+func (f FileState) withParsed() FileState {
+	f.parsed = decoder.Parse(decoder.File{Name: f.Name, Content: f.Content})
+	return f
+}
+
 func decodeFiles(files []FileState) (decoder.Config, error) {
-	fs := make([]decoder.File, len(files))
+	ps := make([]decoder.Parsed, len(files))
 	for i, f := range files {
-		fs[i] = decoder.File{Name: f.Name, Content: f.Content}
+		ps[i] = f.parsed
 	}
-	return decoder.Decode(fs)
+	return decoder.Combine(ps)
 }
