--- a/decoder/scope.go
+++ b/decoder/scope.go
@@ -20,7 +20,6 @@
 // parsed is a file while it is decoded.
 type parsed struct {
 	name     string
-	raw      rawFile // unless the file is of settings
 	lines    lineMap
 	problems Problems
 }
--- a/internal/responder/configuration.go
+++ b/internal/responder/configuration.go
@@ -35,6 +35,9 @@
 	if c.ID == "" {
 		return refuser.New(http.StatusBadRequest, "bad-change", "id: is missing")
 	}
+	if c.Format > publisher.Format {
+		return refuser.New(http.StatusConflict, "newer-format", "this VM is older than the publisher and cannot judge the change")
+	}
 	c.Publisher = o.Name
 	return r.appendConfig(w, q, c.ID, c)
 }
--- a/publisher/apply.go
+++ b/publisher/apply.go
@@ -26,7 +26,8 @@
 //
 // A change takes force when each base is the present revision of its file, 0
 // for a file that does not exist, and the whole is valid. The verdict depends
-// on the records alone, so all complete readers agree on it.
+// on the records alone, so all complete readers agree on it. A change of a newer
+// Format makes the state incomplete: its reader is to be replaced.
 func Apply(s State, offset int64, r Record) (State, Verdict) {
 	if offset < s.next {
 		return s, Verdict{Outcome: OutcomeRepeated, Offset: offset}
@@ -50,6 +51,9 @@
 }
 
 func (s State) change(offset int64, c Change) (State, Verdict) {
+	if c.Format > Format {
+		s.complete, s.from = false, s.next // what follows can't be judged either
+	}
 	if !s.complete {
 		return s, Verdict{Outcome: OutcomeUnjudged, Offset: offset, Publisher: c.Publisher}
 	}
--- a/publisher/apply_test.go
+++ b/publisher/apply_test.go
@@ -57,6 +57,7 @@
 // step does one step of a script:
 //
 //	change ID PUBLISHER NAME@BASE[=FILE]...  append a change; without FILE it removes
+//	newer ID PUBLISHER NAME@BASE[=FILE]...   append a change of a newer format
 //	withdraw ID                              append a withdrawal
 //	snapshot READER                          append a snapshot of a reader's state
 //	again OFFSET                             append a copy of a record
@@ -69,7 +70,9 @@
 func (w *world) step(f []string) error {
 	switch f[0] {
 	case "change":
-		return w.change(f[1], f[2], f[3:])
+		return w.change(publisher.Format, f[1], f[2], f[3:])
+	case "newer":
+		return w.change(publisher.Format+1, f[1], f[2], f[3:])
 	case "withdraw":
 		return w.append(publisher.Withdrawal{ID: f[1]})
 	case "snapshot":
@@ -108,8 +111,8 @@
 	return err
 }
 
-func (w *world) change(id, by string, files []string) error {
-	c := publisher.Change{ID: id, Publisher: by}
+func (w *world) change(format int, id, by string, files []string) error {
+	c := publisher.Change{Format: format, ID: id, Publisher: by}
 	for _, f := range files {
 		f, content, keeps := strings.Cut(f, "=")
 		name, base, _ := strings.Cut(f, "@")
--- a/publisher/plan.go
+++ b/publisher/plan.go
@@ -42,7 +42,7 @@
 // NewPlan returns the change that brings r into force on s. The error is
 // ErrNothing, a ConflictError, a DroppedError or decoder.Problems.
 func NewPlan(s State, r Request, id string, now time.Time) (Plan, error) {
-	p := Plan{Change: Change{ID: id, Created: now}}
+	p := Plan{Change: Change{Format: Format, ID: id, Created: now}}
 	for _, f := range r.Files {
 		p.add(s, r, FileChange{Name: f.Name, Content: f.Content})
 	}
--- a/publisher/record.go
+++ b/publisher/record.go
@@ -22,8 +22,13 @@
 	KindSnapshot   = "snapshot"
 )
 
+// Format is the version of the rule, and of the layout of files. It is raised
+// whenever the same record could be judged differently than before.
+const Format = 1
+
 // Change replaces and removes files, all of them or none.
 type Change struct {
+	Format    int          `json:"format"`    // that its publisher checked it by; readers of an older one can't judge it
 	ID        string       `json:"id"`        // unique; the same id twice is one change
 	Publisher string       `json:"publisher"` // organisation that asked for it
 	Created   time.Time    `json:"created"`   // by the publisher's clock, for people to read
