Say "refused" only of what was not run, and end what became impossible

Cause: a job that had run, and could never run again after its worker came back smaller, ended as refused; a job whose room vanished while it waited never ended. Change: only a job that was accepted under the present leader and never attempted is refused, any other ends as failed; a pass checks what it could not place again, and remembers what is possible. A worker counts as capacity for 24 hours after it is gone, instead of one, as the end of a job is final.

The property test now also demands an end in the log for every accepted job, a whole run behind each success, and no start behind a refusal. Seen failing: "job j6 does not end ... what is free is guaranteed to others" (a real fault, mended here); with the rule broken, "phase j ended failed: got ended refused", and "job j6 has succeeded though it never ran whole" when one success counted for all.

--- a/reducer/placement.go
+++ b/reducer/placement.go
@@ -154,6 +154,11 @@
 		}
 		p.failed[j.Gang] = !ok
 	}
+	if err := p.impossible(j.Job); err != nil {
+		p.end(j, p.refusal(j), err.Error(), 0) // the workers or guarantees have changed
+		return
+	}
+	p.notePossible(j.Job)
 	switch {
 	case covered:
 		p.callSince(j, p.now)
--- a/reducer/property_test.go
+++ b/reducer/property_test.go
@@ -65,7 +65,7 @@
 	k := w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(t, "worker")]
 	v := w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(t, "vm")]
 	what := rapid.SampledFrom([]string{
-		"submit", "submit", "submit", "cancel", "log", "answers", "cut", "pause-worker", "worker", "fail", "ignore", "vm", "pause-vm",
+		"submit", "submit", "submit", "cancel", "shrink", "log", "answers", "cut", "pause-worker", "worker", "fail", "ignore", "vm", "pause-vm",
 	}).Draw(t, "what")
 	switch what {
 	case "submit":
@@ -75,6 +75,8 @@
 		w.append(reducer.AppendRecord{Record: reducer.JobCancelled{
 			Job: id, Organisation: w.status(id).Job.Organisation,
 		}}, func(reducer.Event) {})
+	case "shrink":
+		k.table.Capacity.Accelerators = 3 // a device is lost
 	case "log":
 		w.logDown = !w.logDown
 	case "answers":
@@ -152,9 +154,17 @@
 			w.run(30 * time.Second)
 			explain(t, w)
 		}
+		ends := w.ends()
 		for id := range w.accepted {
-			if s := w.status(id); s.Phase != reducer.PhaseEnded && s.Phase != "" {
-				t.Fatalf("job %s does not end: %+v; %s", id, s, w.why(id))
+			e, ok := ends[id]
+			if !ok {
+				t.Fatalf("job %s does not end: %+v; %s", id, w.status(id), w.why(id))
+			}
+			if e.Outcome == reducer.OutcomeRefused && w.starts[id+"/0"] > 0 {
+				t.Fatalf("job %s was refused though it ran", id)
+			}
+			if e.Outcome == reducer.OutcomeSucceeded && w.running[fmt.Sprintf("%s/%d", id, e.Attempt)].IsZero() {
+				t.Fatalf("job %s has succeeded though it never ran whole", id)
 			}
 		}
 	})
--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -19,7 +19,7 @@
 		return
 	}
 	if err := t.impossible(j.Job); err != nil {
-		t.end(j, OutcomeRefused, err.Error(), 0)
+		t.end(j, t.refusal(j), err.Error(), 0)
 		return
 	}
 	t.notePossible(j.Job)
@@ -52,6 +52,15 @@
 	t.queues = t.queues.Set(j.Organisation, q)
 }
 
+// refusal returns the outcome of a job that can't run any more. Only one that was
+// accepted under this leader and never attempted has not run for sure.
+func (s State) refusal(j *job) Outcome {
+	if j.attempt == 0 && j.offset > s.term {
+		return OutcomeRefused
+	}
+	return OutcomeFailed
+}
+
 // maxPossible is how many different needs are remembered.
 const maxPossible = 1024
 
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -130,6 +130,7 @@
 	"worker-pause":  func(_ *world, k *fakeWorker) { k.paused = true },
 	"worker-resume": func(_ *world, k *fakeWorker) { k.paused = false },
 	"worker-ignore": func(_ *world, k *fakeWorker) { k.ignoring = true },
+	"worker-shrink": func(_ *world, k *fakeWorker) { k.table.Capacity.Accelerators /= 2 },
 	"worker-leave":  func(w *world, k *fakeWorker) { k.leaving = true; w.listed++ },
 }
 
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -31,7 +31,7 @@
 	appendRetry  = time.Second     // from a failed append to the next, doubling
 	appendPause  = 30 * time.Second
 	appendLost   = 10 * time.Second // an append without a result is sent again
-	forgetWorker = time.Hour        // after which a worker that is gone no longer counts as capacity
+	forgetWorker = 24 * time.Hour   // after which a worker that is gone no longer counts as capacity
 )
 
 // The limits on failures.
--- a/reducer/world_test.go
+++ b/reducer/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"reflect"
@@ -495,6 +496,9 @@
 			break
 		}
 	}
+	if w.logDown {
+		return errors.New("log is down: not accepted")
+	}
 	w.accepted[j.ID] = w.now
 	w.append(reducer.AppendRecord{Record: reducer.JobAccepted{Job: j, Accepted: w.now}}, func(reducer.Event) {})
 	return nil
@@ -530,6 +534,19 @@
 	return s
 }
 
+// ends returns the first end of each job in the log.
+func (w *world) ends() map[string]reducer.JobEnded {
+	ends := map[string]reducer.JobEnded{}
+	for _, r := range w.records {
+		if e, ok := r.Record.(reducer.JobEnded); ok {
+			if _, ok := ends[e.Job]; !ok {
+				ends[e.Job] = e
+			}
+		}
+	}
+	return ends
+}
+
 // why returns the leader's reason why a job does not run.
 func (w *world) why(id string) string {
 	v := w.leader()
