--- a/internal/measurer/measurer_test.go
+++ b/internal/measurer/measurer_test.go
@@ -129,6 +129,6 @@
 	var b bytes.Buffer
 	rep.WriteText(&b)
 	i := is.New(t)
-	i.True(strings.Contains(b.String(), "small placer: goals met on seeds: mean completion 1/1"))
-	i.True(strings.Contains(b.String(), "small fcfs-first-fit: goals met on seeds: mean completion 0/1"))
+	i.True(strings.Contains(b.String(), "small placer: mean completion 1/1;"))
+	i.True(strings.Contains(b.String(), "small fcfs-first-fit: mean completion 0/1 (missed on seed 7);"))
 }
--- a/internal/measurer/planned.go
+++ b/internal/measurer/planned.go
@@ -234,7 +234,7 @@
 			continue
 		}
 		jobs[r.Job.ID] = r
-		borrowers = append(borrowers, placer.Borrower{Job: r.Job.ID, Held: heldBy(r), Cost: d.Lost(r)})
+		borrowers = append(borrowers, placer.Borrower{Job: r.Job.ID, Held: placer.Held(r.Placement, r.Job.Gang.PerTask), Cost: d.Lost(r)})
 	}
 	victims, at, ok := placer.Victims(j.Job.Gang, p.shun.open(d), borrowers)
 	if !ok {
@@ -247,19 +247,6 @@
 	}
 }
 
-func heldBy(j *Job) []placer.Allocation {
-	var held []placer.Allocation
-	for _, w := range j.Placement {
-		i := slices.IndexFunc(held, func(a placer.Allocation) bool { return a.Worker == w })
-		if i < 0 {
-			i = len(held)
-			held = append(held, placer.Allocation{Worker: w})
-		}
-		held[i].Held = held[i].Held.Plus(j.Job.Gang.PerTask)
-	}
-	return held
-}
-
 // expected returns when the running jobs will end.
 func (p *planned) expected(d *Driver) []placer.Running {
 	all := make([]placer.Running, 0, len(p.running))
@@ -269,7 +256,7 @@
 			left := p.times.Remaining(keyOf(r), endQuantile, r.Job.DeclaredRun, d.Now.Sub(r.Started))
 			ends = d.Now.Add(left)
 		}
-		all = append(all, placer.Running{Job: r.Job.ID, Ends: ends, Held: heldBy(r)})
+		all = append(all, placer.Running{Job: r.Job.ID, Ends: ends, Held: placer.Held(r.Placement, r.Job.Gang.PerTask)})
 	}
 	return all
 }
--- a/internal/measurer/report.go
+++ b/internal/measurer/report.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 )
 
@@ -95,31 +97,57 @@
 	r.writeGoals(w)
 }
 
-// writeGoals compares each policy with the goals, seed by seed.
+// goal is a comparison that a result meets or misses. It does not apply when the
+// policy that it compares with was not run.
+type goal struct {
+	name string
+	met  func(v Result) (met, applies bool)
+}
+
+func (r Report) goals() []goal {
+	return []goal{
+		{"mean completion", func(v Result) (bool, bool) { return v.Mean <= meanGoal*v.MeanBound, true }},
+		{"rebuild wait", func(v Result) (bool, bool) {
+			b, ok := r.same(v, FirstFit().Name)
+			return v.Rebuilds.P95 <= rebuildGoal*b.Rebuilds.P95, ok
+		}},
+		{"short wait at crest", func(v Result) (bool, bool) {
+			b, ok := r.same(v, FirstCome().Name)
+			return v.ShortCrest.P99 <= shortGoal*b.ShortCrest.P99, ok
+		}},
+		{"reclaim bound", func(v Result) (bool, bool) { return v.ReclaimOver == 0, true }},
+	}
+}
+
+// writeGoals says for each policy on how many seeds it met the goals, and on
+// which it did not.
 func (r Report) writeGoals(w io.Writer) {
 	for _, g := range r.groups() {
-		var meanMet, rebuildMet, shortMet, reclaimMet int
-		for _, v := range g.results {
-			meanMet += met(v.Mean <= meanGoal*v.MeanBound)
-			if b, ok := r.same(v, FirstFit().Name); ok {
-				rebuildMet += met(v.Rebuilds.P95 <= rebuildGoal*b.Rebuilds.P95)
-			}
-			if b, ok := r.same(v, FirstCome().Name); ok {
-				shortMet += met(v.ShortCrest.P99 <= shortGoal*b.ShortCrest.P99)
-			}
-			reclaimMet += met(v.ReclaimOver == 0)
+		fmt.Fprintf(w, "%s %s:", g.trace, g.policy)
+		for _, o := range r.goals() {
+			fmt.Fprintf(w, " %s %s;", o.name, g.against(o))
 		}
-		n := len(g.results)
-		fmt.Fprintf(w, "%s %s: goals met on seeds: mean completion %d/%d, rebuilds %d/%d, short at crest %d/%d, reclaim %d/%d\n",
-			g.trace, g.policy, meanMet, n, rebuildMet, n, shortMet, n, reclaimMet, n)
+		fmt.Fprintln(w)
 	}
 }
 
-func met(ok bool) int {
-	if ok {
-		return 1
+// against says how the results of a group fare against a goal.
+func (g group) against(o goal) string {
+	var missed []string
+	for _, v := range g.results {
+		met, applies := o.met(v)
+		if !applies {
+			return "not compared"
+		}
+		if !met {
+			missed = append(missed, strconv.FormatInt(v.Seed, 10))
+		}
+	}
+	text := fmt.Sprintf("%d/%d", len(g.results)-len(missed), len(g.results))
+	if len(missed) > 0 {
+		text += " (missed on seed " + strings.Join(missed, " ") + ")"
 	}
-	return 0
+	return text
 }
 
 // same returns the result of another policy on the same trace.
