Measure with gangs moved for large ones, and let checkpoints take their time

Now the answer comes when the checkpoint is stored, or not within 2 s, and is asked for again.

The policy placer-moving adds Defragment to the placer.

--- /dev/null
+++ b/internal/measurer/borrowing.go
@@ -0,0 +1,83 @@
+package measurer
+
+import (
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// covered reports whether a guarantee of the job's organisation has room for it.
+func (p *planned) covered(d *Driver, j *Job) bool {
+	g, ok := guaranteeOf(d.Trace, j.Job.Organisation)
+	if !ok {
+		return false
+	}
+	used := j.Job.Gang.Total().Accelerators
+	for _, r := range p.running {
+		if r.Job.Organisation == j.Job.Organisation {
+			used += r.Job.Gang.Total().Accelerators
+		}
+	}
+	return used <= g.Blocks*g.Block.Accelerators
+}
+
+func guaranteeOf(t *Trace, name string) (decoder.Guarantee, bool) {
+	for _, o := range t.Config.Organisations {
+		if o.Name == name && len(o.Guarantees) > 0 {
+			return o.Guarantees[0], true
+		}
+	}
+	return decoder.Guarantee{}, false
+}
+
+// reclaim tells the cheapest borrowers to leave.
+func (p *planned) reclaim(d *Driver, j *Job) {
+	g, _ := guaranteeOf(d.Trace, j.Job.Organisation)
+	var borrowers []placer.Borrower
+	jobs := make(map[string]*Job)
+	for _, r := range p.running {
+		if _, ok := p.leaving[r]; ok || r.Kind == KindOwner {
+			continue
+		}
+		jobs[r.Job.ID] = r
+		borrowers = append(borrowers, placer.Borrower{Job: r.Job.ID, Held: placer.Held(r.Placement, r.Job.Gang.PerTask), Cost: d.Lost(r)})
+	}
+	victims, at, ok := placer.Victims(j.Job.Gang, p.shun.open(d), borrowers)
+	if !ok {
+		return
+	}
+	p.called[j] = call{placement: at, by: d.Now.Add(g.Grace + reclaimMargin)}
+	for _, v := range victims {
+		p.leaving[jobs[v.Job]] = d.Now.Add(g.Grace)
+		d.Checkpoint(jobs[v.Job], g.Grace)
+	}
+}
+
+// move tells gangs to go on elsewhere if that brings a reservation forward at
+// less cost than the waiting that it saves. It returns the reservation to hold.
+func (p *planned) move(d *Driver, j *Job, v placer.Reservation, workers []placer.Worker) placer.Reservation {
+	by := d.Now.Add(movingGrace + reclaimMargin)
+	if !p.moving || !v.At.After(by) {
+		return v
+	}
+	var movable []placer.Movable
+	jobs := make(map[string]*Job)
+	for _, r := range p.running {
+		if _, ok := p.leaving[r]; ok || !r.Job.Checkpointable || r.Kind == KindOwner {
+			continue
+		}
+		jobs[r.Job.ID] = r
+		cost := movingCost.Seconds() * float64(r.Job.Gang.Total().Accelerators)
+		movable = append(movable, placer.Movable{Job: r.Job.ID, Gang: r.Job.Gang, At: r.Placement, Cost: cost})
+	}
+	saved := v.At.Sub(by).Seconds() * float64(j.Job.Gang.Total().Accelerators)
+	moves, at, ok := placer.Defragment(j.Job.Gang, workers, movable, saved)
+	if !ok {
+		return v
+	}
+	for _, m := range moves {
+		p.leaving[jobs[m.Job]] = by
+		d.Checkpoint(jobs[m.Job], movingGrace)
+	}
+	p.called[j] = call{placement: at, by: by}
+	return placer.ReserveAt(by, at, j.Job.Gang.PerTask, workers, p.expected(d))
+}
--- a/internal/measurer/planned.go
+++ b/internal/measurer/planned.go
@@ -5,23 +5,25 @@
 	"slices"
 	"time"
 
-	"github.com/lacewingdoor/lacewingdoor/decoder"
 	"github.com/lacewingdoor/lacewingdoor/estimator"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 	"github.com/lacewingdoor/lacewingdoor/reducer"
 )
 
 const (
-	backfillQuantile = 0.9             // of the learned run times; backfill must end before a reservation
-	endQuantile      = 0.5             // of the learned run times, for when running gangs end
-	reservations     = 4               // held at once, for the large gangs that have waited longest
-	largeTasks       = 8               // a gang of so many tasks, or with adjacency, is large
+	backfillQuantile = 0.9              // of the learned run times; backfill must end before a reservation
+	endQuantile      = 0.5              // of the learned run times, for when running gangs end
+	reservations     = 4                // held at once, for the large gangs that have waited longest
+	largeTasks       = 8                // a gang of so many tasks, or with adjacency, is large
+	movingCost       = 30 * time.Second // of work that each accelerator of a moved gang loses
+	movingGrace      = 45 * time.Second
 	reclaimMargin    = 5 * time.Second // after the grace, until a reclaim is tried again
 )
 
 // planned is a policy that calls the placer and the estimator and nothing else:
 // no leases, no leader. It shows what the decisions alone can reach.
 type planned struct {
+	moving  bool // gangs are moved to make room for large ones
 	times   estimator.Estimator
 	queue   []*Job
 	running []*Job
@@ -43,12 +45,18 @@
 }
 
 // Planned returns the policy that uses the placer and the estimator directly.
-func Planned() Policy {
+func Planned() Policy { return newPlanned("placer", false) }
+
+// Moving returns Planned with Defragment.
+func Moving() Policy { return newPlanned("placer-moving", true) }
+
+func newPlanned(name string, moving bool) Policy {
 	p := &planned{}
 	return Policy{
-		Name: "placer",
+		Name: name,
 		Begin: func(*Driver) {
 			*p = planned{
+				moving:  moving,
 				times:   estimator.New(estimator.DefaultKeys),
 				leaving: make(map[*Job]time.Time),
 				called:  make(map[*Job]call),
@@ -136,6 +144,7 @@
 	slices.SortStableFunc(large, func(a, b *Job) int { return a.At.Compare(b.At) })
 	for _, j := range large[:min(len(large), reservations)] {
 		if v, ok := placer.Reserve(d.Now, j.Job.Gang, workers, running); ok {
+			v = p.move(d, j, v, workers)
 			held = append(held, hold{job: j, reservation: v})
 			workers = v.TakenFrom(workers)
 		}
@@ -200,53 +209,6 @@
 	})
 }
 
-// covered reports whether a guarantee of the job's organisation has room for it.
-func (p *planned) covered(d *Driver, j *Job) bool {
-	g, ok := guaranteeOf(d.Trace, j.Job.Organisation)
-	if !ok {
-		return false
-	}
-	used := j.Job.Gang.Total().Accelerators
-	for _, r := range p.running {
-		if r.Job.Organisation == j.Job.Organisation {
-			used += r.Job.Gang.Total().Accelerators
-		}
-	}
-	return used <= g.Blocks*g.Block.Accelerators
-}
-
-func guaranteeOf(t *Trace, name string) (decoder.Guarantee, bool) {
-	for _, o := range t.Config.Organisations {
-		if o.Name == name && len(o.Guarantees) > 0 {
-			return o.Guarantees[0], true
-		}
-	}
-	return decoder.Guarantee{}, false
-}
-
-// reclaim tells the cheapest borrowers to leave.
-func (p *planned) reclaim(d *Driver, j *Job) {
-	g, _ := guaranteeOf(d.Trace, j.Job.Organisation)
-	var borrowers []placer.Borrower
-	jobs := make(map[string]*Job)
-	for _, r := range p.running {
-		if _, ok := p.leaving[r]; ok || r.Kind == KindOwner {
-			continue
-		}
-		jobs[r.Job.ID] = r
-		borrowers = append(borrowers, placer.Borrower{Job: r.Job.ID, Held: placer.Held(r.Placement, r.Job.Gang.PerTask), Cost: d.Lost(r)})
-	}
-	victims, at, ok := placer.Victims(j.Job.Gang, p.shun.open(d), borrowers)
-	if !ok {
-		return
-	}
-	p.called[j] = call{placement: at, by: d.Now.Add(g.Grace + reclaimMargin)}
-	for _, v := range victims {
-		p.leaving[jobs[v.Job]] = d.Now.Add(g.Grace)
-		d.Checkpoint(jobs[v.Job], g.Grace)
-	}
-}
-
 // expected returns when the running jobs will end.
 func (p *planned) expected(d *Driver) []placer.Running {
 	all := make([]placer.Running, 0, len(p.running))
--- a/internal/measurer/reduced.go
+++ b/internal/measurer/reduced.go
@@ -11,12 +11,13 @@
 )
 
 const (
-	entryVM     = "vm-1"
-	oneWay      = 2 * time.Millisecond // between an entry VM and a worker
-	appendTime  = 5 * time.Millisecond // of the log
-	tickEvery   = 250 * time.Millisecond
-	pollEvery   = time.Second
-	reportEvery = 3 * time.Second // of a worker on which nothing changed
+	entryVM      = "vm-1"
+	oneWay       = 2 * time.Millisecond // between an entry VM and a worker
+	appendTime   = 5 * time.Millisecond // of the log
+	commandLimit = 2 * time.Second      // after which a command counts as unanswered
+	tickEvery    = 250 * time.Millisecond
+	pollEvery    = time.Second
+	reportEvery  = 3 * time.Second // of a worker on which nothing changed
 )
 
 // reduced drives reducer.Reduce as one entry VM, with leaser.Table in the place
@@ -27,8 +28,8 @@
 	offset  int64
 	workers []*table // by id
 	jobs    map[string]*Job
-	started map[gangID][]string // workers of the tasks that run
-	asked   map[gangID]bool     // told to checkpoint
+	started map[gangID][]string  // workers of the tasks that run
+	saved   map[gangID]time.Time // when the checkpoint that was asked for is stored
 }
 
 // gangID names one attempt of a job.
@@ -66,7 +67,7 @@
 		state:   reducer.New(entryVM),
 		jobs:    make(map[string]*Job),
 		started: make(map[gangID][]string),
-		asked:   make(map[gangID]bool),
+		saved:   make(map[gangID]time.Time),
 	}
 	var listed []reducer.WorkerListed
 	for _, w := range d.Workers {
@@ -151,7 +152,8 @@
 	case reducer.CommandStop:
 		next, err = w.Stop(r.d.Now, token, id)
 	case reducer.CommandCheckpoint:
-		r.checkpoint(token, id)
+		r.checkpoint(c)
+		return
 	case reducer.CommandThrottle, reducer.CommandFence:
 	}
 	before := len(w.Running())
@@ -185,25 +187,35 @@
 	}
 }
 
-// checkpoint lets the whole gang save its work, when that is done in time.
-func (r *reduced) checkpoint(token leaser.Token, id leaser.ID) {
-	g := gangID{job: id.Job, attempt: id.Attempt}
-	j := r.jobs[id.Job]
-	if r.asked[g] || !j.Running {
+// checkpoint lets the whole gang save its work. The answer comes when that is
+// done, or not at all.
+func (r *reduced) checkpoint(c reducer.Command) {
+	g := gangID{job: c.Lease.ID.Job, attempt: c.Lease.ID.Attempt}
+	j := r.jobs[g.job]
+	if _, ok := r.saved[g]; !ok {
+		asked := r.d.Now
+		r.saved[g] = asked.Add(j.CheckpointTime)
+		r.d.After(j.CheckpointTime, func() { r.save(j, g, asked, c.Epoch) })
+	}
+	in := r.saved[g].Sub(r.d.Now)
+	e := reducer.CommandEnded{Command: c, Result: reducer.CommandDone, Seen: r.worker(c.Worker).Seen().Epoch}
+	if in > commandLimit {
+		in = commandLimit
+		e.Result = reducer.CommandUnreachable
+	}
+	r.d.After(in, func() { r.answer(e) })
+}
+
+// save ends a gang that has saved its work, if it still runs.
+func (r *reduced) save(j *Job, g gangID, asked time.Time, e leaser.Epoch) {
+	if !j.Running || j.gang != g.attempt {
 		return
 	}
-	r.asked[g] = true
-	asked := r.d.Now
-	r.d.After(j.CheckpointTime, func() {
-		if !j.Running || j.gang != id.Attempt {
-			return
+	r.d.Save(j, asked)
+	r.each(j, func(w *table, id leaser.ID) {
+		if next, err := w.Checkpoint(r.d.Now, leaser.Token{Epoch: e, Holder: entryVM}, id); err == nil {
+			r.set(w, next)
 		}
-		r.d.Save(j, asked)
-		r.each(j, func(w *table, id leaser.ID) {
-			if next, err := w.Checkpoint(r.d.Now, token, id); err == nil {
-				r.set(w, next)
-			}
-		})
 	})
 }
 
--- a/internal/measurer/report.go
+++ b/internal/measurer/report.go
@@ -11,7 +11,7 @@
 
 // Policies returns the policies that are measured, the simplest first.
 func Policies() []func() Policy {
-	return []func() Policy{FirstCome, FirstFit, BestFit, Planned, Reducer}
+	return []func() Policy{FirstCome, FirstFit, BestFit, Planned, Moving, Reducer}
 }
 
 // The goals that are reported on.
