--- a/placer/bench_test.go
+++ b/placer/bench_test.go
@@ -96,3 +96,31 @@
 		})
 	}
 }
+
+// BenchmarkDefragment looks for room on workers of which each has one free
+// accelerator.
+func BenchmarkDefragment(b *testing.B) {
+	one := Resources{MilliCores: 4_000, MemoryMB: 8_000, Accelerators: 1}
+	r := Request{Tasks: 8, PerTask: one, Adjacency: AdjacencyWorker}
+	for _, n := range []int{50, 200, 1_000} {
+		workers, _ := crowd(n)
+		var running []Movable
+		for i := range workers {
+			workers[i].Free = one
+			for k := range 7 {
+				running = append(running, Movable{
+					Job:  fmt.Sprintf("j%04d-%d", i, k),
+					Gang: Request{Tasks: 1, PerTask: one, Adjacency: AdjacencyNone},
+					At:   Placement{workers[i].ID},
+					Cost: float64(1 + (i*7+k)%31),
+				})
+			}
+		}
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Defragment(r, workers, running, 1e6)
+			}
+		})
+	}
+}
--- a/placer/defragment.go
+++ b/placer/defragment.go
@@ -19,6 +19,10 @@
 	To  Placement
 }
 
+// maxMoveTrials bounds the sets of gangs for which Defragment looks for room
+// elsewhere; each costs about as much as a placement.
+const maxMoveTrials = 256
+
 // Defragment returns the cheapest moves found after which r can be placed, and
 // its placement. Every gang that is moved finds room elsewhere. It reports false
 // when r fits already, or when no moves lose less work than saved: the waiting of
@@ -28,7 +32,7 @@
 		return nil, nil, false
 	}
 	m := newRoom(r, workers)
-	if m.fits() {
+	if m.fits() || !r.Total().Fits(free(workers)) {
 		return nil, nil, false
 	}
 	borrowers := make([]Borrower, len(running))
@@ -54,10 +58,15 @@
 	running   []Movable
 	moves     []Move
 	placement Placement
+	trials    int
 }
 
 // accept reports whether r and all the gangs that make room for it find a place.
 func (d *defragmenter) accept(victims []int) bool {
+	d.trials++
+	if d.trials > maxMoveTrials {
+		return false
+	}
 	free := slices.Clone(d.workers)
 	for _, v := range victims {
 		take(free, d.running[v].At, Resources{}.Minus(d.running[v].Gang.PerTask))
@@ -94,6 +103,15 @@
 	)
 }
 
+// free returns what is free on all workers together.
+func free(workers []Worker) Resources {
+	var sum Resources
+	for _, w := range workers {
+		sum = sum.Plus(w.Free)
+	}
+	return sum
+}
+
 // Held returns what a gang that is placed at p holds on each worker.
 func Held(p Placement, perTask Resources) []Allocation {
 	var held []Allocation
