--- a/internal/forwarder/header.go
+++ b/internal/forwarder/header.go
@@ -11,6 +11,8 @@
 	"Connection":          true,
 	"Content-Length":      true,
 	"Expect":              true,
+	"Idempotency-Key":     true, // set from the request
+	"X-Idempotency-Key":   true, // net/http sends requests with it again by itself
 	"Keep-Alive":          true,
 	"Proxy-Authenticate":  true,
 	"Proxy-Authorization": true,
--- a/internal/forwarder/link.go
+++ b/internal/forwarder/link.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http2"
+
 	"github.com/lacewingdoor/lacewingdoor/prober"
 )
 
@@ -50,10 +53,22 @@
 	return t, nil
 }
 
-// suspect is called when a request over t failed. Idle connections are closed
-// rather than trusted, and the protocol is found out again; those in use test
-// themselves.
-func (l *link) suspect(t *http.Transport) {
+// suspect is called when a request over t brought no answer. Idle connections are
+// closed rather than trusted, and the protocol is found out again; connections
+// in use test themselves. A caller that went away, or a single HTTP/2 stream
+// that the executor ended, says nothing about the connection.
+func (l *link) suspect(ctx context.Context, t *http.Transport, err error) {
+	var stream http2.StreamError
+	if errors.Is(ctx.Err(), context.Canceled) || errors.As(err, &stream) {
+		return
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// Over HTTP/2 the pings went on being answered meanwhile.
+		if t.Protocols.HTTP1() {
+			t.CloseIdleConnections()
+		}
+		return
+	}
 	l.current.CompareAndSwap(t, nil)
 	t.CloseIdleConnections()
 }
--- a/internal/forwarder/sender.go
+++ b/internal/forwarder/sender.go
@@ -48,9 +48,9 @@
 		connection.Store(&i)
 		handed.Store(true)
 	}}
-	p, err := t.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, trace), x, &q))
+	p, err := t.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, trace), x, &q, t.Protocols.HTTP1()))
 	if err != nil {
-		l.suspect(t)
+		l.suspect(ctx, t, err)
 		return router.Answer{}, failure(ctx, err, handed.Load(), x)
 	}
 	defer func() { _ = p.Body.Close() }()
@@ -121,8 +121,9 @@
 }
 
 // outgoing builds the request to an executor. The body has no GetBody, and is
-// never http.NoBody, because net/http sends requests again by itself otherwise.
-func outgoing(ctx context.Context, x router.Executor, q *router.Request) *http.Request {
+// http.NoBody only where that is safe, because net/http sends requests again by
+// itself otherwise.
+func outgoing(ctx context.Context, x router.Executor, q *router.Request, http1 bool) *http.Request {
 	h := make(http.Header, len(q.Header)+ownHeaders)
 	copyHeader(h, q.Header)
 	h[connector.HeaderRequestID] = []string{q.ID}
@@ -142,9 +143,18 @@
 		Body:          &body{rest: q.Body},
 		ContentLength: int64(len(q.Body)),
 	}
+	if http1 && len(q.Body) == 0 && q.Key == "" && !replayed[q.Method] {
+		r.Body = http.NoBody // without it net/http sends an empty body in chunks
+	}
 	return r.WithContext(ctx)
 }
 
+// The methods whose requests without a body net/http sends again over HTTP/1.1.
+// Over HTTP/2 it does so with any method.
+var replayed = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true, http.MethodTrace: true,
+}
+
 // failure reports an attempt that brought no answer.
 func failure(ctx context.Context, err error, handed bool, x router.Executor) error {
 	e := &router.SendError{Code: router.CodeConnectionLost, Handed: handed, Step: "send", Peer: x.ID, Err: err}
--- /dev/null
+++ b/prober/prober_test.go
@@ -0,0 +1,88 @@
+package prober_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/prober"
+)
+
+// start starts a server and returns its address.
+func start(t *testing.T, http1, http2 bool) string {
+	t.Helper()
+	v := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/healthz" {
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+	v.Config.Protocols = new(http.Protocols)
+	v.Config.Protocols.SetHTTP1(http1)
+	v.Config.Protocols.SetUnencryptedHTTP2(http2)
+	v.Start()
+	t.Cleanup(v.Close)
+	return v.Listener.Addr().String()
+}
+
+func TestDetect(t *testing.T) {
+	is := is.New(t)
+	p, err := prober.Detect(t.Context(), start(t, true, false))
+	is.NoErr(err)
+	is.Equal(p, prober.HTTP1)
+	for _, http1 := range []bool{true, false} {
+		p, err = prober.Detect(t.Context(), start(t, http1, true))
+		is.NoErr(err)
+		is.Equal(p, prober.HTTP2C)
+	}
+}
+
+func TestDetectOfSilentExecutor(t *testing.T) {
+	is := is.New(t)
+	v, err := net.Listen("tcp", "127.0.0.1:0") // the kernel accepts, nobody answers
+	is.NoErr(err)
+	defer v.Close()
+	p, err := prober.Detect(t.Context(), v.Addr().String())
+	is.True(err != nil)
+	is.Equal(p, prober.Unknown)
+}
+
+func TestAlive(t *testing.T) {
+	is := is.New(t)
+	p := prober.New()
+	is.NoErr(p.Alive(t.Context(), start(t, true, false)))
+	v, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(v.Close())
+	is.True(p.Alive(t.Context(), v.Addr().String()) != nil)
+}
+
+// The kernel gives up a connection before the bound, whether bytes wait to be
+// acknowledged or nothing is under way.
+func TestKernelBounds(t *testing.T) {
+	is := is.New(t)
+	c, err := prober.Dialer().DialContext(t.Context(), "tcp", start(t, true, false))
+	is.NoErr(err)
+	defer c.Close()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	option := func(level, name int) (n int) {
+		is.NoErr(raw.Control(func(fd uintptr) {
+			n, err = syscall.GetsockoptInt(int(fd), level, name)
+		}))
+		is.NoErr(err)
+		return n
+	}
+	const userTimeout = 0x12
+	bound := int(prober.DropBound.Milliseconds())
+	is.True(option(syscall.SOL_SOCKET, syscall.SO_KEEPALIVE) != 0)
+	idle := option(syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE)
+	step := option(syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL)
+	count := option(syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT)
+	is.True(1000*(idle+step*count) <= bound)
+	unacked := option(syscall.IPPROTO_TCP, userTimeout)
+	is.True(unacked > 0 && unacked <= bound)
+}
--- a/queuer/class.go
+++ b/queuer/class.go
@@ -7,6 +7,7 @@
 type class struct {
 	items []*Item
 	work  time.Duration // sum of the estimates
+	since time.Time     // when it was last empty
 }
 
 // first returns the request that goes first, or nil if it is not eligible.
--- a/queuer/queue.go
+++ b/queuer/queue.go
@@ -44,6 +44,10 @@
 // have a right to all slots, for they may not use it for long.
 const leastPart = 0.1
 
+// standingPart divides the time that requests may wait in a queue that stands.
+// A quarter keeps the slots busy: goodput was the same as with the whole.
+const standingPart = 4
+
 // Queue holds the waiting requests of one service.
 type Queue struct {
 	Limit int // longest queue, in requests
@@ -72,6 +76,16 @@
 	return 0
 }
 
+// allowed returns how long a request may be expected to wait. A queue of short
+// work that has not been empty for a whole slack is no burst: it would only make
+// all wait until they are nearly late, so it is kept short.
+func (t *tenant) allowed(now time.Time, long bool, slack time.Duration) time.Duration {
+	if long || len(t.short.items) == 0 || now.Sub(t.short.since) < slack {
+		return slack
+	}
+	return slack / standingPart
+}
+
 // Capacity is what serves a queue.
 type Capacity struct {
 	Slots      int
@@ -87,8 +101,8 @@
 	t := q.tenant(i.Organisation, i.Weight)
 	wait := q.wait(t, i.Long, c)
 	slack := i.LatestStart().Sub(now)
-	if wait > slack {
-		return TooLate, wait - max(slack, 0), nil
+	if allowed := t.allowed(now, i.Long, slack); wait > allowed {
+		return TooLate, wait - max(allowed, 0), nil
 	}
 	if q.length >= q.Limit {
 		evicted = q.evict(t)
@@ -97,7 +111,7 @@
 		}
 	}
 	i.due = now.Add(slack / 2)
-	q.push(t, i)
+	q.push(now, t, i)
 	return Accepted, 0, evicted
 }
 
@@ -217,13 +231,16 @@
 	return true
 }
 
-func (q *Queue) push(t *tenant, i *Item) {
+func (q *Queue) push(now time.Time, t *tenant, i *Item) {
 	q.order++
 	i.order = q.order
 	i.queue = &t.short
 	if i.Long {
 		i.queue = &t.long
 	}
+	if len(i.queue.items) == 0 {
+		i.queue.since = now
+	}
 	heap.Push(i.queue, i)
 	i.queue.work += i.Estimate
 	q.length++
