Let the queue take up bursts of a few deadlines

The wait is predicted by mean run times, learned as a ratio to the estimates, and a queue may stand for four slacks before it is kept short.

--- a/queuer/queue.go
+++ b/queuer/queue.go
@@ -44,19 +44,59 @@
 // have a right to all slots, for they may not use it for long.
 const leastPart = 0.1
 
-// standingPart divides the time that requests may wait in a queue that stands.
-// A quarter keeps the slots busy: goodput was the same as with the whole.
-const standingPart = 4
+const (
+	// burstSlacks is how long a queue may stand, in slacks, before it is kept
+	// short. With one slack, a load of twice what fits that lasted for two
+	// deadlines had 61 % answered in time, where 77 % could be.
+	burstSlacks = 4
+	// standingPart divides the time that requests may wait in a queue that
+	// stands. A quarter keeps the slots busy: goodput was that of the whole.
+	standingPart = 4
+	// ratioWeight is the weight of one run in the learned ratio of run times to
+	// estimates.
+	ratioWeight = 1.0 / 64
+)
 
 // Queue holds the waiting requests of one service.
 type Queue struct {
 	Limit int // longest queue, in requests
 
 	tenants []*tenant // sorted by organisation
+	learned ratios
 	length  int
 	order   uint64
 }
 
+// ratios are mean run times divided by estimates, per class; 0 when unknown.
+type ratios struct {
+	short, long float64
+}
+
+// Learn notes how long a request ran that was estimated. Estimates are high
+// quantiles, while a queue moves at the mean.
+func (q *Queue) Learn(long bool, estimate, ran time.Duration) {
+	if estimate <= 0 {
+		return
+	}
+	r := &q.learned.short
+	if long {
+		r = &q.learned.long
+	}
+	got := ran.Seconds() / estimate.Seconds()
+	if *r == 0 {
+		*r = 1
+	}
+	*r += (got - *r) * ratioWeight
+}
+
+// work returns how long the waiting requests of a class hold slots, in sum.
+func work(c *class, ratio float64) time.Duration {
+	if ratio == 0 {
+		return c.work
+	}
+	return time.Duration(float64(c.work) * ratio)
+}
+
 type tenant struct {
 	organisation string
 	weight       int
@@ -77,10 +117,10 @@
 }
 
 // allowed returns how long a request may be expected to wait. A queue of short
-// work that has not been empty for a whole slack is no burst: it would only make
+// work that has not been empty for several slacks is no burst: it would only make
 // all wait until they are nearly late, so it is kept short.
 func (t *tenant) allowed(now time.Time, long bool, slack time.Duration) time.Duration {
-	if long || len(t.short.items) == 0 || now.Sub(t.short.since) < slack {
+	if long || len(t.short.items) == 0 || now.Sub(t.short.since) < burstSlacks*slack {
 		return slack
 	}
 	return slack / standingPart
@@ -126,19 +166,19 @@
 // them, which is at most one more round. Short work is taken as going ahead of
 // long work, which it does until the long work is due.
 func (q *Queue) wait(t *tenant, long bool, c Capacity) time.Duration {
-	work := t.short.work
+	sum := work(&t.short, q.learned.short)
 	length := len(t.short.items)
 	slots := q.part(t, c)
 	if long {
-		work += t.long.work
+		sum += work(&t.long, q.learned.long)
 		length += len(t.long.items)
 		slots = min(slots, float64(c.LongSlots))
 	}
 	if length == 0 {
 		return 0
 	}
-	mean := work / time.Duration(length)
-	return mean + time.Duration(float64(work)/max(slots, leastPart))
+	mean := sum / time.Duration(length)
+	return mean + time.Duration(float64(sum)/max(slots, leastPart))
 }
 
 // part returns how many of the slots a tenant gets while all that have something
--- a/router/dispatcher.go
+++ b/router/dispatcher.go
@@ -176,6 +176,7 @@
 	d.pool.Give(t.executor.ID)
 	d.usage.Finish(i.Organisation, t.long)
 	d.shares.Correct(i.Organisation, i.Weight, i.Estimate, now.Sub(t.started))
+	d.queue.Learn(i.Long, i.Estimate, now.Sub(t.started))
 	d.running.remove(t)
 	t.executor = Executor{}
 	d.apply(now, d.router.Snapshot())
