--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -7,6 +7,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/leaser"
 )
 
 // The timing of heartbeats.
@@ -28,7 +30,9 @@
 	Leaving         bool
 	Ready           bool
 	ConfigRevision  int64
-	ControlOffset   int64    // next offset of the control stream
+	ControlOffset   int64 // next offset of the control stream
+	Leading         bool  // it decides placements
+	Epoch           leaser.Epoch
 	Heard           []string // VMs heard directly within SuspectAfter
 	LeavingExecutor []string // executors that said that they leave
 }
@@ -60,7 +64,8 @@
 // State is the membership as one entry VM sees it. It is immutable.
 type State struct {
 	self     string
-	members  []Member // sorted by VM, without self
+	members  []Member  // sorted by VM, without self
+	born     time.Time // of the first tick
 	lastTick time.Time
 	woke     time.Time // when a pause of this process was last noticed
 }
@@ -71,6 +76,9 @@
 // WithTick notes that this process runs at now. It reports whether the process
 // was paused since the last tick; all that was known before is then stale.
 func (s State) WithTick(now time.Time) (State, bool) {
+	if s.born.IsZero() {
+		s.born = now
+	}
 	paused := !s.lastTick.IsZero() && now.Sub(s.lastTick) > PauseAfter
 	s.lastTick = now
 	if paused {
@@ -130,6 +138,12 @@
 	return s
 }
 
+// Settled reports whether this VM has run for long enough to have heard from
+// every live VM. Before that, a VM that is missing from Live may well be live.
+func (s State) Settled(now time.Time) bool {
+	return !s.born.IsZero() && now.Sub(s.born) >= SuspectAfter
+}
+
 // Live returns the sorted VMs that are thought to be live and to stay, self
 // included unless leaving is set. Suspicion is never final: a VM that is heard
 // again is live again.
@@ -170,6 +184,18 @@
 	return c
 }
 
+// Leader returns the member heard lately that leads under the highest epoch. It
+// may be a provisional leader, whom the log does not name.
+func (s State) Leader(now time.Time) (Member, bool) {
+	var best Member
+	for _, m := range s.members {
+		if m.Digest.Leading && s.direct(now, m) && (!best.Digest.Leading || best.Digest.Epoch.Less(m.Digest.Epoch)) {
+			best = m
+		}
+	}
+	return best, best.Digest.Leading
+}
+
 // LeavingExecutors returns the sorted executors that a live peer says are leaving.
 func (s State) LeavingExecutors(now time.Time) []string {
 	var v []string
