Leave out executors that fail everything they are sent

An executor that fails at once has free slots more often than the others and drew most of the work. Three failures in a row leave it out for a second, then for twice as long each time up to 30 s; it comes back with one request at a time. Never more than half of a service's executors are left out.

--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -157,3 +157,27 @@
 	is.True(!u.May("x", true, slots))
 	is.True(u.May("o", false, slots))
 }
+
+func TestPoolNeverLeavesOutMoreThanHalf(t *testing.T) {
+	is := is.New(t)
+	var p limiter.Pool
+	var list []limiter.Executor
+	for _, id := range names("e", 9) {
+		list = append(list, limiter.Executor{ID: id, Slots: 4})
+	}
+	p.Set(now, list)
+	for range 10 {
+		for _, x := range list {
+			p.Report(now, x.ID, false)
+		}
+	}
+	is.Equal(p.Slots(), 5*4)
+	later := now.Add(time.Second)
+	p.Refresh(later)
+	is.Equal(p.Slots(), 5*4+4) // one at a time until one succeeds
+	p.Report(later, "e0", true)
+	is.Equal(p.Slots(), 6*4+3)
+	p.Report(later, "e1", false) // fails again, and is left out for longer
+	p.Refresh(later.Add(time.Second))
+	is.Equal(p.Slots(), 6*4+2)
+}
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -36,15 +36,15 @@
 
 	inUse     int
 	leftUntil time.Time // no work before this time, whatever the lists say
-	barred    time.Time // no work before this time, for its answers are bad
+	health    health
 }
 
 // usable returns how many slots of e may be in use at now.
 func (e *entry) usable(now time.Time) int {
-	if e.Leaving || now.Before(e.leftUntil) || now.Before(e.barred) {
+	if e.Leaving || now.Before(e.leftUntil) {
 		return 0
 	}
-	return e.Slots
+	return e.health.limit(now, e.Slots)
 }
 
 // Set replaces the executors. Slots in use stay counted, also those of
@@ -57,7 +57,7 @@
 			old := p.entries[i]
 			e.inUse = old.inUse
 			e.leftUntil = old.leftUntil
-			e.barred = old.barred
+			e.health = old.health
 		}
 		next = append(next, e)
 	}
@@ -163,12 +163,30 @@
 	}
 }
 
-// Bar stops new work for an executor until a time.
-func (p *Pool) Bar(now time.Time, id string, until time.Time) {
-	if i, ok := p.find(id); ok {
-		p.entries[i].barred = until
-		p.recount(now)
+// Report tells how an attempt at an executor ended. An executor that only fails
+// is left out for a while, but never more than half of them: then the fault is
+// hardly theirs.
+func (p *Pool) Report(now time.Time, id string, ok bool) {
+	i, found := p.find(id)
+	if !found {
+		return
+	}
+	if h := &p.entries[i].health; ok {
+		*h = health{}
+	} else {
+		h.fail(now, 2*(p.barred(now)+1) <= len(p.entries))
 	}
+	p.recount(now)
+}
+
+func (p *Pool) barred(now time.Time) int {
+	n := 0
+	for i := range p.entries {
+		if p.entries[i].health.limit(now, 1) == 0 {
+			n++
+		}
+	}
+	return n
 }
 
 func (p *Pool) recount(now time.Time) {
--- a/router/call.go
+++ b/router/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -76,6 +77,9 @@
 	a, err := c.send(ctx, x, q)
 	c.ended = c.router.now()
 	v := c.judge(x, q.ID, &a, err)
+	if ok, known := healthy(v); known {
+		c.dispatcher.report(x.ID, ok)
+	}
 	if v.refusal != nil {
 		c.ticket.item.Avoid = append(c.ticket.item.Avoid, x.ID)
 		c.ticket.item.AvoidZone = x.Zone
@@ -183,6 +187,20 @@
 	return verdict{answer: *a}
 }
 
+// healthy reports whether an attempt speaks for its executor, if it says
+// anything of it.
+func healthy(v verdict) (ok, known bool) {
+	if v.refusal == nil {
+		return v.answer.Status < http.StatusInternalServerError, true
+	}
+	switch v.refusal.Code {
+	case CodeUnreachable, CodeConnectionLost, CodeBadAnswer, CodeDeadlinePassed:
+		return false, true
+	default:
+		return false, false
+	}
+}
+
 func (c *call) judgeError(x Executor, err error) verdict {
 	var e *SendError
 	if !errors.As(err, &e) {
--- a/router/dispatcher.go
+++ b/router/dispatcher.go
@@ -183,6 +183,13 @@
 	d.dispatch(now)
 }
 
+// report tells whether an executor brought a proper answer.
+func (d *dispatcher) report(id string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pool.Report(d.router.now(), id, ok)
+}
+
 // leave stops new work for an executor that said it is leaving.
 func (d *dispatcher) leave(id string) {
 	d.mu.Lock()
--- a/router/helper_test.go
+++ b/router/helper_test.go
@@ -27,6 +27,7 @@
 	refused  int            // runs that found none
 	down     map[string]bool
 	leaving  map[string]bool
+	failing  map[string]bool // answers with status 500 at once
 	silent   map[string]bool // the answer never comes
 	failures int             // attempts that lose their connection, still to come
 }
@@ -34,7 +35,7 @@
 func newFleet(slots int) *fleet {
 	return &fleet{
 		slots: slots, busy: map[string]int{}, most: map[string]int{},
-		down: map[string]bool{}, leaving: map[string]bool{}, silent: map[string]bool{},
+		down: map[string]bool{}, leaving: map[string]bool{}, silent: map[string]bool{}, failing: map[string]bool{},
 	}
 }
 
@@ -49,6 +50,11 @@
 		f.mu.Unlock()
 		return router.Answer{}, &router.SendError{Code: router.CodeUnreachable, Step: "connect", Peer: x.ID, Err: errors.New("refused")}
 	}
+	if f.failing[x.ID] {
+		f.mu.Unlock()
+		a.Status = http.StatusInternalServerError
+		return a, nil
+	}
 	if f.failures > 0 {
 		f.failures--
 		f.mu.Unlock()
