Let a VM without slots of a service borrow, and split large files

A service with fewer slots than there are entry VMs was refused at the VMs that own none. Such a VM uses one slot of each executor now, whose refusal when full means not-run. The test failed without it.

--- a/router/dispatcher.go
+++ b/router/dispatcher.go
@@ -27,43 +27,6 @@
 	running   tickets // short work in slots, the oldest first
 }
 
-// ticket is a request's place in the queue, and then its hold on a slot.
-type ticket struct {
-	item     queuer.Item
-	ready    chan struct{} // closed when executor or refusal is set; nil when that was at once
-	executor Executor
-	refusal  *Refusal
-	started  time.Time
-	long     bool // counted as long in the usage
-
-	next, previous *ticket // in dispatcher.running
-	listed         bool
-}
-
-// apply takes over a snapshot.
-func (d *dispatcher) apply(now time.Time, s *Snapshot) {
-	if s == d.snapshot {
-		return
-	}
-	d.snapshot = s
-	service := s.Services[d.service]
-	d.usage.Owner = service.Organisation
-	d.usage.Share = service.Share
-	d.budget.Percent = service.RetryPercent
-	d.queue.Limit = service.QueueLimit
-	if d.queue.Limit <= 0 {
-		d.queue.Limit = defaultQueueLimit
-	}
-	list := s.Executors[d.service]
-	d.executors = make(map[string]Executor, len(list))
-	owned := make([]limiter.Executor, len(list))
-	for i, x := range list {
-		d.executors[x.ID] = x
-		owned[i] = limiter.Executor{ID: x.ID, Zone: x.Zone, Slots: x.Slots, Leaving: x.Leaving}
-	}
-	d.pool.Set(now, owned)
-}
-
 func (d *dispatcher) refresh() {
 	now := d.router.now()
 	d.mu.Lock()
@@ -255,13 +218,6 @@
 	t.wake()
 }
 
-// wake tells the waiting goroutine, if there is one yet.
-func (t *ticket) wake() {
-	if t.ready != nil {
-		close(t.ready)
-	}
-}
-
 // overstay counts short work as long that has run for longer than short work
 // does.
 func (d *dispatcher) overstay(now time.Time) {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -279,6 +279,29 @@
 	})
 }
 
+// A service with fewer slots than there are entry VMs is served by all of them.
+func TestVMWithoutSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1)
+		x := executors(2, 0)
+		x[0].Total, x[1].Total = 1, 1
+		r := newRouter(f, snapshot(service(), x))
+		var w sync.WaitGroup
+		for range 6 {
+			w.Go(func() {
+				_, err := r.Do(t.Context(), request("etiquetar", "/proof", short))
+				is.NoErr(err)
+			})
+		}
+		w.Wait()
+		is.Equal(f.most, map[string]int{"e00": 1, "e01": 1})
+		f.busy["e00"], f.busy["e01"] = 1, 1 // by another VM
+		_, err := r.Do(t.Context(), request("etiquetar", "/print", short))
+		is.Equal(refusal(err), "executor-refused not-run")
+	})
+}
+
 func TestLongestPrefixDecides(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- /dev/null
+++ b/router/slots.go
@@ -0,0 +1,52 @@
+package router
+
+import (
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/limiter"
+)
+
+// apply takes over a snapshot.
+func (d *dispatcher) apply(now time.Time, s *Snapshot) {
+	if s == d.snapshot {
+		return
+	}
+	d.snapshot = s
+	service := s.Services[d.service]
+	d.usage.Owner = service.Organisation
+	d.usage.Share = service.Share
+	d.budget.Percent = service.RetryPercent
+	d.queue.Limit = service.QueueLimit
+	if d.queue.Limit <= 0 {
+		d.queue.Limit = defaultQueueLimit
+	}
+	list := s.Executors[d.service]
+	d.executors = make(map[string]Executor, len(list))
+	owned := make([]limiter.Executor, len(list))
+	for i, x := range list {
+		d.executors[x.ID] = x
+		owned[i] = limiter.Executor{ID: x.ID, Zone: x.Zone, Slots: x.Slots, Leaving: x.Leaving}
+	}
+	if ownsNone(owned) {
+		borrow(owned, list)
+	}
+	d.pool.Set(now, owned)
+}
+
+func ownsNone(owned []limiter.Executor) bool {
+	for _, x := range owned {
+		if x.Slots > 0 && !x.Leaving {
+			return false
+		}
+	}
+	return true
+}
+
+// borrow lets a VM that owns no slot of a service, because the service has fewer
+// slots than there are entry VMs, use one of each executor. The executor's own
+// refusal when it is full, which means not-run, keeps that safe.
+func borrow(owned []limiter.Executor, list []Executor) {
+	for i, x := range list {
+		owned[i].Slots = min(1, x.Total)
+	}
+}
--- a/router/tickets.go
+++ b/router/ticket.go
@@ -1,5 +1,31 @@
 package router
 
+import (
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/queuer"
+)
+
+// ticket is a request's place in the queue, and then its hold on a slot.
+type ticket struct {
+	item     queuer.Item
+	ready    chan struct{} // closed when executor or refusal is set; nil when that was at once
+	executor Executor
+	refusal  *Refusal
+	started  time.Time
+	long     bool // counted as long in the usage
+
+	next, previous *ticket // in dispatcher.running
+	listed         bool
+}
+
+// wake tells the waiting goroutine, if there is one yet.
+func (t *ticket) wake() {
+	if t.ready != nil {
+		close(t.ready)
+	}
+}
+
 // tickets is a list of tickets in the order in which they were added.
 type tickets struct {
 	first, last *ticket
