--- a/reducer/placement.go
+++ b/reducer/placement.go
@@ -7,7 +7,6 @@
 
 	"github.com/benbjohnson/immutable"
 
-	"github.com/lacewingdoor/lacewingdoor/decoder"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
 
@@ -21,6 +20,8 @@
 	size    placer.Resources
 	failed  map[placer.Request]bool // requests that had no room; looked up, never ranged over
 	blocked *job                    // the first that waits for room
+	loans   []loan                  // gangs of all organisations, read at the first call
+	read    bool                    // loans were read
 }
 
 // cursor is the head of the queue of one organisation.
@@ -45,6 +46,7 @@
 	for _, w := range p.workers {
 		p.size = p.size.Plus(w.Capacity)
 	}
+	p.passed = p.now
 	p.setAside()
 	cursors := p.cursors()
 	for {
@@ -56,6 +58,7 @@
 		p.advance(&cursors[i])
 	}
 	p.reserve()
+	p.arm(timerPlace, "", p.now.Truncate(time.Minute).Add(time.Minute)) // guarantees begin and end at whole minutes
 }
 
 func (p *pass) cursors() []cursor {
@@ -76,7 +79,7 @@
 	for !c.queue.Done() && c.seen < passDepth {
 		_, id, _ := c.queue.Next()
 		j, ok := p.liveJob(id)
-		if ok && !j.notBefore.After(p.now) {
+		if ok && !j.notBefore.After(p.now) && (!j.NonIdempotent || p.recording()) {
 			c.seen++
 			c.job = j
 			return
@@ -84,6 +87,10 @@
 	}
 }
 
+// recording reports whether starts can be recorded. A provisional leader records
+// none, for the leader of the term might record one too.
+func (s State) recording() bool { return s.logUp && s.epoch.SubTerm == 0 }
+
 // next returns the cursor whose job comes first: an urgent one, else the one of
 // the organisation that uses least for its weight, where waiting counts too.
 func (p *pass) next(all []cursor) int {
@@ -126,8 +133,12 @@
 	return float64(a) / float64(b)
 }
 
-// try starts a job if it fits. Else a covered one calls its guarantee back.
+// try starts a job if it fits and may. Else a covered one calls its guarantee
+// back, and the first that lacks room waits for the reservation.
 func (p *pass) try(j *job) {
+	if !p.withinQuota(j.Job) {
+		return
+	}
 	if r, ok := p.reclaims.Get(j.ID); ok {
 		p.collect(j, r)
 		return
@@ -136,43 +147,40 @@
 	n, _ := p.tenants.Get(j.Organisation)
 	_, covered := n.covers(p.now, j.Gang, used)
 	if !p.failed[j.Gang] {
-		if at, ok := p.find(j, covered); ok {
+		at, ok := p.avoiding(j)
+		if ok && (covered || p.allowed(j, at)) {
 			p.start(j, at)
 			return
 		}
-		p.failed[j.Gang] = true
+		p.failed[j.Gang] = !ok
 	}
-	if covered {
+	switch {
+	case covered:
 		p.callSince(j, p.now)
-		return
-	}
-	if p.blocked == nil {
+	case p.blocked == nil && p.failed[j.Gang]:
 		p.blocked = j
 	}
 }
 
-// find chooses workers for a job that does not delay the reservation, nor lend
-// guaranteed capacity to work that could not be stopped without harm.
-func (p *pass) find(j *job, covered bool) (placer.Placement, bool) {
-	at, ok := p.avoiding(j)
-	if !ok || covered {
-		return at, ok
-	}
-	if j.NonIdempotent && !p.spare(j) {
-		return nil, false
+// allowed reports whether a job may start on workers that have room: it neither
+// delays the reservation nor borrows guaranteed capacity for work that could not
+// be stopped without harm.
+func (p *pass) allowed(j *job, at placer.Placement) bool {
+	run := p.estimate(j)
+	if j.NonIdempotent && !p.spare(p.now, j, run, p.workers) {
+		return false
 	}
 	v := p.reserved
 	if v.job == "" || v.job == j.ID {
-		return at, ok
+		return true
 	}
-	run := p.estimate(j)
 	if !v.Allows(p.now, at, j.Gang.PerTask, run) {
-		return nil, false
+		return false
 	}
 	if p.now.Add(run).After(v.At) {
 		p.reserved.Reservation = v.With(at, j.Gang.PerTask)
 	}
-	return at, true
+	return true
 }
 
 // avoiding places a job away from the workers on which it failed, if it can.
@@ -188,19 +196,6 @@
 	return placer.Place(j.Gang, p.workers)
 }
 
-// estimate returns how long a job runs at most, by what was learned.
-func (p *pass) estimate(j *job) time.Duration {
-	d := p.estimates.Quantile(j.estimateKey(), runQuantile, j.DeclaredRun)
-	if d == 0 {
-		return unknownRun
-	}
-	return d
-}
-
-// unknownRun is taken for jobs of which nothing is known, so that they delay no
-// reservation.
-const unknownRun = 24 * time.Hour
-
 // start has a job's gang prepared on its workers.
 func (p *pass) start(j *job, at placer.Placement) {
 	p.take(at, j.Gang.PerTask)
@@ -211,39 +206,14 @@
 }
 
 // take counts resources on workers as used.
-func (p *pass) take(at placer.Placement, per placer.Resources) {
+func (p *pass) take(at placer.Placement, per placer.Resources) { takeFrom(p.workers, at, per) }
+
+// takeFrom takes resources off workers, which are sorted by id.
+func takeFrom(workers []placer.Worker, at placer.Placement, per placer.Resources) {
 	for _, id := range at {
-		i, ok := slices.BinarySearchFunc(p.workers, id, func(w placer.Worker, id string) int { return cmp.Compare(w.ID, id) })
+		i, ok := slices.BinarySearchFunc(workers, id, func(w placer.Worker, id string) int { return cmp.Compare(w.ID, id) })
 		if ok {
-			p.workers[i].Free = p.workers[i].Free.Minus(per)
+			workers[i].Free = workers[i].Free.Minus(per)
 		}
 	}
 }
-
-// spare reports whether a job leaves room for all guarantees that are not used.
-func (p *pass) spare(j *job) bool {
-	var free, owed placer.Resources
-	for _, w := range p.workers {
-		free = free.Plus(w.Free)
-	}
-	for i := p.tenants.Iterator(); !i.Done(); {
-		name, n, _ := i.Next()
-		used, _ := p.used.Get(name)
-		owed = owed.Plus(unused(n.Guarantees, used))
-	}
-	return j.Gang.Total().Plus(owed).Fits(free)
-}
-
-// unused returns what is left of guarantees, at any hour of the day.
-func unused(all []decoder.Guarantee, used placer.Resources) placer.Resources {
-	var sum placer.Resources
-	for _, g := range all {
-		sum = sum.Plus(total(g))
-	}
-	left := sum.Minus(used)
-	return placer.Resources{
-		MilliCores:   max(0, left.MilliCores),
-		MemoryMB:     max(0, left.MemoryMB),
-		Accelerators: max(0, left.Accelerators),
-	}
-}
--- a/reducer/reclaim.go
+++ b/reducer/reclaim.go
@@ -45,7 +45,7 @@
 		return
 	}
 	p.take(r.at, r.per)
-	p.arm(timerPlace, "", r.until)
+	p.arm(timerPlace, "job "+j.ID, r.until)
 }
 
 // callSince stops borrowers for a job that called first at since. The later it
@@ -54,11 +54,12 @@
 	used, _ := p.used.Get(j.Organisation)
 	n, _ := p.tenants.Get(j.Organisation)
 	g, ok := n.covers(p.now, j.Gang, used)
-	if !ok {
+	if !ok || p.now.Before(j.callAfter) {
 		return
 	}
 	victims, at, ok := placer.Victims(j.Gang, p.workers, p.borrowers(j))
 	if !ok {
+		p.callLater(j)
 		return
 	}
 	stopAt := p.now
@@ -68,12 +69,20 @@
 	r := &reclaim{job: j.ID, at: at, per: j.Gang.PerTask, since: since, until: stopAt.Add(reclaimOverrun), named: g.Name}
 	p.reclaims = p.reclaims.Set(j.ID, r)
 	p.take(at, j.Gang.PerTask)
-	p.arm(timerPlace, "", r.until)
+	p.arm(timerPlace, "job "+j.ID, r.until)
 	for _, v := range victims {
 		p.stopVictim(v.Job, j, stopAt)
 	}
 }
 
+// callLater keeps a job from calling for a while, as a call looks at every gang.
+func (p *pass) callLater(j *job) {
+	n := *j
+	n.callAfter = p.now.Add(callPause)
+	p.setJob(&n)
+	p.arm(timerPlace, "job "+j.ID, n.callAfter)
+}
+
 // stopVictim stops a borrower; one that can checkpoint has until stopAt.
 func (p *pass) stopVictim(id string, owner *job, stopAt time.Time) {
 	g, ok := p.gangs.Get(id)
--- a/reducer/reservation.go
+++ b/reducer/reservation.go
@@ -17,9 +17,16 @@
 
 // reserve renews the reservation for the gang that was blocked first.
 func (p *pass) reserve() {
-	p.reserved = reservation{}
 	j := p.blocked
-	if j == nil || p.now.Sub(j.accepted) < reserveAfter {
+	if j != nil && p.reserved.job == j.ID && p.now.Sub(p.reserved.made) < reserveEvery {
+		return
+	}
+	p.reserved = reservation{}
+	if j == nil {
+		return
+	}
+	if due := j.accepted.Add(reserveAfter); p.now.Before(due) {
+		p.arm(timerPlace, "job "+j.ID, due)
 		return
 	}
 	v, ok := placer.Reserve(p.now, j.Gang, p.workers, p.runningGangs())
