--- a/queuer/queue.go
+++ b/queuer/queue.go
@@ -40,15 +40,22 @@
 	TooLate  Verdict = "deadline-too-near" // it would not be answered in time
 )
 
-// leastPart is the part of a slot that a tenant is reckoned to get when others
-// have a right to all slots, for they may not use it for long.
-const leastPart = 0.1
+const (
+	// burstSlacks is how long a queue may stand, in slacks, before it is kept
+	// short. With one slack, a load of twice what fits that lasted for two
+	// deadlines had 61 % answered in time, where 77 % could be.
+	burstSlacks = 4
+	// standingPart divides the time that requests may wait in a queue that
+	// stands. A quarter keeps the slots busy: goodput was that of the whole.
+	standingPart = 4
+)
 
 // Queue holds the waiting requests of one service.
 type Queue struct {
 	Limit int // longest queue, in requests
 
 	tenants []*tenant // sorted by organisation
+	learned ratios
 	length  int
 	order   uint64
 }
@@ -72,12 +79,14 @@
 	return 0
 }
 
-// Capacity is what serves a queue.
-type Capacity struct {
-	Slots      int
-	LongSlots  int    // how many of them long work may hold
-	Owner      string // organisation with the guaranteed share
-	Guaranteed int    // slots that are the owner's when it wants them
+// allowed returns how long a request may be expected to wait. A queue of short
+// work that has not been empty for several slacks is no burst: it would only make
+// all wait until they are nearly late, so it is kept short.
+func (t *tenant) allowed(now time.Time, long bool, slack time.Duration) time.Duration {
+	if long || len(t.short.items) == 0 || now.Sub(t.short.since) < burstSlacks*slack {
+		return slack
+	}
+	return slack / standingPart
 }
 
 // Offer queues a request, or refuses it with the time after which to try again.
@@ -87,8 +96,8 @@
 	t := q.tenant(i.Organisation, i.Weight)
 	wait := q.wait(t, i.Long, c)
 	slack := i.LatestStart().Sub(now)
-	if wait > slack {
-		return TooLate, wait - max(slack, 0), nil
+	if allowed := t.allowed(now, i.Long, slack); wait > allowed {
+		return TooLate, wait - max(allowed, 0), nil
 	}
 	if q.length >= q.Limit {
 		evicted = q.evict(t)
@@ -97,61 +106,10 @@
 		}
 	}
 	i.due = now.Add(slack / 2)
-	q.push(t, i)
+	q.push(now, t, i)
 	return Accepted, 0, evicted
 }
 
-// Predict returns how long a request of an organisation and class would wait if
-// it were offered now, as [Queue.Offer] reckons.
-func (q *Queue) Predict(organisation string, weight int, long bool, c Capacity) time.Duration {
-	return q.wait(q.tenant(organisation, weight), long, c)
-}
-
-// wait predicts how long a request of a tenant and class waits: the work ahead
-// of it, done by the tenant's part of the slots, and what is left of the work in
-// them, which is at most one more round. Short work is taken as going ahead of
-// long work, which it does until the long work is due.
-func (q *Queue) wait(t *tenant, long bool, c Capacity) time.Duration {
-	work := t.short.work
-	length := len(t.short.items)
-	slots := q.part(t, c)
-	if long {
-		work += t.long.work
-		length += len(t.long.items)
-		slots = min(slots, float64(c.LongSlots))
-	}
-	if length == 0 {
-		return 0
-	}
-	mean := work / time.Duration(length)
-	return mean + time.Duration(float64(work)/max(slots, leastPart))
-}
-
-// part returns how many of the slots a tenant gets while all that have something
-// waiting now go on.
-func (q *Queue) part(t *tenant, c Capacity) float64 {
-	weights := 0
-	var owner *tenant
-	for _, o := range q.tenants {
-		if o != t && o.length() == 0 {
-			continue
-		}
-		weights += o.weight
-		if o.organisation == c.Owner {
-			owner = o
-		}
-	}
-	slots := float64(c.Slots)
-	if owner == nil {
-		return slots * float64(t.weight) / float64(weights)
-	}
-	owned := max(slots*float64(owner.weight)/float64(weights), float64(c.Guaranteed))
-	if t == owner {
-		return owned
-	}
-	return (slots - owned) * float64(t.weight) / float64(weights-owner.weight)
-}
-
 // evict removes the last request of the tenant with the longest weighted queue,
 // unless that is t itself.
 func (q *Queue) evict(t *tenant) *Item {
@@ -217,13 +175,16 @@
 	return true
 }
 
-func (q *Queue) push(t *tenant, i *Item) {
+func (q *Queue) push(now time.Time, t *tenant, i *Item) {
 	q.order++
 	i.order = q.order
 	i.queue = &t.short
 	if i.Long {
 		i.queue = &t.long
 	}
+	if len(i.queue.items) == 0 {
+		i.queue.since = now
+	}
 	heap.Push(i.queue, i)
 	i.queue.work += i.Estimate
 	q.length++
