--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -63,8 +63,9 @@
 	pending map[string]*pending // by id of the claim
 	keys    map[string]*pending // by hash of the key
 	queue   []Record
-	ready   bool // the stream was read to its end once
-	marked  bool // a mark is on its way
+	ready   bool      // the stream was read to its end once
+	marked  time.Time // when the last mark was put into the queue, or mark looked first
+	lost    bool      // records were lost and no later one was read, when mark looked last
 	counts  Counts
 }
 
--- a/claimer/flow.go
+++ b/claimer/flow.go
@@ -62,17 +62,26 @@
 	c.mark()
 }
 
+// markInterval is the longest time that the stream stays without a record while
+// a VM runs.
+const markInterval = time.Minute
+
 // mark appends a mark when the table does not know from what time on it has
-// seen every record.
+// seen every record, and when the stream has been quiet for long: so there is a
+// record of each minute that the log keeps, and a VM that starts can judge keys
+// at once.
 func (c *Claimer) mark() {
-	if c.table.Covered() {
-		c.marked = false
-		return
+	now := c.Now()
+	if c.marked.IsZero() {
+		c.marked = now
 	}
-	if !c.marked {
-		c.marked = true
+	lost := !c.table.Covered()
+	quiet := now.Sub(c.marked) >= markInterval && now.Sub(c.table.Latest()) >= markInterval
+	if quiet || lost && !c.lost {
+		c.marked = now
 		c.push(Mark{ID: c.NewID()})
 	}
+	c.lost = lost
 }
 
 // push puts a record into the queue and wakes Run.
--- a/claimer/step_test.go
+++ b/claimer/step_test.go
@@ -21,6 +21,7 @@
 //	again OFFSET               append a copy of a record
 //	corrupt                    append a record that can't be decoded
 //	trim                       drop all records
+//	retain SECONDS             drop the records that are older
 //	wait SECONDS               let time pass
 //	show                       print the stream
 //	counts NAME                print a VM's counts
@@ -73,6 +74,10 @@
 		w.add(w.records[number(f[1])-1].record)
 	case "corrupt":
 		w.add(nil)
+	case "retain":
+		for w.first <= int64(len(w.records)) && time.Since(w.records[w.first-1].appended) > time.Duration(number(f[1]))*time.Second {
+			w.first++
+		}
 	case "trim":
 		w.first = int64(len(w.records)) + 1
 	default:
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -76,6 +76,9 @@
 // Covered reports whether the table knows from what time on it can judge.
 func (t *Table) Covered() bool { return !t.gap || !t.since.IsZero() }
 
+// Latest returns the latest time of the log's clock that was seen.
+func (t *Table) Latest() time.Time { return t.clock }
+
 // Holder returns the claim that holds the key of a hash.
 func (t *Table) Holder(hash string) (Claim, bool) {
 	c, ok := t.holders[hash]
