Take a zero amount of a job for an amount

Cause: a job that asked for 0 accelerators got the service's default of 1, for a plain number cannot tell zero from nothing; 40 jobs of 29 tasks that need no accelerator were refused as impossible. Amounts are now pointers on the wire. Ruled out: the placer, which had been asked for 29 accelerators on one worker.

--- a/internal/cmd/submitcmd.go
+++ b/internal/cmd/submitcmd.go
@@ -19,9 +19,9 @@
 	Team           string        `help:"Team whose quota counts."`
 	Class          string        `default:"batch" enum:"batch,urgent" help:"Class: batch or urgent."`
 	Tasks          int           `help:"Number of tasks in the gang."`
-	MilliCores     int           `help:"Thousandths of a processor core for each task."`
-	MemoryMB       int           `help:"Mebibytes of memory for each task."`
-	Accelerators   int           `help:"Accelerators for each task."`
+	MilliCores     *int          `help:"Thousandths of a processor core for each task."`
+	MemoryMB       *int          `help:"Mebibytes of memory for each task."`
+	Accelerators   *int          `help:"Accelerators for each task."`
 	Adjacency      string        `help:"Closeness of the tasks: none, rack or worker."`
 	DeclaredRun    time.Duration `help:"Expected run time; only a first guess."`
 	Checkpointable *bool         `help:"The tasks can be checkpointed."                                           negatable:""`
--- a/internal/responder/jobs.go
+++ b/internal/responder/jobs.go
@@ -239,15 +239,17 @@
 	if b.Adjacency != "" {
 		j.Gang.Adjacency = b.Adjacency
 	}
-	setInt(&j.Gang.Tasks, b.Tasks)
+	if b.Tasks != 0 {
+		j.Gang.Tasks = b.Tasks
+	}
 	setInt(&j.Gang.PerTask.MilliCores, b.MilliCores)
 	setInt(&j.Gang.PerTask.MemoryMB, b.MemoryMB)
 	setInt(&j.Gang.PerTask.Accelerators, b.Accelerators)
 }
 
-func setInt(to *int, v int) {
-	if v != 0 {
-		*to = v
+func setInt(to, v *int) {
+	if v != nil {
+		*to = *v
 	}
 }
 
--- /dev/null
+++ b/internal/responder/jobs_test.go
@@ -0,0 +1,66 @@
+package responder
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+	"github.com/lacewingdoor/lacewingdoor/reducer"
+)
+
+func config() decoder.Config {
+	return decoder.Config{Services: []decoder.Service{{
+		Name: "labels", Organisation: "sul",
+		Job: decoder.JobDefaults{Gang: placer.Request{
+			Tasks: 2, PerTask: placer.Resources{MilliCores: 500, MemoryMB: 100, Accelerators: 1}, Adjacency: placer.AdjacencyNone,
+		}},
+	}}}
+}
+
+func TestJobTakesDefaultsAndOverridesThem(t *testing.T) {
+	for _, c := range []struct {
+		body, wrong string
+		want        placer.Request
+	}{
+		{
+			body: `{"id":"1","service":"labels"}`,
+			want: placer.Request{Tasks: 2, PerTask: placer.Resources{MilliCores: 500, MemoryMB: 100, Accelerators: 1}, Adjacency: placer.AdjacencyNone},
+		},
+		{ // zero is an amount, not the lack of one
+			body: `{"id":"1","service":"labels","accelerators":0,"tasks":3,"adjacency":"rack"}`,
+			want: placer.Request{Tasks: 3, PerTask: placer.Resources{MilliCores: 500, MemoryMB: 100}, Adjacency: placer.AdjacencyRack},
+		},
+		{body: `{"id":"","service":"labels"}`, wrong: `id: "" does not match ^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`},
+		{body: `{"id":"a:b","service":"labels"}`, wrong: `id: "a:b" does not match ^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`},
+		{body: `{"id":"1","service":"tides"}`, wrong: `service: there is no service "tides" of organisation "sul"`},
+		{body: `{"id":"1","service":"labels","tasks":65}`, wrong: "tasks: 65 is not from 1 to 64"},
+		{body: `{"id":"1","service":"labels","memory-mb":-1}`, wrong: "milli-cores, memory-mb and accelerators must not be negative"},
+		{body: `{"id":"1","service":"labels","class":"vip"}`, wrong: `class: "vip" is neither "urgent" nor "batch"`},
+		{body: `{"id":"1","service":"labels","adjacency":"zone"}`, wrong: `adjacency: "zone" is none of "none", "rack", "worker"`},
+	} {
+		t.Run(c.body, func(t *testing.T) {
+			is := is.New(t)
+			var b JobRequest
+			is.NoErr(json.Unmarshal([]byte(c.body), &b))
+			j, err := job(config(), decoder.Organisation{Name: "sul"}, b)
+			if c.wrong != "" {
+				is.True(err != nil)
+				is.Equal(err.Error(), c.wrong)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(j.Gang, c.want)
+			is.Equal(j.ID, "sul:1")
+			is.Equal(j.Class, reducer.ClassBatch)
+		})
+	}
+}
+
+func TestOnlyOperatorsNameJobsOfOthers(t *testing.T) {
+	is := is.New(t)
+	is.Equal(qualified(decoder.Organisation{Name: "sul"}, "dee:1"), "sul:dee:1")
+	is.Equal(qualified(decoder.Organisation{Name: "ops", Operator: true}, "dee:1"), "dee:1")
+}
--- a/internal/responder/wire.go
+++ b/internal/responder/wire.go
@@ -16,9 +16,9 @@
 	Team           string           `json:"team,omitempty"`
 	Class          string           `json:"class,omitempty"` // "urgent" or "batch"
 	Tasks          int              `json:"tasks,omitempty"`
-	MilliCores     int              `json:"milli-cores,omitempty"`
-	MemoryMB       int              `json:"memory-mb,omitempty"`
-	Accelerators   int              `json:"accelerators,omitempty"`
+	MilliCores     *int             `json:"milli-cores,omitempty"`
+	MemoryMB       *int             `json:"memory-mb,omitempty"`
+	Accelerators   *int             `json:"accelerators,omitempty"`
 	Adjacency      placer.Adjacency `json:"adjacency,omitempty"`
 	DeclaredRunMS  int64            `json:"declared-run-ms,omitempty"`
 	Deadline       time.Time        `json:"deadline,omitzero"`
