Pass over a configuration record that cannot be decoded

Cause: the follower set a corrupt record aside without telling the reader of the configuration, which took the hole for records that it had missed and judged nothing from then on: every later change was in force nowhere. Ruled out: the appender, whose record stood at offset 4.

--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -24,6 +24,8 @@
 	configEntryMessage struct{ entry follower.Entry }
 	// configCaughtUpMessage says that the configuration stream was read to its end.
 	configCaughtUpMessage struct{ next int64 }
+	// configSkipMessage names a record of the configuration stream that can't be read.
+	configSkipMessage struct{ offset int64 }
 	// configGapMessage says that records of the configuration stream expired unread.
 	configGapMessage struct{ from, first int64 }
 	// configStateMessage brings the configuration of another entry VM.
@@ -40,6 +42,7 @@
 func (controlGapMessage) isMessage()      {}
 func (configEntryMessage) isMessage()     {}
 func (configCaughtUpMessage) isMessage()  {}
+func (configSkipMessage) isMessage()      {}
 func (configGapMessage) isMessage()       {}
 func (configStateMessage) isMessage()     {}
 func (heardMessage) isMessage()           {}
@@ -95,6 +98,10 @@
 		return s.configEntry(ctx, now, v, m.entry)
 	case configCaughtUpMessage:
 		return s.configCaughtUp(v)
+	case configSkipMessage:
+		s.config.Skip(m.offset)
+		v.config = s.config.State()
+		return v
 	case configGapMessage:
 		return s.configGap(v, m)
 	case configStateMessage:
--- a/internal/server/streams.go
+++ b/internal/server/streams.go
@@ -54,6 +54,11 @@
 	}
 	f.CaughtUp = func(next int64) { s.post(configCaughtUpMessage{next}) }
 	f.Gap = func(from, first int64) { s.post(configGapMessage{from, first}) }
+	aside := f.Undecodable
+	f.Undecodable = func(offset int64, data []byte, err error) {
+		aside(offset, data, err)
+		s.post(configSkipMessage{offset})
+	}
 	_ = f.Run(ctx) // it ends only with ctx
 }
 
