Give a starting VM the control state of its peers

Cause: a VM that started while the log was down knew no accepted job, and one that started after the log had dropped records could miss a live job for good; both were read from the log alone. Ruled out: adopting over what was read, since records below the place of a state are ignored: the state starts anew.

--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -8,10 +8,7 @@
 	"strings"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"github.com/lacewingdoor/lacewingdoor/follower"
-	peerv1 "github.com/lacewingdoor/lacewingdoor/proto/peer/v1"
 	"github.com/lacewingdoor/lacewingdoor/publisher"
 	"github.com/lacewingdoor/lacewingdoor/reducer"
 )
@@ -135,36 +132,3 @@
 	slices.SortFunc(a.VMs, func(a, b publisher.VMRevision) int { return strings.Compare(a.VM, b.VM) })
 	return a
 }
-
-// adopt asks other entry VMs for their configuration until this VM has one, so
-// that it can start while the log is down.
-func (s *Server) adopt(ctx context.Context) {
-	c, cancel := context.WithCancel(ctx)
-	defer cancel()
-	every(c, time.Second, func() {
-		v := s.view.Load()
-		if v.configReady {
-			cancel()
-			return
-		}
-		for _, m := range v.members.Members() {
-			s.adoptFrom(c, m.Address)
-		}
-	})
-}
-
-func (s *Server) adoptFrom(ctx context.Context, address string) {
-	c, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	a, err := s.peer(address).Snapshot(c, connect.NewRequest(&peerv1.SnapshotRequest{}))
-	if err != nil {
-		s.quiet.log("adopt", address, fmt.Errorf("ask %s for its configuration: %w", address, err))
-		return
-	}
-	state, err := publisher.DecodeState(a.Msg.GetConfig())
-	if err != nil {
-		s.quiet.log("adopt", address, fmt.Errorf("configuration of %s: %w", address, err))
-		return
-	}
-	s.post(configStateMessage{state})
-}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -20,6 +20,11 @@
 	eventMessage struct{ event reducer.Event }
 	// controlGapMessage says that records of the control stream expired unread.
 	controlGapMessage struct{ from, first int64 }
+	// controlStateMessage brings the control records of another entry VM.
+	controlStateMessage struct {
+		records []reducer.RecordRead
+		next    int64 // offset up to which they stand for the stream
+	}
 	// configEntryMessage brings the next record of the configuration stream.
 	configEntryMessage struct{ entry follower.Entry }
 	// configCaughtUpMessage says that the configuration stream was read to its end.
@@ -40,6 +45,7 @@
 
 func (eventMessage) isMessage()           {}
 func (controlGapMessage) isMessage()      {}
+func (controlStateMessage) isMessage()    {}
 func (configEntryMessage) isMessage()     {}
 func (configCaughtUpMessage) isMessage()  {}
 func (configSkipMessage) isMessage()      {}
@@ -94,6 +100,8 @@
 		return s.event(ctx, now, v, m.event)
 	case controlGapMessage:
 		return s.controlGap(ctx, now, v, m)
+	case controlStateMessage:
+		return s.adoptControl(ctx, now, v, m)
 	case configEntryMessage:
 		return s.configEntry(ctx, now, v, m.entry)
 	case configCaughtUpMessage:
@@ -148,7 +156,7 @@
 			Warn("records of the control stream expired unread; reading it anew")
 	}
 	v.control = s.newControl()
-	v.controlReady = false
+	v.controlReady, v.controlAdopted, v.controlHole = false, false, true
 	for _, e := range s.known(v) {
 		v = s.event(ctx, now, v, e)
 	}
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/lacewingdoor/lacewingdoor/leaser"
 	peerv1 "github.com/lacewingdoor/lacewingdoor/proto/peer/v1"
 	"github.com/lacewingdoor/lacewingdoor/proto/peer/v1/peerv1connect"
-	"github.com/lacewingdoor/lacewingdoor/publisher"
 )
 
 // The limits on calls between entry VMs.
@@ -80,19 +78,6 @@
 	return connect.NewResponse(&peerv1.BeatResponse{Digest: p.s.digest()}), nil
 }
 
-// Snapshot gives the configuration in force to a VM that starts.
-func (p *peerServer) Snapshot(context.Context, *connect.Request[peerv1.SnapshotRequest]) (*connect.Response[peerv1.SnapshotResponse], error) {
-	v := p.s.view.Load()
-	if !v.configReady {
-		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this VM has no configuration yet"))
-	}
-	b, err := publisher.Encode(v.config)
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInternal, err)
-	}
-	return connect.NewResponse(&peerv1.SnapshotResponse{Config: b, ControlNext: v.controlOffset}), nil
-}
-
 // heard passes a digest on to control and to the renewer.
 func (s *Server) heard(d *peerv1.Digest) {
 	s.renewer.told(s.Now(), d)
--- a/internal/server/view.go
+++ b/internal/server/view.go
@@ -14,19 +14,26 @@
 // view is everything that the control goroutine knows, as one immutable value.
 // Other goroutines read it through an atomic pointer.
 type view struct {
-	self          string // id of this VM
-	control       reducer.State
-	config        publisher.State
-	members       heartbeater.State
-	list          []connector.ListedVM // sorted by id
-	addresses     map[listKey]string   // of the list
-	leaving       []string             // executors that said so to this VM, sorted
-	traffic       *router.Snapshot
-	configReady   bool  // the configuration was read to its end, or taken from a peer
-	controlReady  bool  // the control stream was read to its end
-	controlOffset int64 // next offset of the control stream
-	logUp         bool
-	paused        bool // this process was paused and has not read the log since
+	self           string // id of this VM
+	control        reducer.State
+	config         publisher.State
+	members        heartbeater.State
+	list           []connector.ListedVM // sorted by id
+	addresses      map[listKey]string   // of the list
+	leaving        []string             // executors that said so to this VM, sorted
+	traffic        *router.Snapshot
+	configReady    bool  // the configuration was read to its end, or taken from a peer
+	controlHole    bool  // the log had dropped records before this VM read them
+	controlAdopted bool  // the control state was taken from another entry VM
+	controlReady   bool  // the control stream was read to its end
+	controlOffset  int64 // next offset of the control stream
+	logUp          bool
+	paused         bool // this process was paused and has not read the log since
+}
+
+// knowsControl reports whether the control state accounts for the whole stream.
+func (v *view) knowsControl() bool {
+	return v.controlAdopted || v.controlReady && !v.controlHole
 }
 
 // notReady returns why the VM can't serve yet, "" when it can.
