--- a/scripts_http_test.go
+++ b/scripts_http_test.go
@@ -104,14 +104,24 @@
 // cmdExpectJSON compares a field of a JSON file: [!] expect-json FILE PATH VALUE.
 // The path is names and numbers with dots between, "length" at its end is a length.
 func cmdExpectJSON(t *testscript.TestScript, neg bool, a []string) {
+	if got := fields(t, a[0], a[1]); (got == os.Expand(a[2], t.Getenv)) == neg {
+		t.Fatalf("%s is %s", a[1], got)
+	}
+}
+
+// cmdSetJSON keeps a field of a JSON file in a variable: set-json NAME FILE PATH.
+func cmdSetJSON(t *testscript.TestScript, _ bool, a []string) {
+	t.Setenv(a[0], fields(t, a[1], a[2]))
+}
+
+// fields returns the field at a path of a JSON file.
+func fields(t *testscript.TestScript, file, path string) string {
 	var v any
-	t.Check(json.Unmarshal([]byte(t.ReadFile(a[0])), &v))
-	for _, k := range strings.Split(a[1], ".") {
+	t.Check(json.Unmarshal([]byte(t.ReadFile(file)), &v))
+	for _, k := range strings.Split(path, ".") {
 		v = field(v, k)
 	}
-	if got := fmt.Sprint(v); (got == os.Expand(a[2], t.Getenv)) == neg {
-		t.Fatalf("%s is %s", a[1], got)
-	}
+	return fmt.Sprint(v)
 }
 
 // field returns one step of a path, nil when there is none.
--- a/scripts_test.go
+++ b/scripts_test.go
@@ -71,6 +71,7 @@
 			"load-wait":   cmdLoadWait,
 			"post":        cmdPost,
 			"publish":     cmdPublish,
+			"set-json":    cmdSetJSON,
 			"signal":      cmdSignal,
 			"start":       cmdStart,
 			"wait-exit":   cmdWaitExit,
