--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -1,6 +1,7 @@
 package publisher
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -65,7 +66,8 @@
 	if err != nil {
 		return Result{}, fmt.Errorf("read the configuration in force: %w", err)
 	}
-	plan, err := NewPlan(s, r, p.NewID(), p.Now())
+	id := p.NewID()
+	plan, err := NewPlan(s, r, id, p.Now())
 	if errors.Is(err, ErrNothing) {
 		p.report("nothing to publish: revision %d is in force with these files", s.Revision())
 		return Result{Revision: s.Revision()}, nil
@@ -74,6 +76,9 @@
 	if err != nil {
 		return Result{Diff: plan.Diff}, err
 	}
+	if v, ok := s.Verdict(id); ok {
+		return Result{ID: id, Diff: plan.Diff}, fmt.Errorf("%w: id %s was used before at offset %d, with the outcome %s", ErrNotAppended, id, v.Offset, v.Outcome)
+	}
 	if err := p.check(plan.Config); err != nil {
 		return Result{Diff: plan.Diff}, err
 	}
@@ -162,10 +167,10 @@
 		if !appended && p.Now().Sub(asked) >= p.settleTime() {
 			asked = p.Now()
 			p.report("change %s was not seen in the log, withdrawing it if it is not there", id)
-			err = errors.Join(err, p.Withdraw(ctx, id))
+			err = because(p.Withdraw(ctx, id), err)
 		}
 		if w := p.Wait(ctx); w != nil {
-			return Verdict{}, fmt.Errorf("%w: read back change %s: %w", ErrUnknown, id, errors.Join(w, err))
+			return Verdict{}, fmt.Errorf("%w: read back change %s: %w", ErrUnknown, id, because(w, err))
 		}
 	}
 }
@@ -194,12 +199,20 @@
 			return arrived, nil
 		}
 		if w := p.Wait(ctx); w != nil {
-			p.report("in force, but not yet seen everywhere: missing %q: %v", missing, errors.Join(w, err))
+			p.report("in force, but not yet seen everywhere: missing %q: %v", missing, because(w, err))
 			return arrived, missing
 		}
 	}
 }
 
+// because adds the cause of an error, on the same line. Both may be nil.
+func because(err, cause error) error {
+	if err == nil || cause == nil {
+		return cmp.Or(err, cause)
+	}
+	return fmt.Errorf("%w (%w)", err, cause)
+}
+
 func (p *Publisher) report(format string, args ...any) {
 	if p.Report != nil {
 		p.Report(fmt.Sprintf(format, args...))
