--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -1,10 +1,16 @@
 package forwarder_test
 
 import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/lacewingdoor/lacewingdoor/internal/forwarder"
 	"github.com/lacewingdoor/lacewingdoor/prober"
 	"github.com/lacewingdoor/lacewingdoor/router"
 )
@@ -38,3 +44,72 @@
 	is.Equal(p.Outcome, router.NotRun)
 	is.Equal(p.Status, 404)
 }
+
+func TestRefusesWhatItCannotHold(t *testing.T) {
+	is := is.New(t)
+	reached, release := make(chan struct{}), make(chan struct{})
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		close(reached)
+		<-release
+		echo(w, r)
+	}, false)
+	s := snapshot(address)
+	n := &forwarder.Sender{Protocol: prober.HTTP1}
+	defer n.Close()
+	f := &forwarder.Forwarder{
+		Router:       &router.Router{Snapshot: func() *router.Snapshot { return s }, Send: n.Send},
+		Organisation: func(*http.Request) (string, error) { return "etiquetar", nil },
+		MaxRequests:  1,
+	}
+	first := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.ServeHTTP(first, httptest.NewRequest(http.MethodPost, "/label/proof", strings.NewReader("milk")))
+	}()
+	<-reached
+	second := httptest.NewRecorder()
+	f.ServeHTTP(second, httptest.NewRequest(http.MethodPost, "/label/proof", strings.NewReader("milk")))
+	is.Equal(second.Code, http.StatusServiceUnavailable)
+	is.Equal(second.Header().Get("Retry-After"), "1")
+	is.Equal(second.Header().Get("Lacewingdoor-Outcome"), "not-run")
+	is.True(strings.Contains(second.Body.String(), `"code":"too-many-requests"`))
+	close(release)
+	<-done
+	is.Equal(first.Code, http.StatusOK)
+}
+
+func TestRefusesUnknownCaller(t *testing.T) {
+	is := is.New(t)
+	f := &forwarder.Forwarder{Organisation: func(*http.Request) (string, error) { return "", errors.New("no such key") }}
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/label/proof", strings.NewReader("milk")))
+	is.Equal(w.Code, http.StatusUnauthorized)
+	is.True(strings.Contains(w.Body.String(), `"outcome":"not-run"`))
+}
+
+// A connection of an executor that is gone from the list is closed.
+func TestKeepClosesTheRest(t *testing.T) {
+	is := is.New(t)
+	relay := newRelay(t, serve(t, echo, false))
+	n := &forwarder.Sender{Protocol: prober.HTTP1}
+	x := router.Executor{ID: "e", Address: relay.address()}
+	send := func() {
+		_, err := n.Send(t.Context(), x, router.Request{ID: "r", Method: http.MethodPost, Path: "/"})
+		is.NoErr(err)
+	}
+	send()
+	n.Keep([]string{x.Address})
+	send()
+	is.Equal(relay.opened.Load(), int64(1))
+	n.Keep(nil)
+	closed := func() (yes bool) {
+		relay.each(func(l *line) { yes = l.clientClosed.Load() })
+		return yes
+	}
+	// The bound is below the idle timeout, which would close it too.
+	for end := time.Now().Add(wide / 3); !closed() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(closed())
+}
