Hedge short idempotent requests that take far too long

A connection over HTTP/1.1 that goes silent behind something that goes on acknowledging cannot be told from a straggler, so its request waited for its deadline. After three estimates it is sent to another executor now, with a free slot that nobody waits for and out of the retry budget; the first proper answer counts. Seen failing without it: the silent HTTP/1.1 connection (ended at 30 s), and with single conditions taken out (budget, cancelling of either attempt).

--- a/internal/forwarder/helper_test.go
+++ b/internal/forwarder/helper_test.go
@@ -67,6 +67,7 @@
 			Routes: []decoder.Route{
 				{Path: "/proof", Class: "short", Deadline: wide, MaxBody: 1 << 10},
 				{Path: "/print", Class: "short", Deadline: wide, NonIdempotent: true},
+				{Path: "/usual", Class: "short", Deadline: wide, DeclaredRun: 100 * time.Millisecond},
 				{Path: "/brief", Class: "short", Deadline: 300 * time.Millisecond},
 			},
 		}},
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -70,6 +71,35 @@
 	}
 }
 
+// Over HTTP/1.1 a silent connection behind a relay that goes on acknowledging
+// cannot be told from a straggler; an idempotent request is answered by a second
+// attempt elsewhere.
+func TestSilentHTTP1ConnectionIsHedged(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var runs atomic.Int64
+	first := make(chan struct{})
+	h := func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 1 {
+			_, _ = io.Copy(io.Discard, r.Body) // only then is the server told of a closed connection
+			close(first)
+			<-r.Context().Done()
+		}
+		echo(w, r)
+	}
+	a, b := newRelay(t, serve(t, h, false)), newRelay(t, serve(t, h, false))
+	e := benchAt(t, prober.HTTP1, a.address(), b.address())
+	go func() {
+		<-first
+		a.lose(true, true)
+		b.lose(true, true)
+	}()
+	status, body, _ := e.post(t.Context(), t, "/label/usual/1", "milk")
+	is.Equal(status, 200)
+	is.Equal(body, "/usual/1 milk")
+	is.Equal(runs.Load(), int64(2))
+}
+
 // A request that takes far longer than the bound on a live connection is left
 // alone.
 func TestStragglerOnLiveConnection(t *testing.T) {
--- a/router/call.go
+++ b/router/call.go
@@ -74,9 +74,10 @@
 	if c.attempts > 1 {
 		q.ID += "-" + strconv.Itoa(c.attempts)
 	}
-	a, err := c.send(ctx, x, q)
+	s := c.send(ctx, x, q)
 	c.ended = c.router.now()
-	v := c.judge(x, q.ID, &a, err)
+	x = s.executor
+	v := c.judge(x, s.id, &s.answer, s.err)
 	if ok, known := healthy(v); known {
 		c.dispatcher.report(x.ID, ok)
 	}
@@ -120,14 +121,17 @@
 
 // send makes one attempt and gives the slot back when it is over. The work of a
 // caller that goes away is cancelled where it is safe to run it again.
-func (c *call) send(ctx context.Context, x Executor, q Request) (Answer, error) {
+func (c *call) send(ctx context.Context, x Executor, q Request) sent {
 	if c.route.NonIdempotent {
-		return c.sendOnce(ctx, x, q)
+		a, err := c.sendOnce(ctx, x, q)
+		return sent{x, q.ID, a, err}
 	}
 	within, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
-	defer c.dispatcher.finish(c.ticket)
-	return c.router.Send(within, x, q)
+	h := c.hedge(ctx, x, cancel)
+	a, err := c.router.Send(within, x, q)
+	c.dispatcher.finish(c.ticket)
+	return h.settle(sent{x, q.ID, a, err})
 }
 
 // sendOnce sends a non-idempotent request. Neither its caller's leaving nor its
--- /dev/null
+++ b/router/hedge_test.go
@@ -0,0 +1,79 @@
+package router_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/router"
+)
+
+// A request whose answer never comes is answered by a second attempt, while one
+// that merely runs on is answered by whichever ends first.
+func TestHedge(t *testing.T) {
+	for name, c := range map[string]struct {
+		path     string
+		percent  int
+		busy     int // requests that take the other slots
+		refusal  string
+		took     time.Duration
+		attempts int
+	}{
+		"answered":       {"/proof", 100, 0, "none", 3*100*time.Millisecond + short, 2},
+		"not-idempotent": {"/print", 100, 0, "deadline-passed unknown", 2 * time.Second, 1},
+		"no-budget":      {"/proof", 0, 0, "deadline-passed unknown", 2 * time.Second, 1},
+		"no-free-slot":   {"/proof", 100, 1, "deadline-passed unknown", 2 * time.Second, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(8)
+				f.silent["e00"] = true
+				s := service()
+				s.RetryPercent = c.percent
+				r := newRouter(f, snapshot(s, executors(2, 1)))
+				start := time.Now()
+				var w sync.WaitGroup
+				w.Go(func() {
+					_, err := r.Do(t.Context(), request("etiquetar", c.path, short))
+					is.Equal(refusal(err), c.refusal)
+					is.Equal(time.Since(start), c.took)
+				})
+				synctest.Wait()
+				for range c.busy {
+					w.Go(func() {
+						_, err := r.Do(t.Context(), request("etiquetar", "/print", 1500*time.Millisecond))
+						is.NoErr(err)
+					})
+				}
+				w.Wait()
+				is.Equal(f.attempts(), c.attempts)
+				is.NoErr(r.Drain(t.Context()))
+				is.Equal(f.busy["e00"]+f.busy["e01"], 0)
+			})
+		})
+	}
+}
+
+// The first attempt's answer counts if it is first, and the second is cancelled.
+func TestHedgeLoses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(8)
+		s := service()
+		s.RetryPercent = 100
+		r := newRouter(f, snapshot(s, executors(2, 1)))
+		var seen router.Observation
+		r.Observe = func(o router.Observation) { seen = o }
+		start := time.Now()
+		_, err := r.Do(t.Context(), request("etiquetar", "/proof", 350*time.Millisecond))
+		is.NoErr(err)
+		is.Equal(time.Since(start), 350*time.Millisecond)
+		is.Equal(seen.Attempts, 2)
+		is.NoErr(r.Drain(t.Context()))
+		is.Equal(time.Since(start), 350*time.Millisecond)
+	})
+}
