--- a/publisher/state.go
+++ b/publisher/state.go
@@ -18,13 +18,22 @@
 	Publisher string    `json:"publisher"`
 	Change    string    `json:"change"`
 	Created   time.Time `json:"created"`
+	Previous  *Version  `json:"previous,omitempty"` // nil when the file was new
+
+	parsed decoder.Parsed
+}
+
+// Version is an earlier content of a file.
+type Version struct {
+	Revision int64  `json:"revision"`
+	Content  string `json:"content"`
 }
 
 // State is what one reader of the stream knows. It is immutable; its zero value
 // is no state, New returns the first one.
 type State struct {
 	files    []FileState // sorted by name
-	settled  []settled   // the last maxSettled changes, oldest first
+	settled  []Settled   // the last maxSettled changes, oldest first
 	config   decoder.Config
 	revision int64 // offset of the last change in force
 	next     int64 // offset of the next record to apply
@@ -74,6 +83,10 @@
 	return Verdict{}, false
 }
 
+// History returns the last changes whose fate is known, oldest first, among them
+// withdrawn ones that never came.
+func (s State) History() []Settled { return slices.Clone(s.settled) }
+
 func (s State) find(name string) (int, bool) {
 	return slices.BinarySearchFunc(s.files, name, func(f FileState, n string) int {
 		return strings.Compare(f.Name, n)
@@ -136,7 +149,7 @@
 // stateJSON is the form of a state between VMs and in snapshots.
 type stateJSON struct {
 	Files    []FileState `json:"files"`
-	Settled  []settled   `json:"settled"`
+	Settled  []Settled   `json:"settled"`
 	Revision int64       `json:"revision"`
 	Next     int64       `json:"next"`
 	From     int64       `json:"from"`
@@ -162,6 +175,9 @@
 		files: j.Files, settled: j.Settled, revision: j.Revision,
 		next: j.Next, from: j.From, changed: j.Changed, complete: j.Complete,
 	}
+	for i, f := range t.files {
+		t.files[i] = f.withParsed()
+	}
 	c, err := decodeFiles(t.files)
 	if err != nil {
 		return fmt.Errorf("decode files of configuration at revision %d: %w", t.revision, err)
@@ -182,10 +198,17 @@
 	return s, err
 }
 
+// withParsed returns f with its content read, so that changes of other files
+// need not read it again.
+func (f FileState) withParsed() FileState {
+	f.parsed = decoder.Parse(decoder.File{Name: f.Name, Content: f.Content})
+	return f
+}
+
 func decodeFiles(files []FileState) (decoder.Config, error) {
-	fs := make([]decoder.File, len(files))
+	ps := make([]decoder.Parsed, len(files))
 	for i, f := range files {
-		fs[i] = decoder.File{Name: f.Name, Content: f.Content}
+		ps[i] = f.parsed
 	}
-	return decoder.Decode(fs)
+	return decoder.Combine(ps)
 }
