--- /dev/null
+++ b/reducer/fakes_test.go
@@ -0,0 +1,150 @@
+package reducer_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/leaser"
+	"github.com/lacewingdoor/lacewingdoor/reducer"
+)
+
+func (w *world) append(f reducer.AppendRecord, back func(reducer.Event)) {
+	e := reducer.AppendEnded{Record: f.Record}
+	if w.logDown {
+		e.Err = "log is down"
+		back(e)
+		return
+	}
+	at := int64(len(w.records) + 1)
+	w.records = append(w.records, reducer.RecordRead{Offset: at, Appended: w.now, Record: f.Record})
+	if c, ok := f.Record.(reducer.LeaderClaimed); ok && c.Previous == w.term {
+		w.term = at
+	}
+	w.terms[at] = w.term
+	if w.loseAnswers > 0 {
+		w.loseAnswers--
+		e.Err = "no answer"
+	}
+	back(e)
+}
+
+func (w *world) worker(id string) *fakeWorker {
+	for _, k := range w.workers {
+		if k.table.Worker == id {
+			return k
+		}
+	}
+	panic("no worker " + id)
+}
+
+func (w *world) fence(v *vm, f reducer.Fence, back func(reducer.Event)) {
+	k := w.worker(f.Worker)
+	c := reducer.Command{Kind: reducer.CommandFence, Worker: f.Worker, Epoch: f.Epoch}
+	if k.down || k.cut || k.paused || k.take(k.lost, reducer.CommandFence) {
+		w.after(2*time.Second, func() { back(reducer.CommandEnded{Command: c, Result: reducer.CommandUnreachable}) })
+		return
+	}
+	var err error
+	k.table, err = k.table.Fence(w.now, leaser.Token{Epoch: f.Epoch, Holder: v.id})
+	if err != nil {
+		back(reducer.CommandEnded{Command: c, Result: reducer.CommandFenced, Seen: k.table.Seen().Epoch})
+		return
+	}
+	back(reducer.InventoryRead{Epoch: f.Epoch, Asked: f.Asked, Inventory: k.table.Inventory(w.now)})
+}
+
+func (k *fakeWorker) take(m map[reducer.CommandKind]int, c reducer.CommandKind) bool {
+	m[c]--
+	return m[c] >= 0
+}
+
+func (w *world) command(v *vm, f reducer.Command, back func(reducer.Event)) {
+	k := w.worker(f.Worker)
+	e := reducer.CommandEnded{Command: f, Result: reducer.CommandUnreachable}
+	lost := w.dice.IntN(100) < w.lossy
+	if k.down || k.cut || k.paused || lost || k.take(k.lost, f.Kind) {
+		w.after(2*time.Second, func() { back(e) })
+		return
+	}
+	err := w.obey(k, leaser.Token{Epoch: f.Epoch, Holder: v.id}, f)
+	if w.dice.IntN(100) < w.lossy || k.take(k.unheard, f.Kind) {
+		w.after(2*time.Second, func() { back(e) })
+		return
+	}
+	e.Seen = k.table.Seen().Epoch
+	e.Result = reducer.CommandDone
+	if err != nil {
+		e.Result = reducer.CommandRefused
+		e.Reason = err.Error()
+		if strings.Contains(e.Reason, "fenced") {
+			e.Result = reducer.CommandFenced
+		}
+		if strings.Contains(e.Reason, leaser.ErrNoRoom.Error()) {
+			w.noRoom++
+		}
+	}
+	back(e)
+}
+
+func (w *world) obey(k *fakeWorker, token leaser.Token, f reducer.Command) error {
+	var err error
+	id := f.Lease.ID
+	switch f.Kind {
+	case reducer.CommandPrepare:
+		k.table, err = k.table.Prepare(w.now, token, f.Lease)
+	case reducer.CommandStart:
+		before := len(k.table.Running())
+		k.table, err = k.table.Start(w.now, token, id)
+		if len(k.table.Running()) > before {
+			w.began(k, id)
+		}
+	case reducer.CommandCheckpoint:
+		if !k.ignoring {
+			k.table, err = k.table.Checkpoint(w.now, token, id)
+		}
+	case reducer.CommandStop:
+		k.table, err = k.table.Stop(w.now, token, id)
+	case reducer.CommandThrottle:
+		k.table, err = k.table.Throttle(w.now, token, id)
+	case reducer.CommandFence:
+	}
+	return err
+}
+
+// began counts the start of a task and lets it end as its payload says: a
+// duration, perhaps followed by "once" and "fail".
+func (w *world) began(k *fakeWorker, id leaser.ID) {
+	w.starts[fmt.Sprintf("%s/%d", id.Job, id.Task)]++
+	var payload string
+	for _, l := range k.table.Running() {
+		if l.ID == id {
+			payload = l.Payload
+		}
+	}
+	words := strings.Fields(payload)
+	if slices.Contains(words, "once") && w.starts[fmt.Sprintf("%s/%d", id.Job, id.Task)] > 1 {
+		w.breaks("non-idempotent task %v started again", id)
+	}
+	d, err := time.ParseDuration(words[0])
+	if err != nil {
+		w.breaks("task %v has payload %q", id, payload)
+	}
+	state := leaser.StateSucceeded
+	if slices.Contains(words, "fail") || k.failing {
+		state = leaser.StateFailed
+	}
+	if k.failing {
+		d = 0
+	}
+	w.after(d, func() { w.endTask(k, id, state) })
+}
+
+func (w *world) endTask(k *fakeWorker, id leaser.ID, s leaser.State) {
+	if k.paused {
+		w.after(time.Second, func() { w.endTask(k, id, s) })
+		return
+	}
+	k.table, _ = k.table.End(w.now, id, s, "by itself")
+}
--- /dev/null
+++ b/reducer/promised_test.go
@@ -0,0 +1,72 @@
+package reducer_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+	"github.com/lacewingdoor/lacewingdoor/reducer"
+)
+
+func TestPromisedLooksAtTheHoursThatOverlap(t *testing.T) {
+	is := is.New(t)
+	var workers []placer.Worker
+	for i := range 2 {
+		workers = append(workers, placer.Worker{
+			ID: fmt.Sprintf("w%d", i), Rack: "r", Capacity: placer.Resources{MilliCores: 8000, MemoryMB: 8000, Accelerators: 8},
+		})
+	}
+	london, err := time.LoadLocation("Europe/London")
+	is.NoErr(err)
+	night := decoder.Guarantee{
+		Name: "night", Blocks: 2, Block: placer.Resources{MilliCores: 8000, Accelerators: 8},
+		Adjacency: placer.AdjacencyWorker, From: 22 * time.Hour, To: 5 * time.Hour, Location: time.UTC,
+	}
+	dawn := night
+	dawn.Name, dawn.Blocks, dawn.Adjacency, dawn.Location = "dawn", 1, placer.AdjacencyRack, london
+	dawn.From, dawn.To = 5*time.Hour, 9*time.Hour
+	c := decoder.Config{Organisations: []decoder.Organisation{
+		{Name: "etiquetar", Guarantees: []decoder.Guarantee{night}},
+		{Name: "morfa", Guarantees: []decoder.Guarantee{dawn}},
+	}}
+	var e *reducer.OverpromisedError
+	is.True(errors.As(reducer.Promised(c, workers), &e)) // in summer dawn begins at 04:00 UTC
+	is.Equal(e.At.UTC().Hour(), 4)
+	c.Organisations[1].Guarantees[0].Location = time.UTC
+	is.NoErr(reducer.Promised(c, workers))
+	c.Organisations[0].Guarantees[0].Blocks = 3
+	is.True(errors.As(reducer.Promised(c, workers), &e))
+	is.Equal(e.Block, 3)
+}
+
+// A VM that starts from another's snapshot knows what the other knows.
+func TestSnapshotCarriesWhatCounts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 1)
+	w.addWorker("w1", "r1", 8)
+	s := &script{world: w}
+	s.organisation([]string{"a"})
+	w.run(3 * time.Second)
+	is.NoErr(w.submit(job([]string{"done", "a", "run=2s", "non-idempotent"})))
+	is.NoErr(w.submit(job([]string{"runs", "a", "run=1h", "non-idempotent"})))
+	w.run(10 * time.Second)
+	old := w.vms[0].state
+	records, next := old.Snapshot()
+	state := reducer.New("vm-2")
+	for _, r := range records {
+		state, _ = reducer.Reduce(w.now, state, r)
+	}
+	is.Equal(state.Leader(), "vm-1")
+	is.Equal(state.Epoch(), old.Epoch())
+	is.Equal(next, int64(len(w.records)+1))
+	v, ok := state.Job("done")
+	is.True(ok)
+	is.Equal(v.Outcome, reducer.OutcomeSucceeded)
+	again, _ := state.Snapshot()
+	is.Equal(again, records)
+}
--- /dev/null
+++ b/reducer/starting.go
@@ -0,0 +1,163 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/leaser"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// startGang gives a job its workers and has its tasks staged.
+func (t *turn) startGang(j *job, p placer.Placement) {
+	n := *j
+	n.attempt++
+	t.setJob(&n)
+	t.unqueue(&n)
+	t.charge(n.Job)
+	g := &gang{job: n.ID, attempt: n.attempt, stage: stagePreparing, since: t.now}
+	for i, id := range p {
+		g.tasks = append(g.tasks, task{worker: id, retryAt: t.now.Add(commandLost)})
+		t.addHold(id, hold{id: g.id(i), owner: n.Organisation, resources: n.Gang.PerTask, since: t.now})
+		t.command(CommandPrepare, id, t.leaseOf(&n, g, i))
+	}
+	t.setGang(g)
+	t.arm(timerGang, g.job, t.now.Add(commandRetry))
+}
+
+// leaseOf returns the lease of one task of a gang.
+func (t *turn) leaseOf(j *job, g *gang, n int) leaser.Lease {
+	return leaser.Lease{
+		ID:             g.id(n),
+		Epoch:          t.epoch,
+		GangSize:       j.Gang.Tasks,
+		Organisation:   j.Organisation,
+		Service:        j.Service,
+		Resources:      j.Gang.PerTask,
+		State:          leaser.StatePrepared,
+		Checkpointable: j.Checkpointable,
+		Payload:        j.Payload,
+	}
+}
+
+func (t *turn) command(k CommandKind, worker string, l leaser.Lease) {
+	t.emit(Command{Kind: k, Worker: worker, Epoch: t.epoch, Lease: l})
+}
+
+// prepared goes on with a gang once all its tasks are staged. A non-idempotent
+// job waits until its start record was read back.
+func (t *turn) prepared(g *gang) {
+	j, ok := t.liveJob(g.job)
+	if !ok {
+		return
+	}
+	if !j.NonIdempotent {
+		t.startTasks(g)
+		return
+	}
+	t.setGang(g.with(t.now, stageRecording))
+	t.send(StartRecorded{Job: j.ID, Attempt: g.attempt, Epoch: t.epoch})
+}
+
+// startAllowed goes on with a gang whose start record was read back.
+func (t *turn) startAllowed(r StartRecorded) {
+	g, ok := t.gangs.Get(r.Job)
+	if ok && g.attempt == r.Attempt && g.stage == stageRecording {
+		t.startTasks(g)
+	}
+}
+
+func (t *turn) startTasks(g *gang) {
+	n := g.with(t.now, stageStarting)
+	n.began = true
+	for i := range n.tasks {
+		n.tasks[i].retryAt = t.now.Add(commandLost)
+		t.command(CommandStart, n.tasks[i].worker, leaser.Lease{ID: n.id(i)})
+	}
+	t.setGang(n)
+	t.arm(timerGang, n.job, t.now.Add(commandRetry))
+}
+
+// pokeGang sends commands again that had no answer, and gives a gang up that
+// does not get on.
+func (t *turn) pokeGang(id string) {
+	g, ok := t.gangs.Get(id)
+	if !ok {
+		return
+	}
+	limit, kind, waiting := g.awaits()
+	if limit == 0 {
+		return
+	}
+	if !t.now.Before(g.since.Add(limit)) {
+		t.giveUp(g)
+		return
+	}
+	n := g.clone()
+	for i, v := range n.tasks {
+		if kind == "" || v.state != waiting || t.now.Before(v.retryAt) {
+			continue
+		}
+		n.tasks[i].retryAt = t.now.Add(commandLost)
+		t.resend(kind, n, i)
+	}
+	t.setGang(n)
+	t.arm(timerGang, id, t.now.Add(commandRetry))
+}
+
+// awaits returns how long a gang may stay in its stage, the command that is sent
+// again, and the state of the tasks to which it is sent.
+func (g *gang) awaits() (limit time.Duration, kind CommandKind, waiting taskState) {
+	switch g.stage {
+	case stagePreparing:
+		return prepareLimit, CommandPrepare, taskSent
+	case stageRecording:
+		return recordLimit, "", taskSent
+	case stageStarting:
+		return startLimit, CommandStart, taskPrepared
+	default:
+		return 0, "", taskSent
+	}
+}
+
+func (t *turn) resend(kind CommandKind, g *gang, n int) {
+	l := leaser.Lease{ID: g.id(n)}
+	if j, ok := t.jobs.Get(g.job); ok && kind == CommandPrepare {
+		l = t.leaseOf(j, g, n)
+	}
+	t.command(kind, g.tasks[n].worker, l)
+}
+
+// giveUp stops a gang that took too long over a stage.
+func (t *turn) giveUp(g *gang) {
+	j, ok := t.jobs.Get(g.job)
+	if !ok {
+		return
+	}
+	t.pause(j, refusalPause)
+	switch g.stage {
+	case stagePreparing:
+		t.stopGang(g, ending{}, "not all tasks were staged in time")
+	case stageRecording:
+		t.outbox = t.outbox.Delete(outboxStart + g.job)
+		t.stopGang(g, ending{}, "the log did not take the start record in time")
+	default:
+		t.stopGang(g, t.lossOf(j), "not all tasks started in time")
+	}
+}
+
+// lossOf returns what becomes of a job whose gang was lost after it began.
+func (t *turn) lossOf(j *job) ending {
+	if j.NonIdempotent {
+		return ending{outcome: OutcomeUnknown, reason: "lost while it ran; it may have had effect"}
+	}
+	return ending{}
+}
+
+// pause keeps a job from being placed for a while.
+func (t *turn) pause(j *job, d time.Duration) {
+	n := *j
+	if until := t.now.Add(d); until.After(n.notBefore) {
+		n.notBefore = until
+	}
+	t.setJob(&n)
+}
--- /dev/null
+++ b/reducer/vms_test.go
@@ -0,0 +1,97 @@
+package reducer_test
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/leaser"
+	"github.com/lacewingdoor/lacewingdoor/reducer"
+)
+
+// boot starts the process of a VM anew; it knows nothing.
+func (w *world) boot(v *vm) {
+	v.life++
+	v.alive, v.paused = true, false
+	v.state = reducer.New(v.id).WithSettings(reducer.Settings{Retention: retention})
+	v.next, v.inbox, v.told, v.live, v.listed, v.highest = w.first, nil, nil, nil, -1, leaser.Epoch{}
+	v.beat = w.now
+	life := v.life
+	w.every(250*time.Millisecond, v, life, func() { w.tick(v) })
+	w.every(time.Second, v, life, func() { w.renew(v) })
+	w.feed(v, reducer.ConfigChanged{Config: w.config})
+}
+
+func (w *world) every(d time.Duration, v *vm, life int, do func()) {
+	w.after(d, func() {
+		if v.life != life || !v.alive {
+			return
+		}
+		if !v.paused {
+			do()
+		}
+		w.every(d, v, life, do)
+	})
+}
+
+func (w *world) tick(v *vm) {
+	if !w.logDown {
+		w.feed(v, reducer.LogChanged{Up: true})
+		for range 50 {
+			if v.next < len(w.records) {
+				v.next++
+				w.feed(v, w.records[v.next-1])
+			}
+		}
+		if v.next == len(w.records) {
+			w.feed(v, reducer.CaughtUp{Next: int64(v.next) + 1})
+		}
+	} else {
+		w.feed(v, reducer.LogChanged{Up: false})
+	}
+	w.feed(v, reducer.Ticked{})
+}
+
+// renew does what a VM does each second besides deciding: heartbeats, renewal of
+// leases, and reports of inventories.
+func (w *world) renew(v *vm) {
+	v.beat = w.now
+	var live []string
+	var told []leaser.Told
+	for _, o := range w.vms {
+		if o.alive && w.now.Sub(o.beat) < 4*time.Second {
+			live = append(live, o.id)
+			told = append(told, leaser.Told{VM: o.id, At: o.beat, Gangs: o.told})
+		}
+	}
+	if !slices.Equal(live, v.live) {
+		v.live = live
+		w.feed(v, reducer.PeersChanged{Live: live})
+	}
+	if v.listed != w.listed {
+		v.listed = w.listed
+		w.feed(v, reducer.WorkersListed{Workers: w.list()})
+	}
+	var readings []leaser.Reading
+	for _, k := range w.workers {
+		if k.down || k.cut || k.paused || leaser.Owner(k.table.Worker, live) != v.id {
+			continue
+		}
+		i := k.table.Inventory(w.now)
+		readings = append(readings, leaser.Reading{At: w.now, Inventory: i})
+		k.table = k.table.Renew(w.now, leaser.TTL, leaser.Renewals(w.now, i, told))
+		k.table = k.table.Acknowledge(w.now, leaser.Acknowledgements(i, v.state.Over))
+		for _, o := range w.vms {
+			e := reducer.WorkerReported{Inventory: i, Age: 10 * time.Millisecond}
+			w.arrive(func() { w.feed(o, e) })
+		}
+	}
+	v.told = leaser.Counts(w.now, readings)
+}
+
+func (w *world) list() []reducer.WorkerListed {
+	var l []reducer.WorkerListed
+	for _, k := range w.workers {
+		l = append(l, reducer.WorkerListed{ID: k.table.Worker, Rack: k.table.Rack, Leaving: k.leaving})
+	}
+	return l
+}
