Share estimates between gangs that are alike, and rebuild workers in one step

Cause: measured at 1,000 workers and 29,000 gangs, making a reservation took 272 ms, as each gang's remaining time was estimated by itself, and the last read of a new leader allocated 429 MB, as each lease copied its worker anew. Change: one estimate for all gangs of a kind and about the same age; the leases of a worker are taken in at once. Ruled out: leaving gangs out of the reservation that hold nothing that is short, which the placer does not tell.

--- a/reducer/recovery.go
+++ b/reducer/recovery.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/leaser"
+	"github.com/lacewingdoor/lacewingdoor/placer"
 )
 
 // recovery is what a new leader does before it decides anything: it fences every
@@ -74,11 +75,11 @@
 // rebuild makes the gangs from the leases that the workers hold. This is the one
 // place whose cost grows with the number of tasks.
 func (t *turn) rebuild() {
-	all := newTable[*found]()
+	all := map[string]*found{} // looked up, never ranged over
 	for i := t.workers.Iterator(); !i.Done(); {
 		_, w, _ := i.Next()
 		if w.fenced {
-			all = t.rebuildWorker(all, w)
+			t.rebuildWorker(all, w)
 		}
 	}
 	for i := t.jobs.Iterator(); !i.Done(); {
@@ -86,7 +87,7 @@
 		if j.end != nil {
 			continue
 		}
-		f, ok := all.Get(j.ID)
+		f, ok := all[j.ID]
 		if !ok {
 			f = &found{}
 		}
@@ -97,23 +98,35 @@
 
 // rebuildWorker takes the leases of a worker into its holds. Those of jobs that
 // are over or unknown are released; the others are collected by job.
-func (t *turn) rebuildWorker(all table[*found], w *worker) table[*found] {
+func (t *turn) rebuildWorker(all map[string]*found, w *worker) {
+	t.holdAll(w)
 	for _, l := range w.inventory.Leases {
-		if !l.State.Ended() {
-			t.addHold(w.id, holdOf(l, t.now))
-		}
 		if _, ok := t.liveJob(l.ID.Job); !ok {
 			t.release(w.id, l.ID, t.now)
 			continue
 		}
-		f, ok := all.Get(l.ID.Job)
+		f, ok := all[l.ID.Job]
 		if !ok {
 			f = &found{}
-			all = all.Set(l.ID.Job, f)
+			all[l.ID.Job] = f
 		}
 		t.collect(f, w.id, l)
 	}
-	return all
+}
+
+// holdAll takes every lease that a worker shows into its holds.
+func (t *turn) holdAll(w *worker) {
+	n := w.clone()
+	n.holds = make([]hold, 0, len(w.inventory.Leases))
+	n.used = placer.Resources{}
+	for _, l := range w.inventory.Leases {
+		if !l.State.Ended() {
+			n.holds = append(n.holds, holdOf(l, t.now))
+			n.used = n.used.Plus(l.Resources)
+		}
+	}
+	slices.SortFunc(n.holds, func(a, b hold) int { return leaser.Compare(a.id, b.id) })
+	t.setWorker(n)
 }
 
 // collect adds a lease to what was found of its job. Leases of older attempts are
--- a/reducer/reservation.go
+++ b/reducer/reservation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lacewingdoor/lacewingdoor/estimator"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
 
@@ -39,6 +40,7 @@
 // runningGangs returns what each gang holds and when it should end. It looks at
 // every gang, so it is used only while a gang is blocked.
 func (p *pass) runningGangs() []placer.Running {
+	m := remainder{estimates: p.estimates, known: map[alike]time.Duration{}}
 	all := make([]placer.Running, 0, p.gangs.Len())
 	for i := p.gangs.Iterator(); !i.Done(); {
 		id, g, _ := i.Next()
@@ -46,27 +48,55 @@
 		if !ok {
 			continue
 		}
-		all = append(all, placer.Running{Job: id, Ends: p.now.Add(p.remaining(p.now, j, g)), Held: allocations(j, g)})
+		all = append(all, placer.Running{Job: id, Ends: p.now.Add(m.remaining(p.now, j, g)), Held: allocations(j, g)})
 	}
 	return all
 }
 
+// remainder estimates how long gangs still run, once for all that are alike.
+type remainder struct {
+	estimates estimator.Estimator
+	known     map[alike]time.Duration // looked up, never ranged over
+}
+
+// alike is what the estimates of gangs depend on.
+type alike struct {
+	key      estimator.Key
+	declared time.Duration
+	elapsed  time.Duration
+}
+
 // remaining returns how long a gang still runs at most, by what was learned.
-func (s State) remaining(now time.Time, j *job, g *gang) time.Duration {
+func (m remainder) remaining(now time.Time, j *job, g *gang) time.Duration {
 	if g.stage == stageStopping {
 		return 0
 	}
-	var elapsed time.Duration
+	a := alike{key: j.estimateKey(), declared: j.DeclaredRun}
 	if !g.started.IsZero() {
-		elapsed = now.Sub(g.started)
+		a.elapsed = roughly(now.Sub(g.started))
+	}
+	d, ok := m.known[a]
+	if !ok {
+		d = m.estimates.Remaining(a.key, runQuantile, a.declared, a.elapsed)
+		m.known[a] = d
 	}
-	d := s.estimates.Remaining(j.estimateKey(), runQuantile, j.DeclaredRun, elapsed)
 	if d == 0 {
 		return unknownRun
 	}
 	return d
 }
 
+// roughly rounds a time down to a part of a sixteenth, to no less than a second;
+// the estimates are coarser than that.
+func roughly(d time.Duration) time.Duration {
+	const parts = 16
+	step := time.Second
+	for step*parts*2 <= d {
+		step *= 2
+	}
+	return d.Truncate(step)
+}
+
 // allocations returns what a gang holds on each worker.
 func allocations(j *job, g *gang) []placer.Allocation {
 	var all []placer.Allocation
