Let many jobs that cannot start not hide one that can

Cause: a pass tried 64 jobs of an organisation and stopped, so 64 large jobs, or 64 of a team at its quota, blocked every job behind them. Change: jobs that are passed over without a search (same shape as one that had no room, quota, log down) do not count; 2,000 are looked at. Ruled out: a queue per shape, as ageing orders jobs of all shapes together.

--- a/reducer/placement.go
+++ b/reducer/placement.go
@@ -30,7 +30,8 @@
 	name   string
 	queue  *immutable.SortedMapIterator[string, string]
 	job    *job
-	seen   int
+	seen   int // jobs that were tried
+	passed int // jobs that were looked at
 }
 
 // place starts the jobs that fit, calls guarantees back for those that are
@@ -73,13 +74,15 @@
 	return all
 }
 
-// advance goes to the next job of a queue that may be placed now.
+// advance goes to the next job of a queue that may be placed now. Jobs that are
+// passed over cost little, so that many of them do not hide a job behind them.
 func (p *pass) advance(c *cursor) {
 	c.job = nil
-	for !c.queue.Done() && c.seen < passDepth {
+	for !c.queue.Done() && c.seen < passDepth && c.passed < passScan {
 		_, id, _ := c.queue.Next()
+		c.passed++
 		j, ok := p.liveJob(id)
-		if ok && !j.notBefore.After(p.now) && (!j.NonIdempotent || p.recording()) {
+		if ok && p.worthTrying(c, j) {
 			c.seen++
 			c.job = j
 			return
@@ -87,6 +90,16 @@
 	}
 }
 
+// worthTrying reports whether a job may be placed as far as can be told at once:
+// it is not alike to one that had no room, unless it may call a guarantee back.
+func (p *pass) worthTrying(c *cursor, j *job) bool {
+	if j.notBefore.After(p.now) || j.NonIdempotent && !p.recording() || !p.withinQuota(j.Job) {
+		return false
+	}
+	guaranteed := c.tenant != nil && len(c.tenant.Guarantees) > 0
+	return guaranteed || !p.failed[j.Gang]
+}
+
 // recording reports whether starts can be recorded. A provisional leader records
 // none, for the leader of the term might record one too.
 func (s State) recording() bool { return s.logUp && s.epoch.SubTerm == 0 }
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -83,6 +83,12 @@
 		s.organisation(args)
 	case "submit": // ID ORGANISATION [key=value ...]
 		s.err = s.submit(job(args))
+	case "wave": // COUNT ID ORGANISATION [key=value ...]
+		for n := range number(args[0]) {
+			j := job(args[1:])
+			j.ID = fmt.Sprintf("%s%d", j.ID, n)
+			s.err = errors.Join(s.err, s.submit(j))
+		}
 	case "force": // ID ORGANISATION [key=value ...]: into the log without being validated
 		j := job(args)
 		s.append(reducer.AppendRecord{Record: reducer.JobAccepted{Job: j, Accepted: s.now}}, func(reducer.Event) {})
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -52,6 +52,7 @@
 	reserveEvery   = 10 * time.Second       // from making a reservation to making it anew; that looks at every gang
 	callPause      = 2 * time.Second        // from a call for a guarantee that found too few borrowers to the next
 	passDepth      = 64                     // waiting jobs that a pass looks at per organisation
+	passScan       = 2000                   // waiting jobs that it passes over per organisation
 	ageingTime     = 30 * time.Minute       // waiting that weighs as much as the whole capacity in use
 	reserveAfter   = 5 * time.Second        // a gang that waits longer gets the reservation
 	runQuantile    = 0.95                   // of learned run times that backfill and reservations count on
