Keep tasks off workers that do not answer the leader

Change: a worker that did not answer for a gang within its limit gets no tasks for 20 s. Ruled out: quarantine, which is for failures of tasks and lasts minutes.

--- a/reducer/fakes_test.go
+++ b/reducer/fakes_test.go
@@ -42,7 +42,7 @@
 func (w *world) fence(v *vm, f reducer.Fence, back func(reducer.Event)) {
 	k := w.worker(f.Worker)
 	c := reducer.Command{Kind: reducer.CommandFence, Worker: f.Worker, Epoch: f.Epoch}
-	if k.down || k.cut || k.paused || k.take(k.lost, reducer.CommandFence) {
+	if !k.reachable(v) || k.take(k.lost, reducer.CommandFence) {
 		w.after(2*time.Second, func() { back(reducer.CommandEnded{Command: c, Result: reducer.CommandUnreachable}) })
 		return
 	}
@@ -55,6 +55,10 @@
 	back(reducer.InventoryRead{Epoch: f.Epoch, Asked: f.Asked, Inventory: k.table.Inventory(w.now)})
 }
 
+func (k *fakeWorker) reachable(v *vm) bool {
+	return !k.down && !k.cut && !k.paused && k.cutFrom != v.id
+}
+
 func (k *fakeWorker) take(m map[reducer.CommandKind]int, c reducer.CommandKind) bool {
 	m[c]--
 	return m[c] >= 0
@@ -64,7 +68,7 @@
 	k := w.worker(f.Worker)
 	e := reducer.CommandEnded{Command: f, Result: reducer.CommandUnreachable}
 	lost := w.dice.IntN(100) < w.lossy
-	if k.down || k.cut || k.paused || lost || k.take(k.lost, f.Kind) {
+	if !k.reachable(v) || lost || k.take(k.lost, f.Kind) {
 		w.after(2*time.Second, func() { back(e) })
 		return
 	}
--- a/reducer/property_test.go
+++ b/reducer/property_test.go
@@ -65,7 +65,7 @@
 	k := w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(t, "worker")]
 	v := w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(t, "vm")]
 	what := rapid.SampledFrom([]string{
-		"submit", "submit", "submit", "cancel", "shrink", "log", "answers", "cut", "pause-worker", "worker", "fail", "ignore", "vm", "pause-vm",
+		"submit", "submit", "submit", "cancel", "shrink", "log", "answers", "cut", "cut-from", "pause-worker", "worker", "fail", "ignore", "vm", "pause-vm",
 	}).Draw(t, "what")
 	switch what {
 	case "submit":
@@ -83,6 +83,8 @@
 		w.loseAnswers = 3
 	case "cut":
 		k.cut = !k.cut
+	case "cut-from":
+		k.cutFrom = v.id
 	case "pause-worker":
 		k.paused = !k.paused
 	case "worker":
@@ -122,7 +124,7 @@
 func heal(w *world) {
 	w.logDown, w.lossy, w.loseAnswers = false, 0, 0
 	for _, k := range w.workers {
-		k.cut, k.paused, k.failing, k.ignoring = false, false, false, false
+		k.cut, k.cutFrom, k.paused, k.failing, k.ignoring = false, "", false, false, false
 		if k.down {
 			w.restartWorker(k)
 		}
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -114,6 +114,8 @@
 		s.vm(args[0]).alive = false
 	case "start-vm":
 		s.boot(s.vm(args[0]))
+	case "cut-from": // WORKER VM
+		s.worker(args[0]).cutFrom = s.vm(args[1]).id
 	case "pause":
 		s.vm(args[0]).paused = true
 	case "resume":
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -39,6 +39,7 @@
 	quarantineJobs  = 3                // different jobs that fail on a worker before it is quarantined
 	quarantineTime  = 5 * time.Minute  // before a quarantined worker is probed by a job, doubling
 	quarantineLimit = 2 * time.Hour    // longest quarantine
+	shunTime        = 20 * time.Second // without new tasks for a worker that did not answer
 	brokenWorkers   = 3                // different sound workers on which a job fails before it is broken
 	brokenFailures  = 6                // failures after which a job is broken, wherever they were
 	failurePause    = 2 * time.Second  // from a failure to the next attempt, doubling
--- a/reducer/starting.go
+++ b/reducer/starting.go
@@ -134,6 +134,7 @@
 		return
 	}
 	t.pause(j, refusalPause)
+	t.shunSilent(g)
 	switch g.stage {
 	case stagePreparing:
 		t.stopGang(g, ending{}, "not all tasks were staged in time")
@@ -145,6 +146,20 @@
 	}
 }
 
+// shunSilent keeps tasks off the workers that did not answer for a gang. Others may
+// report them as sound, if the leader alone cannot reach them.
+func (t *turn) shunSilent(g *gang) {
+	_, kind, waiting := g.awaits()
+	for _, v := range g.tasks {
+		if kind == "" || v.state != waiting {
+			continue
+		}
+		until := t.now.Add(shunTime)
+		t.changeWorker(v.worker, func(w *worker) { w.shunned = until })
+		t.arm(timerPlace, "worker "+v.worker, until)
+	}
+}
+
 // lossOf returns what becomes of a job whose gang was lost after it began.
 func (t *turn) lossOf(j *job) ending {
 	if j.NonIdempotent {
--- a/reducer/vms_test.go
+++ b/reducer/vms_test.go
@@ -73,7 +73,7 @@
 	}
 	var readings []leaser.Reading
 	for _, k := range w.workers {
-		if k.down || k.cut || k.paused || leaser.Owner(k.table.Worker, live) != v.id {
+		if !k.reachable(v) || leaser.Owner(k.table.Worker, live) != v.id {
 			continue
 		}
 		i := k.table.Inventory(w.now)
--- a/reducer/worker.go
+++ b/reducer/worker.go
@@ -36,6 +36,7 @@
 	failed   []string // different jobs that failed since one succeeded
 	until    time.Time
 	sentence time.Duration // length of the last quarantine
+	shunned  time.Time     // until when it gets no tasks, as it did not answer the leader
 }
 
 // hold is a lease that the leader takes the worker to hold, though the worker may
@@ -70,7 +71,7 @@
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
 	return w.fenced && w.listed && !w.leaving &&
-		now.Sub(w.asOf) <= silenceUsable && !now.Before(w.until)
+		now.Sub(w.asOf) <= silenceUsable && !now.Before(w.until) && !now.Before(w.shunned)
 }
 
 // view is the worker as the placer sees it.
--- a/reducer/world_test.go
+++ b/reducer/world_test.go
@@ -67,8 +67,9 @@
 
 type fakeWorker struct {
 	table    leaser.Table
-	down     bool // the process is gone, with all its tasks
-	cut      bool // runs on but cannot be reached
+	down     bool   // the process is gone, with all its tasks
+	cut      bool   // runs on but cannot be reached
+	cutFrom  string // VM that alone cannot reach it
 	paused   bool
 	failing  bool // all tasks fail at once
 	ignoring bool // checkpoints are confirmed and not made
