Judge leases by what the log says of their job when a VM leads again

Cause, found on reading: a VM that lost leadership while the end of a job was on its way to the log, and led again later, took that job for over and released the leases that another leader had given it. Change: only an end in the log counts. No test brings this about; the property test passes as before.

--- a/reducer/recovery.go
+++ b/reducer/recovery.go
@@ -101,7 +101,7 @@
 func (t *turn) rebuildWorker(all map[string]*found, w *worker) {
 	t.holdAll(w)
 	for _, l := range w.inventory.Leases {
-		if _, ok := t.liveJob(l.ID.Job); !ok {
+		if j, ok := t.jobs.Get(l.ID.Job); !ok || j.end != nil {
 			t.release(w.id, l.ID, t.now)
 			continue
 		}
