Look at an unchanged inventory no closer than at an unchanged report

Cause: each answer to a probe was compared lease by lease and asked for a placement pass, and a worker that was heard again after silence asked for none. Change: an answer that shows what is known ends there; a pass is due when a worker becomes usable. Ruled out: probing less often, as absence shows only in a probe.

--- a/reducer/bench_test.go
+++ b/reducer/bench_test.go
@@ -86,6 +86,7 @@
 		unchanged := reducer.WorkerReported{Inventory: benchInventory(workers/2, s.Epoch())}
 		changed := reducer.WorkerReported{Inventory: benchInventory(workers/2, s.Epoch())}
 		changed.Inventory.Leases[3].State = leaser.StateSucceeded
+		probe := reducer.InventoryRead{Epoch: s.Epoch(), Asked: now, Inventory: unchanged.Inventory}
 		accepted := reducer.RecordRead{Offset: 1 << 40, Appended: now, Record: benchJob("new")}
 		urgent := accepted
 		job := benchJob("new")
@@ -103,6 +104,7 @@
 		}{
 			{"report-unchanged", s, unchanged},
 			{"report-task-ended", s, changed},
+			{"probe-unchanged", s, probe},
 			{"tick-idle", s, reducer.Ticked{}},
 			{"accept-only", s, accepted},
 			{"accept-and-place", s, urgent},
--- a/reducer/reports.go
+++ b/reducer/reports.go
@@ -20,6 +20,11 @@
 	if e.Inventory.Epoch != t.epoch {
 		return // from before the fence
 	}
+	old, ok := t.workers.Get(e.Inventory.Worker)
+	if !ok {
+		return
+	}
+	t.placeable = t.placeable || !old.usable(t.now)
 	t.changeWorker(e.Inventory.Worker, func(w *worker) {
 		w.asking = w.asking && w.asked.After(e.Asked)
 		w.doubt = w.doubt && w.asked.After(e.Asked)
@@ -31,13 +36,16 @@
 		w.asOf = latest(w.asOf, e.Asked)
 	})
 	t.arm(timerWorker, e.Inventory.Worker, t.now.Add(silenceProbe))
-	t.placeable = true
 	if t.recovery.active {
 		t.recover()
 		return
 	}
+	if old.steady && sameLeases(old.inventory, e.Inventory) {
+		return
+	}
 	t.observe(e.Inventory)
 	t.missing(e)
+	t.compare(e.Inventory.Worker)
 }
 
 // workerReported takes what a renewing VM has read from a worker. It may be late,
@@ -59,6 +67,7 @@
 	n.asOf = at
 	n.inventory = e.Inventory
 	t.setWorker(n)
+	t.placeable = t.placeable || n.usable(t.now) && !w.usable(t.now)
 	if t.recovery.active || w.steady && sameLeases(w.inventory, e.Inventory) {
 		return
 	}
