--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -39,6 +39,7 @@
 	quarantineJobs  = 3                // different jobs that fail on a worker before it is quarantined
 	quarantineTime  = 5 * time.Minute  // before a quarantined worker is probed by a job, doubling
 	quarantineLimit = 2 * time.Hour    // longest quarantine
+	shunTime        = 20 * time.Second // without new tasks for a worker that did not answer
 	brokenWorkers   = 3                // different sound workers on which a job fails before it is broken
 	brokenFailures  = 6                // failures after which a job is broken, wherever they were
 	failurePause    = 2 * time.Second  // from a failure to the next attempt, doubling
@@ -52,6 +53,7 @@
 	reserveEvery   = 10 * time.Second       // from making a reservation to making it anew; that looks at every gang
 	callPause      = 2 * time.Second        // from a call for a guarantee that found too few borrowers to the next
 	passDepth      = 64                     // waiting jobs that a pass looks at per organisation
+	passScan       = 2000                   // waiting jobs that it passes over per organisation
 	ageingTime     = 30 * time.Minute       // waiting that weighs as much as the whole capacity in use
 	reserveAfter   = 5 * time.Second        // a gang that waits longer gets the reservation
 	runQuantile    = 0.95                   // of learned run times that backfill and reservations count on
