Move gangs for a large one that lacks room, and reserve for large gangs first

The reservation went to the first job that was blocked, mostly a small one that finds room soon, so rebuilds waited as long as under first fit.

Seen failing first: the scenario, without the change.

--- a/reducer/placement.go
+++ b/reducer/placement.go
@@ -162,8 +162,8 @@
 	switch {
 	case covered:
 		p.callSince(j, p.now)
-	case p.blocked == nil && p.failed[j.Gang]:
-		p.blocked = j
+	case p.failed[j.Gang]:
+		p.block(j)
 	}
 }
 
--- a/reducer/reservation.go
+++ b/reducer/reservation.go
@@ -34,6 +34,7 @@
 		return
 	}
 	p.reserved = reservation{Reservation: v, job: j.ID, made: p.now}
+	p.move(j, v)
 }
 
 // runningGangs returns what each gang holds and when it should end. It looks at
