Say not-run of a keyed request only once its claim is held, and claim before queuing

Cause, by a trace: a caller sends a batch print with a key through one VM, which claims, sends and dies; the caller sends the key again through a VM whose log is down, and hears not-run, though the batch ran. The same holds for a full queue, a shutdown or a limit that refuses before the claims are looked at. The change: until this VM holds the claim every refusal of a keyed request is unknown, after it every refusal without a sending is not-run. The claim also moves before the wait for a slot: a claim that hung with the log down held its slot up to the deadline. Ruled out: looking into the claims that were read so far, since a VM cut off from the log lags without knowing.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -58,7 +58,7 @@
 	var a router.Answer
 	var err error
 	if f.inHand.Add(1) > f.maxRequests() {
-		err = &router.Refusal{Code: CodeBusy, Outcome: router.NotRun, RetryAfter: time.Second, Step: "accept", Detail: "this entry VM has too many requests in hand"}
+		err = busy(r)
 	} else {
 		a, err = f.forward(id, r)
 	}
@@ -164,6 +164,19 @@
 	return now.Add(time.Duration(ms) * time.Millisecond), nil
 }
 
+// busy refuses a request that is one too many. With a key it is not certain that
+// no earlier sending of it ran.
+func busy(r *http.Request) error {
+	f := &router.Refusal{
+		Code: CodeBusy, Outcome: router.NotRun, RetryAfter: time.Second, Step: "accept",
+		Detail: "this entry VM has too many requests in hand",
+	}
+	if r.Header.Get(connector.HeaderIdempotencyKey) != "" {
+		f.Outcome = router.Unknown
+	}
+	return f
+}
+
 func refuse(c router.Code, step string, err error) error {
 	return &router.Refusal{Code: c, Outcome: router.NotRun, Step: step, Err: err}
 }
--- a/router/call.go
+++ b/router/call.go
@@ -43,6 +43,11 @@
 // run makes attempts until the request is answered or refused.
 func (c *call) run(ctx context.Context) (Answer, *Refusal) {
 	c.dispatcher.deposit()
+	// The claim comes before the slot: a claim that waits for the log would keep
+	// the slot from work that needs none.
+	if refusal := c.claim(ctx); refusal != nil {
+		return Answer{}, c.refuse(ctx, refusal)
+	}
 	for {
 		v := c.attempt(ctx)
 		if v.refusal == nil {
@@ -59,10 +64,6 @@
 	if refusal := c.dispatcher.acquire(ctx, c.ticket); refusal != nil {
 		return verdict{refusal: refusal}
 	}
-	if refusal := c.claim(ctx); refusal != nil {
-		c.dispatcher.finish(c.ticket)
-		return verdict{refusal: refusal}
-	}
 	if err := ctx.Err(); err != nil {
 		c.dispatcher.finish(c.ticket)
 		return verdict{refusal: &Refusal{Code: CodeCallerGone, Step: "send", Err: err}}
@@ -88,10 +89,10 @@
 	return v
 }
 
-// claim claims the idempotency key before the first sending.
+// claim claims the idempotency key.
 func (c *call) claim(ctx context.Context) *Refusal {
 	r := c.router
-	if c.claimed || !c.route.NonIdempotent || c.request.Key == "" {
+	if !c.route.NonIdempotent || c.request.Key == "" {
 		return nil
 	}
 	outcome, err := Unavailable, error(nil)
@@ -110,10 +111,10 @@
 			Detail: "a request with this key was accepted before",
 		}
 	case Rejected:
-		return &Refusal{Code: CodeMalformedKey, Outcome: NotRun, Step: "claim idempotency key", Err: err}
+		return &Refusal{Code: CodeMalformedKey, Step: "claim idempotency key", Err: err}
 	default:
 		return &Refusal{
-			Code: CodeClaimUnavailable, Outcome: NotRun, RetryAfter: minRetryAfter, Step: "claim idempotency key", Err: err,
+			Code: CodeClaimUnavailable, RetryAfter: minRetryAfter, Step: "claim idempotency key", Err: err,
 			Detail: "the key could not be claimed",
 		}
 	}
@@ -249,7 +250,10 @@
 		return refusal
 	}
 	refusal.Outcome = NotRun
-	if c.claimed && c.router.Release != nil {
+	if !c.claimed {
+		return beforeClaim(refusal, c.route, c.request.Key)
+	}
+	if c.router.Release != nil {
 		c.router.Release(context.WithoutCancel(ctx), c.router.now(), c.request)
 	}
 	return refusal
--- a/router/key.go
+++ b/router/key.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
 )
 
 const (
@@ -38,6 +40,18 @@
 	return &Refusal{Code: c, Outcome: NotRun, Step: "check idempotency key", Detail: detail}
 }
 
+// beforeClaim returns the refusal of a request whose key this VM has not claimed.
+// An earlier sending of the same key may have run through another VM, and only the
+// claims could tell; so nothing is certain, unless the key was never a valid one.
+// The route is nil when it is not known.
+func beforeClaim(f *Refusal, o *decoder.Route, key string) *Refusal {
+	counts := o == nil || o.NonIdempotent
+	if key != "" && counts && f.Code != CodeMalformedKey {
+		f.Outcome = Unknown
+	}
+	return f
+}
+
 func printable(s string) bool {
 	for i := range len(s) {
 		if s[i] <= ' ' || s[i] > '~' || s[i] == '/' {
--- a/router/router.go
+++ b/router/router.go
@@ -59,10 +59,10 @@
 // Do takes a request through its life. The error is always a *Refusal.
 func (r *Router) Do(ctx context.Context, q Request) (Answer, error) {
 	if !r.enter() {
-		return Answer{}, &Refusal{
+		return Answer{}, beforeClaim(&Refusal{
 			Code: CodeDraining, Outcome: NotRun, Step: "accept", RetryAfter: minRetryAfter,
 			Detail: "this entry VM is shutting down",
-		}
+		}, nil, q.Key)
 	}
 	defer r.exit()
 	c, refusal := r.plan(q)
@@ -158,18 +158,21 @@
 	s := r.Snapshot()
 	service, ok := s.Services[q.Service]
 	if !ok {
-		return nil, &Refusal{Code: CodeUnknownService, Outcome: NotRun, Step: "find route", Detail: "there is no such service"}
+		f := &Refusal{Code: CodeUnknownService, Outcome: NotRun, Step: "find route", Detail: "there is no such service"}
+		return nil, beforeClaim(f, nil, q.Key)
 	}
 	o, ok := route(&service, q.Path)
 	if !ok {
-		return nil, &Refusal{Code: CodeUnknownRoute, Outcome: NotRun, Step: "find route", Detail: "the service has no such route"}
+		f := &Refusal{Code: CodeUnknownRoute, Outcome: NotRun, Step: "find route", Detail: "the service has no such route"}
+		return nil, beforeClaim(f, nil, q.Key)
 	}
 	if int64(len(q.Body)) > maxBody(o) {
-		return nil, &Refusal{Code: CodeBodyTooLarge, Outcome: NotRun, Step: "read body", Detail: "the body is longer than the route allows"}
+		f := &Refusal{Code: CodeBodyTooLarge, Outcome: NotRun, Step: "read body", Detail: "the body is longer than the route allows"}
+		return nil, beforeClaim(f, o, q.Key)
 	}
 	if o.NonIdempotent && q.Key != "" {
 		if refusal := checkKey(now, q.Key, r.keyWindow()); refusal != nil {
-			return nil, refusal
+			return nil, beforeClaim(refusal, o, q.Key)
 		}
 	}
 	q.Deadline = deadline(now, &q, o)
