Make the test of a hanging claim measure the wait it forbids

The test now wants it answered in the time that it runs, by the clock of the test; with the old order it fails, with the new one it passes.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -148,8 +148,10 @@
 			hung <- err
 		}()
 		synctest.Wait() // the claim hangs, as with the log down
+		began := time.Now()
 		_, err := r.Do(t.Context(), request("etiquetar", "/proof", short))
 		is.NoErr(err)
+		is.Equal(time.Since(began), short) // it ran at once, and for as long as it runs
 		is.Equal(refusal(<-hung), "claim-unavailable unknown") // an earlier sending may have run
 		is.Equal(f.attempts(), 1)
 	})
