Wire learned run times, and let no leader lead that alone has lost the log

A digest tells for how long its VM has lacked the log; past 5 s VMs that have it no longer count it as live for leadership. Ruled out: resigning by itself, since a leader cannot tell its own link from an outage for all.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -30,8 +30,9 @@
 	Leaving         bool
 	Ready           bool
 	ConfigRevision  int64
-	ControlOffset   int64 // next offset of the control stream
-	Leading         bool  // it decides placements
+	ControlOffset   int64         // next offset of the control stream
+	LogDown         time.Duration // for how long it has lacked the log, 0 when it has it
+	Leading         bool          // it decides placements
 	Epoch           leaser.Epoch
 	Heard           []string // VMs heard directly within SuspectAfter
 	LeavingExecutor []string // executors that said that they leave
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -135,6 +135,9 @@
 		v.controlReady = true
 		v.paused = false
 	case reducer.LogChanged:
+		if v.logUp && !e.Up {
+			v.logDownSince = now
+		}
 		v.logUp = e.Up
 	default:
 	}
@@ -189,6 +192,7 @@
 // that it has not heard so far for dead, and claim its place.
 func (s *Server) membership(ctx context.Context, now time.Time, v view) view {
 	live := v.members.Live(now, s.leaving.Load())
+	live = v.withoutCutOff(now, live)
 	if v.members.Settled(now) && !slices.Equal(live, s.lastLive) {
 		s.lastLive = live
 		s.log("beat").WithField("live", live).Info("live entry VMs changed")
@@ -238,6 +242,21 @@
 // for a change.
 func (s *Server) publish(v *view) {
 	c := *v
-	s.view.Store(&c)
+	before := s.view.Swap(&c)
 	s.changed.broadcast()
+	if before.traffic != c.traffic {
+		s.router.Refresh()
+		s.sender.Keep(executorAddresses(c.list))
+	}
+}
+
+// executorAddresses returns where the listed executors are.
+func executorAddresses(list []connector.ListedVM) []string {
+	var a []string
+	for _, l := range list {
+		if l.Role == connector.RoleExecutor {
+			a = append(a, l.Address)
+		}
+	}
+	return a
 }
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -32,6 +32,7 @@
 // prepareTraffic builds the path of requests.
 func (s *Server) prepareTraffic() {
 	s.sender = &forwarder.Sender{}
+	s.learner = newLearner()
 	s.claimer = &claimer.Claimer{VM: s.Settings.VM, Append: s.appendClaims, Now: s.Now}
 	s.router = &router.Router{
 		Snapshot:  func() *router.Snapshot { return s.view.Load().traffic },
@@ -39,6 +40,7 @@
 		Claim:     s.claim,
 		Release:   s.release,
 		Leaving:   func(x string) { s.post(executorLeavingMessage{x}) },
+		Estimate:  s.learner.estimate,
 		Observe:   s.observeRequest,
 		Now:       s.Now,
 		KeyWindow: claimer.DefaultWindow,
@@ -46,6 +48,7 @@
 }
 
 func (s *Server) observeRequest(o router.Observation) {
+	s.learner.observe(o)
 	series := func(m string) recorder.Series {
 		return recorder.Series{Measure: m, Organisation: o.Organisation, Class: o.Class}
 	}
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -94,6 +94,7 @@
 		Leading:         d.GetLeading(),
 		Epoch:           leaser.Epoch{Term: d.GetTerm(), SubTerm: d.GetSubTerm()},
 		Heard:           d.GetHeard(),
+		LogDown:         time.Duration(d.GetLogDownMs()) * time.Millisecond,
 		LeavingExecutor: d.GetLeavingExecutors(),
 	}})
 }
@@ -119,6 +120,7 @@
 		LeavingExecutors: v.leaving,
 		Gangs:            s.renewer.gangs(now),
 		Heard:            v.members.Heard(now),
+		LogDownMs:        v.logDown(now).Milliseconds(),
 	}
 }
 
--- a/internal/server/renewer.go
+++ b/internal/server/renewer.go
@@ -74,7 +74,8 @@
 	every(ctx, renewInterval, func() {
 		owned := r.owned()
 		r.forget(owned)
-		told := r.all(r.s.Now())
+		now := r.s.Now()
+		told := []leaser.Told{leaser.Merge(now, r.all(now))}
 		r.s.reporter.report(ctx, r.round(ctx, owned, told))
 	})
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -64,6 +64,7 @@
 	controlAppender, configAppender, claimsAppender *follower.Appender
 
 	claimer  *claimer.Claimer
+	learner  *learner
 	quiet    *quietLogger
 	recorder *recorder.Recorder
 	renewer  *renewer
--- a/internal/server/traffic.go
+++ b/internal/server/traffic.go
@@ -35,6 +35,7 @@
 		return v
 	}
 	s.traffic = t
+	v.settled = v.settled || settled
 	v.traffic = s.snapshot(v, t)
 	return v
 }
--- a/internal/server/view.go
+++ b/internal/server/view.go
@@ -28,7 +28,9 @@
 	controlReady   bool  // the control stream was read to its end
 	controlOffset  int64 // next offset of the control stream
 	logUp          bool
-	paused         bool // this process was paused and has not read the log since
+	logDownSince   time.Time // while logUp is false
+	settled        bool      // the slots were divided once
+	paused         bool      // this process was paused and has not read the log since
 }
 
 // knowsControl reports whether the control state accounts for the whole stream.
@@ -41,6 +43,8 @@
 	switch {
 	case !v.configReady:
 		return "no configuration was read, neither from the log nor from another entry VM"
+	case v.traffic == nil || !v.settled:
+		return "the slots of executors are not divided yet"
 	case v.paused:
 		return "the process was paused and has not caught up yet"
 	}
@@ -59,6 +63,32 @@
 	})
 }
 
+// logDown returns for how long this VM has lacked the log, 0 when it has it.
+func (v *view) logDown(now time.Time) time.Duration {
+	if v.logUp {
+		return 0
+	}
+	return now.Sub(v.logDownSince)
+}
+
+// cutOffAfter is how long a VM must lack the log, while this one has it, before it
+// may no longer lead. A short outage ends for all VMs at about the same time.
+const cutOffAfter = 5 * time.Second
+
+// withoutCutOff returns the live VMs but for those that alone have lost the log: a
+// leader that cannot read it places no job that is accepted now.
+func (v *view) withoutCutOff(now time.Time, live []string) []string {
+	if !v.logUp {
+		return live
+	}
+	cutOff := map[string]bool{}
+	for _, m := range v.members.Members() {
+		down := m.Digest.LogDown
+		cutOff[m.Digest.VM] = down > 0 && down+now.Sub(m.Heard) > cutOffAfter
+	}
+	return slices.DeleteFunc(slices.Clone(live), func(vm string) bool { return cutOff[vm] })
+}
+
 // leader returns the VM that leads, and where it can be called; the address is ""
 // when this VM leads or nobody is known to.
 func (v *view) leader(now time.Time) (vm, address string) {
