--- a/router/router_test.go
+++ b/router/router_test.go
@@ -151,7 +151,7 @@
 		began := time.Now()
 		_, err := r.Do(t.Context(), request("etiquetar", "/proof", short))
 		is.NoErr(err)
-		is.Equal(time.Since(began), short) // it ran at once, and for as long as it runs
+		is.Equal(time.Since(began), short)                     // it ran at once, and for as long as it runs
 		is.Equal(refusal(<-hung), "claim-unavailable unknown") // an earlier sending may have run
 		is.Equal(f.attempts(), 1)
 	})
