Have the demonstration's callers send again what was refused as not-run

Cause: one demonstration of five, on a machine loaded with 8 busy loops, called the promise broken that requests are answered: 6 of 160 were refused as deadline-too-near. Answers took up to 100 ms for runs of 5 ms, so the learned run times foretold a wait beyond the deadline of a second, and the refusal was right: it is the check that timed the machine. Callers now do what Retry-After asks, and the check wants every request answered, as before. What was refused at every sending must not have run. Ruled out: slots (3 VMs owned all 24) and claims (none of the 6 had a key).

--- a/internal/demonstrator/report.go
+++ b/internal/demonstrator/report.go
@@ -44,18 +44,24 @@
 // judge compares what callers were told with what executors ran.
 func (w *world) judge(ctx context.Context, r *Report) {
 	runs, keyed := w.runs(ctx)
-	ranThough, crossed, unsaid := 0, 0, 0
+	crossed, unsaid := 0, 0
+	mayHaveRun := map[string]bool{} // requests of which not every sending was refused as not-run
 	for _, c := range w.calls {
+		mayHaveRun[c.digest] = mayHaveRun[c.digest] || c.outcome != refuser.OutcomeNotRun
 		switch {
 		case c.status == http.StatusOK && !c.own:
 			crossed++
 		case c.status == http.StatusOK || c.status == 0:
-		case c.outcome == refuser.OutcomeNotRun && runs[c.digest] > 0 && c.route != routeOnce:
-			ranThough++
 		case c.outcome != refuser.OutcomeNotRun && c.outcome != refuser.OutcomeUnknown:
 			unsaid++
 		}
 	}
+	ranThough := 0
+	for d, may := range mayHaveRun {
+		if !may && runs[d] > 0 {
+			ranThough++
+		}
+	}
 	most := 0
 	for _, n := range keyed {
 		most = max(most, n)
--- a/internal/demonstrator/requests.go
+++ b/internal/demonstrator/requests.go
@@ -29,7 +29,7 @@
 type callResult struct {
 	service, route, digest string
 	status                 int    // 0 when there was no answer
-	outcome                string // of a refusal
+	code, outcome          string // of a refusal
 	own                    bool   // the answer is to this request
 	took                   time.Duration
 	crest                  bool
@@ -78,13 +78,27 @@
 	if a.StatusCode != http.StatusOK {
 		var p refuser.ProblemError
 		_ = json.Unmarshal(b, &p) // a body that is no problem has no outcome, which is counted
-		c.outcome = p.Outcome
+		c.code, c.outcome = p.Code, p.Outcome
 		return
 	}
 	var x standin.ExecutorAnswer
 	c.own = json.Unmarshal(b, &x) == nil && x.Digest == c.digest
 }
 
+// persist sends a request again, as a caller would, while it is refused as not-run.
+func (w *world) persist(ctx context.Context, v *vm, r request) {
+	const (
+		tries = 20
+		pause = time.Second // what refusals ask for at least
+	)
+	for range tries {
+		if c := w.send(ctx, v, r); c.outcome != refuser.OutcomeNotRun {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
 // newKey returns an idempotency key.
 func newKey(n int) string {
 	return strconv.FormatInt(time.Now().Unix(), 10) + "-demonstration-" + strconv.Itoa(n)
@@ -98,22 +112,24 @@
 	for i := range each {
 		for _, s := range []string{ownerService, borrowerService} {
 			g.Go(func() {
-				w.send(ctx, w.live(i), request{service: s, route: routeShort, body: fmt.Sprintf("proof %s %d", s, i), run: 5 * time.Millisecond})
+				w.persist(ctx, w.live(i), request{service: s, route: routeShort, body: fmt.Sprintf("proof %s %d", s, i), run: 5 * time.Millisecond})
 			})
 			once := request{service: s, route: routeOnce, body: fmt.Sprintf("print %s %d", s, i), key: newKey(i), run: 5 * time.Millisecond}
 			for n := range 2 {
-				g.Go(func() { w.send(ctx, w.live(i+n), once) })
+				g.Go(func() { w.persist(ctx, w.live(i+n), once) })
 			}
 		}
 	}
 	g.Wait()
-	answered := 0
+	answered, refused := 0, map[string]int{}
 	for _, c := range w.calls {
 		if c.status == http.StatusOK {
 			answered++
+		} else {
+			refused[c.code]++
 		}
 	}
-	r.promise("requests are answered", answered >= each*4, "%d answered of %d sent, a quarter being doubles", answered, len(w.calls))
+	r.promise("requests are answered", answered >= each*4, "%d answered of %d sent, a third being doubles; refused: %v", answered, len(w.calls), refused)
 	return nil
 }
 
