Tell other entry VMs only of gangs that span them

Cause: a digest named every gang of several tasks, 32 bytes each, though a gang within one rack is renewed by one VM and counted there. Now only gangs that this VM does not see whole are told. Ruled out: telling counts less often, since they must stay younger than leaser.MaxCountAge.

--- a/internal/server/renewer.go
+++ b/internal/server/renewer.go
@@ -45,15 +45,41 @@
 	r.others[t.VM] = t
 }
 
-// gangs returns which gangs this VM sees running, for its digest.
+// gangs returns which gangs this VM sees running, for its digest. One that it sees
+// whole is left out: no other VM renews any of its leases.
 func (r *renewer) gangs(now time.Time) []*peerv1.GangCount {
+	sizes := r.sizes()
 	var v []*peerv1.GangCount
 	for _, g := range r.counts(now) {
+		if g.Running() == sizes[gangKey{g.Job, g.Attempt}] {
+			continue
+		}
 		v = append(v, &peerv1.GangCount{Job: g.Job, Attempt: int32(g.Attempt), Tasks: g.Tasks})
 	}
 	return v
 }
 
+// gangKey names an attempt of a job.
+type gangKey struct {
+	job     string
+	attempt int
+}
+
+// sizes returns the sizes of the gangs of several tasks that this VM has read of.
+func (r *renewer) sizes() map[gangKey]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := map[gangKey]int{}
+	for _, x := range r.readings {
+		for _, l := range x.Inventory.Leases {
+			if l.GangSize > 1 {
+				v[gangKey{l.ID.Job, l.ID.Attempt}] = l.GangSize
+			}
+		}
+	}
+	return v
+}
+
 func (r *renewer) counts(now time.Time) []leaser.GangCount {
 	r.mu.Lock()
 	v := slices.Collect(maps.Values(r.readings))
