Show metrics to operators only, and keep traffic from waiting on control

Cause: anybody who reached the callers' address could read /debug/vars, which names every organisation and its load; and a request whose executor said that it leaves waited for the control goroutine when its inbox was full. Metrics now want an operator's key (TestMetricsAreForOperators: 200 for anybody before), and the word of a leaving executor is dropped when the inbox is full, as its next answer says it again. The responder's core moves into a file of its own. Ruled out: a second listener for metrics, one more address to keep from callers.

--- a/internal/responder/jobs.go
+++ b/internal/responder/jobs.go
@@ -1,7 +1,6 @@
 package responder
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,75 +12,12 @@
 	"github.com/lacewingdoor/lacewingdoor/decoder"
 	"github.com/lacewingdoor/lacewingdoor/internal/refuser"
 	"github.com/lacewingdoor/lacewingdoor/placer"
-	"github.com/lacewingdoor/lacewingdoor/publisher"
 	"github.com/lacewingdoor/lacewingdoor/reducer"
 )
 
-// The limits on operators' calls.
-const (
-	maxBody = 4 << 20 // bytes; a change may hold the whole configuration, as JSON
-)
-
 // idPattern is what a submission id looks like.
 var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
 
-// Responder answers operators' calls. Its fields are set before it serves.
-type Responder struct {
-	// Authenticate returns the organisation of the caller.
-	Authenticate func(*http.Request) (decoder.Organisation, error)
-	// Append appends a record to the control stream and waits until it is read back.
-	Append func(context.Context, reducer.Record) error
-	// Uncertain reports whether an error of Append leaves open if it took effect.
-	Uncertain func(error) bool
-	// Config returns the configuration in force.
-	Config func() decoder.Config
-	// Control returns the control state.
-	Control func() reducer.State
-	// Now returns the present time.
-	Now func() time.Time
-	// AppendConfig appends a record to the configuration stream, waits until it is
-	// read back, and returns its offset.
-	AppendConfig func(ctx context.Context, id string, r publisher.Record) (int64, error)
-	// Detail returns what the leader knows of jobs, by full id; all jobs when ids
-	// is empty. It is nil when this VM leads or the leader can't be asked.
-	Detail func(ctx context.Context, ids []string, why bool) map[string]JobResponse
-	// Configuration returns the configuration in force, here and elsewhere.
-	Configuration func() publisher.ConfigurationResponse
-	// Status returns what this VM says of itself.
-	Status func() StatusResponse
-}
-
-// Handler returns the routes of all calls, below /-/.
-func (r *Responder) Handler() http.Handler {
-	m := http.NewServeMux()
-	m.HandleFunc("POST /-/jobs", r.as(r.submit))
-	m.HandleFunc("GET /-/jobs", r.as(r.list))
-	m.HandleFunc("GET /-/jobs/{id}", r.as(r.show))
-	m.HandleFunc("DELETE /-/jobs/{id}", r.as(r.cancel))
-	m.HandleFunc("GET /-/status", r.as(r.status))
-	m.HandleFunc("GET "+publisher.PathConfiguration, r.asOperator(r.configuration))
-	m.HandleFunc("POST "+publisher.PathChanges, r.asOperator(r.change))
-	m.HandleFunc("DELETE "+publisher.PathChanges+"/{id}", r.asOperator(r.withdraw))
-	return m
-}
-
-type organisationHandler func(http.ResponseWriter, *http.Request, decoder.Organisation) *refuser.ProblemError
-
-// as runs h for the organisation of the caller, and writes its refusal.
-func (r *Responder) as(h organisationHandler) http.HandlerFunc {
-	return func(w http.ResponseWriter, q *http.Request) {
-		o, err := r.Authenticate(q)
-		if err != nil {
-			refuser.Write(w, refuser.New(http.StatusUnauthorized, "bad-key", err.Error()))
-			return
-		}
-		q.Body = http.MaxBytesReader(w, q.Body, maxBody)
-		if p := h(w, q, o); p != nil {
-			refuser.Write(w, p)
-		}
-	}
-}
-
 func (r *Responder) submit(w http.ResponseWriter, q *http.Request, o decoder.Organisation) *refuser.ProblemError {
 	var b JobRequest
 	d := json.NewDecoder(q.Body)
@@ -193,6 +129,11 @@
 	return o.Name + ":" + id
 }
 
+func (r *Responder) metrics(w http.ResponseWriter, q *http.Request, _ decoder.Organisation) *refuser.ProblemError {
+	r.Metrics.ServeHTTP(w, q)
+	return nil
+}
+
 // visible returns a job that o may see; one that it may not see looks like one
 // that does not exist.
 func visible(c reducer.State, id string, o decoder.Organisation) (reducer.JobStatus, *refuser.ProblemError) {
@@ -305,9 +246,3 @@
 		Outcome: string(s.Outcome), Reason: s.Reason, Workers: s.Workers,
 	}
 }
-
-func answer(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // the caller went away
-}
--- a/internal/responder/jobs_test.go
+++ b/internal/responder/jobs_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
@@ -64,3 +66,20 @@
 	is.Equal(qualified(decoder.Organisation{Name: "sul"}, "dee:1"), "sul:dee:1")
 	is.Equal(qualified(decoder.Organisation{Name: "ops", Operator: true}, "dee:1"), "dee:1")
 }
+
+func TestMetricsAreForOperators(t *testing.T) {
+	is := is.New(t)
+	o := decoder.Organisation{Name: "sul"}
+	r := &Responder{
+		Authenticate: func(*http.Request) (decoder.Organisation, error) { return o, nil },
+		Metrics:      http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }),
+	}
+	get := func() int {
+		w := httptest.NewRecorder()
+		r.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, PathMetrics, nil))
+		return w.Code
+	}
+	is.Equal(get(), http.StatusForbidden) // they name other organisations
+	o.Operator = true
+	is.Equal(get(), http.StatusOK)
+}
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -41,7 +41,7 @@
 		Send:      s.sender.Send,
 		Claim:     s.claim,
 		Release:   s.release,
-		Leaving:   func(x string) { s.post(executorLeavingMessage{x}) },
+		Leaving:   s.sawLeaving,
 		Estimate:  s.learner.estimate,
 		Observe:   s.observeRequest,
 		Now:       s.Now,
@@ -49,6 +49,15 @@
 	}
 }
 
+// sawLeaving tells control of an executor that says it leaves. Traffic does not
+// wait for control: if the message is lost, the executor's next answer says it.
+func (s *Server) sawLeaving(executor string) {
+	select {
+	case s.inbox <- executorLeavingMessage{executor}:
+	default:
+	}
+}
+
 func (s *Server) observeRequest(o router.Observation) {
 	s.learner.observe(o)
 	series := func(m string) recorder.Series {
@@ -76,10 +85,11 @@
 
 func (s *Server) callersServer() *http.Server {
 	m := http.NewServeMux()
-	m.Handle("/-/", s.responder().Handler())
+	r := s.responder().Handler()
+	m.Handle("/-/", r)
+	m.Handle(responder.PathMetrics, r)
 	m.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.HandleFunc("GET /readyz", s.readyz)
-	m.Handle("GET /debug/vars", s.recorder)
 	m.Handle("/", &forwarder.Forwarder{
 		Router:       s.router,
 		Organisation: s.organisation,
@@ -161,6 +171,7 @@
 		Control:       s.controlState,
 		Configuration: s.configuration,
 		Detail:        s.detail,
+		Metrics:       s.recorder,
 		Now:           s.Now,
 		Status:        s.status,
 	}
