--- a/internal/cmd/checkcmd.go
+++ b/internal/cmd/checkcmd.go
@@ -9,10 +9,11 @@
 	"github.com/lacewingdoor/lacewingdoor/decoder"
 )
 
-// CheckCmd checks configuration files without a server.
+// CheckCmd checks configuration files, or a settings file, without a server.
 type CheckCmd struct {
-	Output string   `default:"text" enum:"text,json" help:"Form of the output: text or json."`
-	Paths  []string `arg:"" help:"Files, or directories of which every *.toml file is checked." name:"path"`
+	Output   string   `default:"text" enum:"text,json" help:"Form of the output: text or json."`
+	Paths    []string `arg:"" help:"Configuration files, or directories of which every *.toml file is checked." name:"path" optional:""`
+	Settings string   `help:"Settings file of an entry VM to check." type:"existingfile"`
 }
 
 // checkReport is the JSON that a check prints.
@@ -27,17 +28,13 @@
 // Run prints every problem of the files, taken as a whole. The exit code is
 // ExitUsage when there is one.
 func (k *CheckCmd) Run(c *Config) error {
-	files, err := readPaths(k.Paths)
-	if err != nil {
-		return &ExitError{ExitUsage, err}
+	if len(k.Paths) == 0 && k.Settings == "" {
+		return &ExitError{ExitUsage, errors.New("name configuration files, or a settings file with --settings")}
 	}
-	r := checkReport{Files: len(files), Problems: decoder.Problems{}}
-	config, err := decoder.Decode(files)
-	if err != nil && !errors.As(err, &r.Problems) {
+	r, err := k.check()
+	if err != nil {
 		return err
 	}
-	r.Valid = err == nil
-	r.Organisations, r.Services = len(config.Organisations), len(config.Services)
 	if err := k.write(c.stdout, r); err != nil {
 		return err
 	}
@@ -47,6 +44,37 @@
 	return nil
 }
 
+// check decodes the files. The error says that they could not be read at all.
+func (k *CheckCmd) check() (checkReport, error) {
+	r := checkReport{Problems: decoder.Problems{}}
+	var problems decoder.Problems
+	if k.Settings != "" {
+		r.Files++
+		_, err := readSettings(k.Settings)
+		if err != nil && !errors.As(err, &problems) {
+			return r, &ExitError{ExitUsage, err}
+		}
+		r.Problems = append(r.Problems, problems...)
+	}
+	if len(k.Paths) > 0 {
+		files, err := readPaths(k.Paths)
+		if err != nil {
+			return r, &ExitError{ExitUsage, err}
+		}
+		r.Files += len(files)
+		config, err := decoder.Decode(files)
+		if err != nil && !errors.As(err, &problems) {
+			return r, err
+		}
+		if err != nil {
+			r.Problems = append(r.Problems, problems...)
+		}
+		r.Organisations, r.Services = len(config.Organisations), len(config.Services)
+	}
+	r.Valid = len(r.Problems) == 0
+	return r, nil
+}
+
 func (k *CheckCmd) write(w io.Writer, r checkReport) error {
 	if k.Output == outputJSON {
 		return writeJSON(w, r)
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -84,12 +85,11 @@
 // TestUncertainBeforeSending checks failures that come before a byte was sent.
 func TestUncertainBeforeSending(t *testing.T) {
 	is := is.New(t)
-	address := serve(t, standin.NewLog())
-	if a, err := http.Post("http://"+address+"/die", "", nil); err == nil {
-		a.Body.Close()
-		t.Fatal("it answered")
-	}
-	_, err := connector.Log{Address: address, Client: &http.Client{}}.Append(t.Context(), "s", records)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close()) // a process that dies closes its port a moment after its connections
+	_, err = connector.Log{Address: address, Client: &http.Client{}}.Append(t.Context(), "s", records)
 	is.True(err != nil && !connector.Uncertain(err)) // connection refused
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
