Take one deadline for the word that all connections to a peer are silent

Cause: on a fresh clone the new part of configuration.txtar failed once: seven connections to the log had gone silent, each append after that met another of them for 2 s, and the publication ran out of its 5 s and was withdrawn (which it said rightly). The change: a deadline that passes also closes the idle connections of the client, so the next try opens a new one. Ruled out: a longer deadline for appends, which only waits longer. Cost: other peers' idle connections of the same client are opened anew.

--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -90,7 +90,8 @@
 var errNotModified = errors.New("not modified")
 
 // run sends the request and decodes the answer. A connection that failed once is
-// not used again: the transport closes it, and so does a deadline that passes.
+// not used again: the transport closes it, and so does a deadline that passes, which
+// also closes the idle ones.
 func (e exchange) run(ctx context.Context) error {
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("%w: %w", errNotSent, err)
@@ -114,6 +115,9 @@
 	}
 	a, err := r.Execute(e.method, e.url)
 	if err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			h.CloseIdleConnections() // what silenced this one may have silenced them all
+		}
 		return err
 	}
 	if e.known != "" && a.StatusCode() == http.StatusNotModified {
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -115,6 +116,28 @@
 	is.Equal(n, int64(2)) // what the silent connection took is lost
 }
 
+// TestSilenceOfManyConnections checks that one deadline is enough to find out that
+// every connection went silent.
+func TestSilenceOfManyConnections(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, standin.NewLog())
+	l := connector.Log{Address: address, Client: connector.NewHTTPClient(), Timeout: 500 * time.Millisecond}
+	control := func(body string) { post(t, "http://"+address+"/control", body) }
+	control(`{"slow-ms":200}`)
+	var g sync.WaitGroup
+	for range 4 { // at once, so that each takes a connection of its own
+		g.Go(func() { _, _ = l.Append(t.Context(), "s", records) })
+	}
+	g.Wait()
+	control(`{"slow-ms":0}`)
+	post(t, "http://"+address+"/silence", "")
+	_, err := l.Append(t.Context(), "s", records)
+	is.True(connector.Uncertain(err))
+	l.Timeout = time.Minute
+	_, err = l.Append(t.Context(), "s", records)
+	is.NoErr(err)
+}
+
 // TestSilenceBeforeAnswer checks that an answer which was under way is lost.
 func TestSilenceBeforeAnswer(t *testing.T) {
 	var address string
