Let a provisional leader go above a sub-term it learns of by a refusal

Cause: TestScripts/configuration failed on a slow machine, waiting for e3 or e4 to lead while the log was down. e1 led and was killed; on that machine e2 had the time to lead provisionally, under sub-term 1.1, before it was killed too. e3 had never heard of 1.1, because readings of workers go to the leader alone, so it tried 1.1, the worker refused it as held by e2, e3 resigned and tried 1.1 again, for good. A second leader that dies during one log outage left nobody to lead.

Change: each VM notes the highest epoch that any worker showed it, refusals included, and the next sub-term goes above it. The scan over all inventories that stood there before is gone, since what they show is noted when they arrive.

Ruled out: that e3 lacked the control state (its status shows term 1, which it had adopted); that it was not first of the live VMs (live was e3, e4); that the worker was gone.

Why no test saw it: the fake world gave every reading to every VM, which the daemons do not. It now gives them to the leader, and to the others too in a lossy world. Before: reducer scenario log-down-leaders-die fails ("expect leader vm-3: got none"). After: it passes, and all of ./reducer.

Conclusion: leadership during a log outage no longer depends on hearing of the leader before.

--- a/reducer/election.go
+++ b/reducer/election.go
@@ -71,7 +71,8 @@
 // leadProvisionally takes a sub-term of the last epoch while the log is down. Only
 // the first of the live VMs does so, for nothing tells the others that it did. It
 // decides only once a majority of the workers has accepted it; they refuse an
-// epoch that they have seen from another VM, so two cannot both decide.
+// epoch that they have seen from another VM, so two cannot both decide. A refusal
+// shows the epoch that the next try has to exceed.
 func (t *turn) leadProvisionally() {
 	if t.holding() || t.term == 0 || t.leader == t.self && t.claim.sent {
 		return
@@ -81,11 +82,8 @@
 	}
 	t.claim.at = t.now
 	highest := leaser.Epoch{Term: t.term}
-	for i := t.workers.Iterator(); !i.Done(); {
-		_, w, _ := i.Next()
-		if highest.Less(w.inventory.Epoch) {
-			highest = w.inventory.Epoch
-		}
+	if highest.Less(t.shown) {
+		highest = t.shown
 	}
 	t.lead(leaser.Epoch{Term: highest.Term, SubTerm: highest.SubTerm + 1})
 }
--- a/reducer/reduce.go
+++ b/reducer/reduce.go
@@ -71,9 +71,12 @@
 	}
 }
 
-// outranked gives up leadership when a worker has seen an epoch that is newer
-// than the own one.
+// outranked notes an epoch that a worker has seen, and gives up leadership when it
+// is newer than the own one.
 func (t *turn) outranked(seen leaser.Epoch) bool {
+	if t.shown.Less(seen) {
+		t.shown = seen
+	}
 	if !t.holding() || !t.epoch.Less(seen) {
 		return false
 	}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -39,6 +39,7 @@
 	live      []string
 	goneAt    time.Time // since when the leader is missing, zero when it is not
 	claim     claim
+	shown     leaser.Epoch // highest epoch that a worker was heard to obey
 	config    decoder.Config
 	tenants   table[*tenant]
 	listed    []WorkerListed
--- a/reducer/vms_test.go
+++ b/reducer/vms_test.go
@@ -81,6 +81,9 @@
 		k.table = k.table.Renew(w.now, leaser.TTL, leaser.Renewals(w.now, i, told))
 		k.table = k.table.Acknowledge(w.now, leaser.Acknowledgements(i, v.state.Over))
 		for _, o := range w.vms {
+			if !o.state.Leading() && w.lossy == 0 {
+				continue // the daemons report to the leader alone; a lossy world goes further
+			}
 			e := reducer.WorkerReported{Inventory: i, Age: 10 * time.Millisecond}
 			w.arrive(func() { w.feed(o, e) })
 		}
