Publish a lost change anew under another id while time remains

Cause: TestScripts/configuration failed once in three runs on a loaded machine: all connections to the log were silent, the append of a publication and the read-back of it each met a silent connection, and the 5 s that an append may take were over. The publisher then withdrew the change and reported that it is not in force. That was true and safe, but the operator had given it 30 s and the log was well.

Change: a change that was withdrawn is void for good, so its files may be sent as another change. Publish does so, with a new plan against what is in force then, as long as there is time to settle one more; an id that the operator gave is kept, and is not sent anew. Withdrawn is an error of its own, ErrWithdrawn, with the same text.

Ruled out: sending the change again under its id (its withdrawal voids that id; and without the withdrawal a publisher that gives up could not say that it failed); longer timeouts of an append (the same fault a little later).

The scripts that stood before pass unchanged.

--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -16,6 +16,10 @@
 // ErrRefused says that a VM refuses to be read, and asking again is of no use.
 var ErrRefused = errors.New("reading is refused")
 
+// ErrWithdrawn says that a change is void, as it did not reach the log before its
+// withdrawal.
+var ErrWithdrawn = errors.New("withdrawn")
+
 // ErrUnknown says that a change may or may not be in force: its fate could not
 // be read back in time.
 var ErrUnknown = errors.New("change may or may not be in force")
@@ -55,18 +59,42 @@
 	TookMS int64  `json:"took-ms"` // milliseconds since the change was sent
 }
 
+// settleTimes is how many times DefaultSettle a change may take until its fate is
+// known: its append, the look for it, and its withdrawal.
+const settleTimes = 3
+
 // Publish brings r into force and waits until every live VM has it, or ctx ends.
-// The context needs a deadline.
+// The context needs a deadline. A change that got lost is withdrawn and, while
+// there is time to settle another, sent anew under another id, if NewID gives one.
 //
 // The error is ErrUnknown only when what became of the change could not be read
 // back; any other error means that it is not in force and never will be. A
 // change in force is no error, even when some VM does not have it in time.
 func (p *Publisher) Publish(ctx context.Context, r Request) (Result, error) {
+	result, err := p.publish(ctx, r, p.NewID())
+	for errors.Is(err, ErrWithdrawn) && p.timeLeft(ctx) {
+		id := p.NewID()
+		if id == result.ID {
+			break
+		}
+		p.report("publishing the files anew, as change %s", id)
+		result, err = p.publish(ctx, r, id)
+	}
+	return result, err
+}
+
+// timeLeft reports whether one more change could be settled before ctx ends.
+func (p *Publisher) timeLeft(ctx context.Context) bool {
+	end, ok := ctx.Deadline()
+	return !ok || end.Sub(p.Now()) > settleTimes*p.settleTime()
+}
+
+// publish brings r into force as one change.
+func (p *Publisher) publish(ctx context.Context, r Request, id string) (Result, error) {
 	s, err := p.readComplete(ctx)
 	if err != nil {
 		return Result{}, fmt.Errorf("read the configuration in force: %w", err)
 	}
-	id := p.NewID()
 	plan, err := NewPlan(s, r, id, p.Now())
 	if errors.Is(err, ErrNothing) {
 		p.report("nothing to publish: revision %d is in force with these files", s.Revision())
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -113,8 +113,13 @@
 func (s *service) publisher() *publisher.Publisher {
 	return &publisher.Publisher{
 		Append: s.append, Withdraw: s.withdraw, Read: s.read, Revisions: s.revisions, Wait: s.wait,
-		Now:    func() time.Time { return time.Unix(int64(s.waits), 0) },
-		NewID:  func() string { return "ours" },
+		Now: func() time.Time { return time.Unix(int64(s.waits), 0) },
+		NewID: func() string {
+			if s.appended > 0 && s.has("fresh-ids") {
+				return fmt.Sprintf("ours-%d", s.appended+1)
+			}
+			return "ours"
+		},
 		Report: func(line string) { fmt.Fprintln(&s.out, line) },
 	}
 }
--- a/publisher/verdict.go
+++ b/publisher/verdict.go
@@ -67,6 +67,8 @@
 		return &ConflictError{Conflicts: v.Conflicts}
 	case OutcomeInvalid:
 		return v.Problems
+	case OutcomeWithdrawn:
+		return fmt.Errorf("change at offset %d is not in force: %w", v.Offset, ErrWithdrawn)
 	default:
 		return fmt.Errorf("change at offset %d is not in force: %s", v.Offset, v.Outcome)
 	}
