Say in a refusal why a request was not tried again

Cause: TestScripts/requests failed once with one safe request answered as connection-lost, unknown, and neither the answer nor the log told why it was not tried again: attempts, budget and deadline all end the same way.

Change: the refusal's detail names the limit that was reached.

--- a/router/call.go
+++ b/router/call.go
@@ -223,13 +223,16 @@
 // again reports whether a further attempt may be made, and waits before it.
 func (c *call) again(ctx context.Context, v verdict) bool {
 	if c.attempts >= maxAttempts {
+		v.refusal.Detail = "it was tried as often as is allowed"
 		return false
 	}
 	if !v.free && !c.dispatcher.spend() {
+		v.refusal.Detail = "the retry budget of the service is used up"
 		return false
 	}
 	wait := retrier.Delay(c.attempts, c.router.random())
 	if c.router.now().Add(wait).After(c.ticket.item.LatestStart()) {
+		v.refusal.Detail = "a further try would end after the deadline"
 		return false
 	}
 	timer := time.NewTimer(wait)
