Listen with plain TCP, so that new connections can be refused at shutdown

Cause: an entry VM that shuts down sets a filter on its listener that drops SYNs, so that no connection is completed which nobody accepts. Where the kernel has Multipath TCP enabled, Go's listeners use it by default, and such a socket takes no filter ("operation not supported"); closing the listener then reset connections with requests on them. The daemon went on with a warning, as it was written to.

Change: the listeners of callers and of entry VMs use plain TCP.

Ruled out: a kernel without socket filters (the same call succeeds on a plain TCP socket of the same machine); a smaller backlog and a drain of it before closing (a handshake under way is still reset).

Seen failing: TestRefuseNew fails on the filter with the listener as it was.

--- /dev/null
+++ b/internal/server/refuse_linux_test.go
@@ -0,0 +1,32 @@
+package server
+
+import (
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestRefuseNew refuses connections on the listener for callers, while one that was
+// made before still comes out of it.
+func TestRefuseNew(t *testing.T) {
+	is := is.New(t)
+	s := &Server{}
+	l, err := s.listen(t.Context(), "callers", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	before, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer before.Close()
+	is.NoErr(refuseNew(l))
+	d := net.Dialer{Timeout: 100 * time.Millisecond}
+	_, err = d.DialContext(t.Context(), "tcp", l.Addr().String())
+	is.True(errors.Is(err, os.ErrDeadlineExceeded)) // its SYN is dropped
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	is.Equal(accepted.RemoteAddr().String(), before.LocalAddr().String())
+	is.NoErr(accepted.Close())
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -94,8 +94,11 @@
 	return s.serve(ctx, callers, peers)
 }
 
+// listen listens with plain TCP: where the kernel has Multipath TCP, Go listens with
+// that, and refuseNew can set no filter on it.
 func (s *Server) listen(ctx context.Context, whom, address string) (net.Listener, error) {
 	var c net.ListenConfig
+	c.SetMultipathTCP(false)
 	l, err := c.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s at %s: %w", whom, address, err)
