Share the running of scripted tests in one package

Cause: nine test files each read their txtar archives, split lines into words, found a command in a switch, read numbers and reported failures, each a little differently: some named the line within the file, some none; a missing word was a panic; a surplus word was overlooked; an empty directory failed in some and passed in others, and an empty script passed everywhere.

Change: internal/scripter finds archives (none is a failure, also none with files), runs each file as a subtest, and runs a line by calling the command's function with the words read as its parameters' types. A line that is unknown, has a word too few or too many or of the wrong type fails with archive, line of the archive, script and text; so does a script without a command. A hook around each line serves virtual time, locks and echoes.

Ruled out: testscript with Params.Cmds, which the process scripts use. It takes one script an archive where leaser, follower, router and reducer have many, it runs scripts as parallel subtests, which a synctest bubble does not allow, and it compares a log of commands only by files that a script names, where three packages compare all that a script printed.

Seen failing: with the error of unknown commands left out, TestDo fails; with the error for no archives left out, TestFindNothing fails.

Conclusion: the packages move over one by one, each with its count of commands.

--- /dev/null
+++ b/internal/scripter/scripter_test.go
@@ -0,0 +1,63 @@
+package scripter_test
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
+)
+
+// TestDo runs each file of an archive, whose last lines tell what comes of it.
+func TestDo(t *testing.T) {
+	scripter.Archives(t, "testdata/do.txtar", func(t *testing.T, a scripter.Archive) {
+		is := is.New(t)
+		var out strings.Builder
+		c := scripter.Commands{
+			"add":  func(n ...int) { fmt.Fprintln(&out, "add", n) },
+			"wait": func(name string, d time.Duration) { fmt.Fprintln(&out, "wait", name, d) },
+			"size": func(n uint8) { fmt.Fprintln(&out, "size", n) },
+			"fail": errors.New,
+		}
+		for _, s := range a.Scripts {
+			if s.Name == "want" {
+				continue
+			}
+			n, err := s.Do(c, nil)
+			fmt.Fprintln(&out, s.Name, n, err)
+		}
+		is.Equal(out.String(), a.Files()["want"])
+	})
+}
+
+func TestFindNothing(t *testing.T) {
+	is := is.New(t)
+	_, err := scripter.Find(filepath.Join(t.TempDir(), "*.txtar"))
+	is.True(err != nil) // an empty directory is no pass
+	_, err = scripter.Find("testdata/do.txtar")
+	is.NoErr(err)
+	_, err = scripter.Find("testdata/no-files.txtar")
+	is.True(err != nil) // nor is an archive without files
+}
+
+func TestAround(t *testing.T) {
+	is := is.New(t)
+	all, err := scripter.Find("testdata/do.txtar")
+	is.NoErr(err)
+	var lines []string
+	_, err = all[0].Scripts[0].Do(scripter.Commands{"add": func(...int) error { return errors.ErrUnsupported }, "wait": func(...string) {}},
+		func(line string, do func() error) error {
+			lines = append(lines, line)
+			if err := do(); !errors.Is(err, errors.ErrUnsupported) {
+				return err
+			}
+			return nil
+		})
+	is.NoErr(err)
+	is.Equal(lines, []string{"add 1 -2", "add", "wait x 2s"})
+}
