Run the scripts of follower by scripter

Change: the commands are functions with typed parameters, each line run in the same order of settling and locking as before; "pass" still runs without the lock. Requests still wait on the context of the test, which the command "stop" leaves alone, so that the appender alone can tell them of its end.

Ruled out: one context for the script and its requests, which is shorter, but makes "end-tells-everyone" pass by the cancelled context of the request.

Conclusion: no check is weaker; no script changed.

--- a/follower/script_test.go
+++ b/follower/script_test.go
@@ -5,9 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -15,26 +12,17 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rogpeppe/go-internal/txtar"
 
 	"github.com/lacewingdoor/lacewingdoor/follower"
+	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
 )
 
 // TestScripts runs the scripts of testdata: a log that fails, a follower and an
 // appender of one stream, in virtual time.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	is.New(t).NoErr(err)
-	is.New(t).True(len(files) > 0)
-	for _, f := range files {
-		b, err := os.ReadFile(f)
-		is.New(t).NoErr(err)
-		for _, c := range txtar.Parse(b).Files {
-			t.Run(filepath.Base(f)+"/"+c.Name, func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { newBench(t).run(string(c.Data)) })
-			})
-		}
-	}
+	scripter.Scripts(t, "testdata/*.txtar", func(t *testing.T, s scripter.Script) {
+		synctest.Test(t, func(t *testing.T) { newBench().play(t, s) })
+	})
 }
 
 var (
@@ -44,7 +32,7 @@
 
 // bench is a log in memory with a follower and an appender.
 type bench struct {
-	t        *testing.T
+	ctx      context.Context // of the test, which "stop" leaves alone
 	mu       sync.Mutex
 	records  []follower.Record
 	first    int64 // lowest offset kept
@@ -64,8 +52,8 @@
 	stop     func()
 }
 
-func newBench(t *testing.T) *bench {
-	b := &bench{t: t, first: 1, grown: make(chan struct{}), counts: map[string]int{}, results: map[string]string{}, firstEnd: -1}
+func newBench() *bench {
+	b := &bench{first: 1, grown: make(chan struct{}), counts: map[string]int{}, results: map[string]string{}, firstEnd: -1}
 	b.appender = follower.Appender{
 		Stream: "s", Write: b.write, Batch: 4, Queue: 8,
 		Uncertain: func(err error) bool { return !errors.Is(err, errRefused) },
@@ -184,112 +172,76 @@
 	return p, nil
 }
 
-func (b *bench) run(script string) {
-	ctx, cancel := context.WithCancel(b.t.Context())
+func (b *bench) play(t *testing.T, s scripter.Script) {
+	ctx, cancel := context.WithCancel(t.Context())
 	defer synctest.Wait()
 	defer cancel()
-	b.stop = cancel
-	for n, line := range strings.Split(script, "\n") {
-		f := strings.Fields(line)
-		if len(f) == 0 || f[0] == "#" {
-			continue
-		}
-		if f[0] == "pass" { // DURATION
-			d, err := time.ParseDuration(f[1])
-			is.New(b.t).NoErr(err)
-			time.Sleep(d)
-			continue
+	b.ctx, b.stop = t.Context(), cancel
+	s.Play(t, b.commands(ctx), func(line string, do func() error) error {
+		if strings.HasPrefix(line, "pass ") {
+			return do()
 		}
 		synctest.Wait()
 		b.mu.Lock()
-		err := b.do(ctx, f[0], f[1:])
-		b.mu.Unlock()
-		if err != nil {
-			b.t.Fatalf("line %d: %s: %v", n+1, line, err)
-		}
-	}
+		defer b.mu.Unlock()
+		return do()
+	})
 }
 
-// do runs one command.
-func (b *bench) do(ctx context.Context, name string, a []string) error {
-	switch name {
-	case "start":
-		go b.follower.Run(ctx)
-		go b.appender.Run(ctx)
-	case "stop":
-		b.stop()
-	case "from":
-		b.follower.From = int64(number(a[0]))
-	case "appended": // ID...
-		for _, id := range a {
-			b.addAll([]json.RawMessage{encode(id)})
-		}
-	case "corrupt": // DATA
-		b.add([]byte(a[0]))
-	case "down", "up":
-		b.down = name == "down"
-	case "slow": // DURATION
-		b.slow, _ = time.ParseDuration(a[0])
-	case "expire": // FIRST
-		b.first = int64(number(a[0]))
-	case "forget":
-		b.records = nil
-	case "refuse": // ID
-		b.refuse = a[0]
-	case "fault": // NAME COUNT
-		b.counts[a[0]] = number(a[1])
-	case "submit": // DEADLINE ID...
-		d, err := time.ParseDuration(a[0])
-		for _, id := range a[1:] {
-			b.results[id] = "pending"
-			go b.submit(id, d)
-		}
-		return err
-	case "reset-writes":
-		b.writes = 0
-	default:
-		return b.check(name, a)
+func (b *bench) commands(ctx context.Context) scripter.Commands {
+	return scripter.Commands{
+		"pass": time.Sleep,
+		"start": func() {
+			go b.follower.Run(ctx)
+			go b.appender.Run(ctx)
+		},
+		"stop": func() { b.stop() },
+		"from": func(n int64) { b.follower.From = n },
+		"appended": func(ids ...string) {
+			for _, id := range ids {
+				b.addAll([]json.RawMessage{encode(id)})
+			}
+		},
+		"corrupt": func(data string) { b.add([]byte(data)) },
+		"down":    func() { b.down = true },
+		"up":      func() { b.down = false },
+		"slow":    func(d time.Duration) { b.slow = d },
+		"expire":  func(first int64) { b.first = first },
+		"forget":  func() { b.records = nil },
+		"refuse":  func(id string) { b.refuse = id },
+		"fault":   func(name string, count int) { b.counts[name] = count },
+		"submit": func(deadline time.Duration, ids ...string) {
+			for _, id := range ids {
+				b.results[id] = "pending"
+				go b.submit(id, deadline)
+			}
+		},
+		"reset-writes": func() { b.writes = 0 },
+
+		"events":    func(want ...string) error { return equal(strings.Join(b.events, " "), strings.Join(want, " ")) },
+		"result":    func(id, want string) error { return equal(b.results[id], want) },
+		"first-end": func(handled int) error { return equal(b.firstEnd, handled) },
+		"count": func(id string, times int) error {
+			n := 0
+			for _, r := range b.records {
+				n += strings.Count(string(r.Data), `"`+id+`"`)
+			}
+			return equal(n, times)
+		},
+		"reads-at-most":  func(n int) error { return equal(max(b.reads, n), n) },
+		"writes-at-most": func(n int) error { return equal(max(b.writes, n), n) },
 	}
-	return nil
 }
 
-// check compares what was seen with what is wanted.
-func (b *bench) check(name string, a []string) error {
-	var got string
-	switch name {
-	case "events": // EVENT...
-		got = strings.Join(b.events, " ")
-	case "result": // ID RESULT
-		got = a[0] + " " + b.results[a[0]]
-	case "first-end": // COUNT
-		got = strconv.Itoa(b.firstEnd)
-	case "count": // ID TIMES
-		n := 0
-		for _, r := range b.records {
-			n += strings.Count(string(r.Data), `"`+a[0]+`"`)
-		}
-		got = fmt.Sprintf("%s %d", a[0], n)
-	case "reads-at-most": // COUNT
-		if b.reads <= number(a[0]) {
-			return nil
-		}
-		got = strconv.Itoa(b.reads)
-	case "writes-at-most": // COUNT
-		if b.writes <= number(a[0]) {
-			return nil
-		}
-		got = strconv.Itoa(b.writes)
-	default:
-		return errors.New("unknown command")
-	}
-	if got != strings.Join(a, " ") {
-		return fmt.Errorf("got %s", got)
+func equal[T comparable](got, want T) error {
+	if got != want {
+		return fmt.Errorf("got %v", got)
 	}
 	return nil
 }
 
 func (b *bench) submit(id string, d time.Duration) {
-	c, cancel := context.WithTimeout(b.t.Context(), d)
+	c, cancel := context.WithTimeout(b.ctx, d)
 	defer cancel()
 	err := b.appender.Append(c, follower.Envelope{ID: id, Kind: "k", VM: "v"})
 	b.mu.Lock()
@@ -311,11 +263,6 @@
 	return b
 }
 
-func number(s string) int {
-	n, _ := strconv.Atoi(s)
-	return n
-}
-
 func TestBackoff(t *testing.T) {
 	is := is.New(t)
 	b := follower.Backoff{Base: 100 * time.Millisecond, Cap: time.Second, Random: func() float64 { return 0.5 }}
