Run the load scripts of router by scripter

Cause: its own loop over the archive and its lines, and a switch that took missing words as a panic.

Change: the commands are functions with typed parameters; scripter hands each line to the hook as it stands, with its spaces, for scripts that compare them. A failing expectation tells its line of the archive and ends its script there; before, later expectations of the same script were compared as well, and the verdict is the same.

--- a/internal/scripter/scripter.go
+++ b/internal/scripter/scripter.go
@@ -27,7 +27,8 @@
 	first   int // line of the archive at which the text begins
 }
 
-// Around runs a line of a script by calling do, once. What it returns is the line's
+// Around runs a line of a script, as it stands, by calling do once. What it returns is
+// the line's
 // result.
 type Around func(line string, do func() error) error
 
@@ -123,11 +124,11 @@
 func (s Script) Do(c Commands, around Around) (int, error) {
 	n := 0
 	for i, line := range strings.Split(s.Text, "\n") {
-		line = strings.TrimSpace(line)
-		if line == "" || strings.HasPrefix(line, "#") {
+		words := strings.Fields(line)
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
 			continue
 		}
-		do := func() error { return c.Do(strings.Fields(line)) }
+		do := func() error { return c.Do(words) }
 		run := do
 		if around != nil {
 			run = func() error { return around(line, do) }
--- a/internal/scripter/scripter_test.go
+++ b/internal/scripter/scripter_test.go
@@ -59,5 +59,5 @@
 			return nil
 		})
 	is.NoErr(err)
-	is.Equal(lines, []string{"add 1 -2", "add", "wait x 2s"})
+	is.Equal(lines, []string{"add 1 -2", "add", "  wait x 2s"})
 }
--- a/router/load_test.go
+++ b/router/load_test.go
@@ -10,26 +10,20 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/rogpeppe/go-internal/txtar"
-
 	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
 	"github.com/lacewingdoor/lacewingdoor/router"
 )
 
 func TestLoad(t *testing.T) {
-	a, err := txtar.ParseFile("testdata/load.txtar")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, f := range a.Files {
-		t.Run(f.Name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { play(t, string(f.Data)) })
-		})
-	}
+	scripter.Scripts(t, "testdata/load.txtar", func(t *testing.T, s scripter.Script) {
+		synctest.Test(t, func(t *testing.T) { s.Play(t, newStage(t).commands(), nil) })
+	})
 }
 
 // stage is what a script runs on.
 type stage struct {
+	t         *testing.T
 	service   decoder.Service
 	executors []router.Executor
 	fleet     *fleet
@@ -42,48 +36,31 @@
 	measured map[string]int64 // "ORGANISATION PATH WHAT": a count, or nanoseconds
 }
 
-func play(t *testing.T, script string) {
-	s := &stage{
-		service: decoder.Service{Name: "label", Organisation: "etiquetar", QueueLimit: 1000},
+func newStage(t *testing.T) *stage {
+	return &stage{
+		t: t, service: decoder.Service{Name: "label", Organisation: "etiquetar", QueueLimit: 1000},
 		weights: map[string]int{}, learned: map[string]time.Duration{}, measured: map[string]int64{},
 	}
-	for line := range strings.SplitSeq(strings.TrimSpace(script), "\n") {
-		s.step(t, strings.Fields(line))
-	}
-}
-
-func (s *stage) step(t *testing.T, w []string) {
-	switch w[0] {
-	case "executors":
-		n, slots, _ := strings.Cut(w[1], "x")
-		s.fleet = newFleet(8)
-		s.executors = executors(number1(t, n), number1(t, slots))
-	case "weight":
-		s.weights[w[1]] = number1(t, w[2])
-	case "share":
-		s.service.Share = number1(t, w[1])
-	case "queue":
-		s.service.QueueLimit = number1(t, w[1])
-	case "learned":
-		s.learned[w[1]] = options(t, "x="+w[2])["x"]
-	case "route":
-		o := options(t, w[3:]...)
-		s.service.Routes = append(s.service.Routes, decoder.Route{Path: w[1], Class: w[2], DeclaredRun: o["run"], Deadline: o["deadline"]})
-	case "load":
-		s.load(t, w)
-	case "expect":
-		s.expect(t, w[1:])
-	default:
-		t.Fatalf("unknown command %q", w[0])
-	}
 }
 
-func number1(t *testing.T, v string) int {
-	n, err := strconv.Atoi(v)
-	if err != nil {
-		t.Fatal(err)
+func (s *stage) commands() scripter.Commands {
+	return scripter.Commands{
+		"executors": func(size string) {
+			n, slots, _ := strings.Cut(size, "x")
+			s.fleet = newFleet(8)
+			s.executors = executors(int(amount(s.t, n)), int(amount(s.t, slots)))
+		},
+		"weight":  func(organisation string, n int) { s.weights[organisation] = n },
+		"share":   func(n int) { s.service.Share = n },
+		"queue":   func(n int) { s.service.QueueLimit = n },
+		"learned": func(path string, d time.Duration) { s.learned[path] = d },
+		"route": func(path, class string, words ...string) {
+			o := options(s.t, words...)
+			s.service.Routes = append(s.service.Routes, decoder.Route{Path: path, Class: class, DeclaredRun: o["run"], Deadline: o["deadline"]})
+		},
+		"load":   s.load,
+		"expect": s.expect,
 	}
-	return n
 }
 
 // options reads NAME=VALUE; a value is a duration, or a count of nanoseconds.
@@ -107,7 +84,7 @@
 	return d
 }
 
-func (s *stage) load(t *testing.T, w []string) {
+func (s *stage) load(organisation, path string, words ...string) {
 	if s.router == nil {
 		n := snapshot(s.service, s.executors)
 		n.Weights = s.weights
@@ -115,25 +92,25 @@
 		s.router.Estimate = func(_ string, o *decoder.Route) time.Duration { return s.learned[o.Path] }
 		s.router.Observe = s.observe
 	}
-	o := options(t, w[3:]...)
+	o := options(s.t, words...)
 	s.work.Go(func() {
 		time.Sleep(o["from"])
 		for i := range int(o["count"]) {
-			q := request(w[1], w[2], o["run"])
+			q := request(organisation, path, o["run"])
 			if n := int(o["nth"]); n > 0 && i%n == n-1 {
 				q.Query = o["straggle"].String()
 			}
 			if d := o["deadline"]; d > 0 {
 				q.Deadline = time.Now().Add(d)
 			}
-			s.work.Go(func() { s.do(t, q) })
+			s.work.Go(func() { s.do(q) })
 			time.Sleep(o["every"])
 		}
 	})
 }
 
-func (s *stage) do(t *testing.T, q router.Request) {
-	_, err := s.router.Do(t.Context(), q)
+func (s *stage) do(q router.Request) {
+	_, err := s.router.Do(s.t.Context(), q)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	name := q.Organisation + " " + q.Path + " "
@@ -157,17 +134,18 @@
 	s.measured[name] = max(s.measured[name], int64(o.Wait))
 }
 
-func (s *stage) expect(t *testing.T, w []string) {
+func (s *stage) expect(organisation, path, what, relation, value string) error {
 	s.work.Wait()
-	got := s.measured[strings.Join(w[:3], " ")]
-	if w[2] == "busiest" {
+	got := s.measured[organisation+" "+path+" "+what]
+	if what == "busiest" {
 		for _, n := range s.fleet.most {
 			got = max(got, int64(n))
 		}
 	}
-	want := int64(amount(t, w[4]))
-	ok := map[string]bool{"=": got == want, "<=": got <= want, ">=": got >= want}[w[3]]
+	want := int64(amount(s.t, value))
+	ok := map[string]bool{"=": got == want, "<=": got <= want, ">=": got >= want}[relation]
 	if !ok {
-		t.Errorf("expect %s, got %d", strings.Join(w, " "), got)
+		return fmt.Errorf("got %d", got)
 	}
+	return nil
 }
