Run the scripts of claimer by scripter

Cause: its own loop over archives and lines, and two switches of the same words; a missing word was a panic, an empty directory passed.

Change: the commands are functions with typed parameters. Each line is still echoed before it runs and settled after it, and what is printed is compared with the file "want" as before. An archive without "steps" or "want", or a directory without archives, fails.

Conclusion: no check is weaker; no script changed.

--- a/claimer/script_test.go
+++ b/claimer/script_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,42 +14,30 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rogpeppe/go-internal/txtar"
 
 	"github.com/lacewingdoor/lacewingdoor/claimer"
+	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
 )
 
 // TestClaimScripts runs the file "steps" of each script in virtual time and
 // compares what the steps print with the file "want".
 func TestClaimScripts(t *testing.T) {
-	paths, err := filepath.Glob("testdata/claims/*.txtar")
-	is.New(t).NoErr(err)
-	for _, p := range paths {
-		t.Run(strings.TrimSuffix(filepath.Base(p), ".txtar"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { claimScript(t, p) })
-		})
-	}
+	scripter.Archives(t, "testdata/claims/*.txtar", func(t *testing.T, a scripter.Archive) {
+		synctest.Test(t, func(t *testing.T) { claimScript(t, a) })
+	})
 }
 
-func claimScript(t *testing.T, path string) {
-	is := is.New(t)
-	a, err := txtar.ParseFile(path)
-	is.NoErr(err)
-	files := map[string]string{}
-	for _, f := range a.Files {
-		files[f.Name] = string(f.Data)
-	}
+func claimScript(t *testing.T, a scripter.Archive) {
 	w := newWorld()
-	for line := range strings.Lines(files["steps"]) {
-		line = strings.TrimSpace(line)
+	a.Script(t, "steps").Play(t, w.commands(), func(line string, do func() error) error {
 		fmt.Fprintf(&w.out, "> %s\n", line)
-		is.NoErr(w.step(strings.Fields(line)))
-		w.settle()
-	}
+		defer w.settle()
+		return do()
+	})
 	for _, v := range w.vms {
 		v.stop()
 	}
-	is.Equal(w.out.String(), files["want"])
+	is.New(t).Equal(w.out.String(), a.Script(t, "want").Text)
 }
 
 // logMode is how the log treats an append.
@@ -206,16 +193,12 @@
 // SECONDS-NAME. Another text is a key as it stands.
 func key(s string) string {
 	seconds, name, ok := strings.Cut(s, "-")
+	n, err := strconv.Atoi(seconds)
 	if !ok {
 		return s
 	}
-	return fmt.Sprintf("%d-%s-0000000", startOfTime+number(seconds), name)
-}
-
-func number(s string) int {
-	n, err := strconv.Atoi(s)
 	if err != nil {
 		panic(err)
 	}
-	return n
+	return fmt.Sprintf("%d-%s-0000000", startOfTime+n, name)
 }
--- a/claimer/step_test.go
+++ b/claimer/step_test.go
@@ -6,84 +6,65 @@
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/claimer"
+	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
 )
 
-// step does one step of a script:
-//
-//	vm NAME                    start a VM, or replace it
-//	kill NAME                  stop a VM
-//	pause NAME, resume NAME    stop and go on reading the log
-//	claim NAME SECONDS-KEY ID  claim a key, minted so many seconds after the start
-//	many NAME COUNT            claim as many keys at once
-//	release NAME KEY ID        give a key back
-//	log MODE                   set how the log treats appends
-//	arrive                     append what was late
-//	again OFFSET               append a copy of a record
-//	corrupt                    append a record that can't be decoded
-//	trim                       drop all records
-//	retain SECONDS             drop the records that are older
-//	wait SECONDS               let time pass
-//	show                       print the stream
-//	counts NAME                print a VM's counts
-//	held NAME                  print how many keys a VM knows to be held
-func (w *world) step(f []string) error {
-	switch f[0] {
-	case "vm":
-		w.start(f[1])
-	case "kill":
-		w.vms[f[1]].stop()
-		w.vms[f[1]].paused = true
-	case "pause", "resume":
-		w.vms[f[1]].paused = f[0] == "pause"
-	case "claim":
-		w.claim(f[1], key(f[2]), f[3])
-	case "many":
-		for i := range number(f[2]) {
-			w.claim(f[1], key(fmt.Sprintf("0-key%d", i)), "r")
-		}
-	case "release":
-		w.vms[f[1]].Release(key(f[2]), f[3])
-	case "wait":
-		for range number(f[1]) * 10 {
-			time.Sleep(time.Second / 10)
-			w.settle()
-		}
-	case "show":
-		w.show()
-	case "counts":
-		fmt.Fprintf(&w.out, "  %+v\n", w.vms[f[1]].Counts())
-	case "held":
-		fmt.Fprintf(&w.out, "  %d\n", w.vms[f[1]].Held())
-	default:
-		return w.logStep(f)
+// commands returns the commands of a script. KEY is SECONDS-NAME, a key minted so many
+// seconds after the start.
+func (w *world) commands() scripter.Commands {
+	c := scripter.Commands{
+		"vm": w.start, // starts a VM, or replaces it
+		"kill": func(vm string) {
+			w.vms[vm].stop()
+			w.vms[vm].paused = true
+		},
+		"pause":  func(vm string) { w.vms[vm].paused = true }, // it reads no log
+		"resume": func(vm string) { w.vms[vm].paused = false },
+		"claim":  func(vm, k, request string) { w.claim(vm, key(k), request) },
+		"many": func(vm string, count int) { // claims as many keys at once
+			for i := range count {
+				w.claim(vm, key(fmt.Sprintf("0-key%d", i)), "r")
+			}
+		},
+		"release": func(vm, k, request string) { w.vms[vm].Release(key(k), request) },
+		"wait": func(seconds int) {
+			for range seconds * 10 {
+				time.Sleep(time.Second / 10)
+				w.settle()
+			}
+		},
+		"show":   w.show, // prints the stream
+		"counts": func(vm string) { fmt.Fprintf(&w.out, "  %+v\n", w.vms[vm].Counts()) },
+		"held":   func(vm string) { fmt.Fprintf(&w.out, "  %d\n", w.vms[vm].Held()) }, // how many keys a VM knows to be held
 	}
-	return nil
+	w.logCommands(c)
+	return c
 }
 
-// logStep does a step that concerns the log.
-func (w *world) logStep(f []string) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	switch f[0] {
-	case "log":
-		w.mode = logMode(f[1])
-	case "arrive":
+// logCommands adds the commands that concern the log.
+func (w *world) logCommands(c scripter.Commands) {
+	locked := func(f func()) func() {
+		return func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			f()
+		}
+	}
+	c["log"] = func(mode logMode) { locked(func() { w.mode = mode })() } // how it treats appends
+	c["arrive"] = locked(func() {                                        // what was late is appended
 		w.add(w.late...)
 		w.late = nil
-	case "again":
-		w.add(w.records[number(f[1])-1].record)
-	case "corrupt":
-		w.add(nil)
-	case "retain":
-		for w.first <= int64(len(w.records)) && time.Since(w.records[w.first-1].appended) > time.Duration(number(f[1]))*time.Second {
-			w.first++
-		}
-	case "trim":
-		w.first = int64(len(w.records)) + 1
-	default:
-		return fmt.Errorf("step %q is not known", f[0])
+	})
+	c["again"] = func(offset int) { locked(func() { w.add(w.records[offset-1].record) })() }
+	c["corrupt"] = locked(func() { w.add(nil) }) // a record that can't be decoded
+	c["retain"] = func(seconds int) {            // drops the records that are older
+		locked(func() {
+			for w.first <= int64(len(w.records)) && time.Since(w.records[w.first-1].appended) > time.Duration(seconds)*time.Second {
+				w.first++
+			}
+		})()
 	}
-	return nil
+	c["trim"] = locked(func() { w.first = int64(len(w.records)) + 1 }) // drops all records
 }
 
 func (w *world) start(name string) {
--- a/internal/scripter/scripter.go
+++ b/internal/scripter/scripter.go
@@ -28,8 +28,7 @@
 }
 
 // Around runs a line of a script, as it stands, by calling do once. What it returns is
-// the line's
-// result.
+// the result of the line.
 type Around func(line string, do func() error) error
 
 // Find returns the archives that match a pattern, in the order of their names. It
