Run the scripts of publisher by scripter

Cause: its own loop over archives and lines; a directory without archives passed.

Change: the steps of the apply scripts are functions with typed parameters, echoed and compared with the file "want" as before. The publish scripts, which have no steps, are found by scripter, and a directory without any fails now.

Conclusion: no check is weaker; no script changed.

--- a/publisher/apply_test.go
+++ b/publisher/apply_test.go
@@ -3,15 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rogpeppe/go-internal/txtar"
 
+	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
 	"github.com/lacewingdoor/lacewingdoor/publisher"
 )
 
@@ -33,76 +32,36 @@
 // TestApplyScripts runs the file "steps" of each script and compares what the
 // steps print with the file "want".
 func TestApplyScripts(t *testing.T) {
-	paths, err := filepath.Glob("testdata/apply/*.txtar")
-	is.New(t).NoErr(err)
-	for _, p := range paths {
-		t.Run(strings.TrimSuffix(filepath.Base(p), ".txtar"), func(t *testing.T) {
-			is := is.New(t)
-			a, err := txtar.ParseFile(p)
-			is.NoErr(err)
-			w := world{first: 1, readers: map[string]*publisher.Reader{}, files: map[string]string{}}
-			for _, f := range a.Files {
-				w.files[f.Name] = string(f.Data)
-			}
-			for line := range strings.Lines(w.files["steps"]) {
-				line = strings.TrimSpace(line)
-				fmt.Fprintf(&w.out, "> %s\n", line)
-				is.NoErr(w.step(strings.Fields(line)))
-			}
-			is.Equal(w.out.String(), w.files["want"])
+	scripter.Archives(t, "testdata/apply/*.txtar", func(t *testing.T, a scripter.Archive) {
+		w := world{first: 1, readers: map[string]*publisher.Reader{}, files: a.Files()}
+		a.Script(t, "steps").Play(t, w.commands(), func(line string, do func() error) error {
+			fmt.Fprintf(&w.out, "> %s\n", line)
+			return do()
 		})
-	}
+		is.New(t).Equal(w.out.String(), a.Script(t, "want").Text)
+	})
 }
 
-// step does one step of a script:
-//
-//	change ID PUBLISHER NAME@BASE[=FILE]...  append a change; without FILE it removes
-//	newer ID PUBLISHER NAME@BASE[=FILE]...   append a change of a newer format
-//	withdraw ID                              append a withdrawal
-//	snapshot READER                          append a snapshot of a reader's state
-//	again OFFSET                             append a copy of a record
-//	corrupt                                  append a record that can't be decoded
-//	trim OFFSET                              drop all records before one
-//	reader NAME                              begin to read where the log begins
-//	read NAME                                read to the end
-//	adopt NAME PEER                          take the state of another reader
-//	show NAME                                print the state of a reader
-func (w *world) step(f []string) error {
-	switch f[0] {
-	case "change":
-		return w.change(publisher.Format, f[1], f[2], f[3:])
-	case "newer":
-		return w.change(publisher.Format+1, f[1], f[2], f[3:])
-	case "withdraw":
-		return w.append(publisher.Withdrawal{ID: f[1]})
-	case "snapshot":
-		return w.append(publisher.Snapshot{State: w.readers[f[1]].State()})
-	case "again":
-		w.records = append(w.records, w.records[number(f[1])-1])
-	case "corrupt":
-		w.records = append(w.records, entry{kind: publisher.KindChange, body: json.RawMessage(`{"id":7}`)})
-	case "trim":
-		w.first = number(f[1])
-	case "reader":
-		w.readers[f[1]] = &publisher.Reader{}
-	case "read":
-		w.read(w.readers[f[1]])
-	case "adopt":
-		return w.adopt(w.readers[f[1]], w.readers[f[2]])
-	case "show":
-		w.show(w.readers[f[1]].State())
-	default:
-		return fmt.Errorf("step %q is not known", f[0])
+// commands returns the commands of a script. A file of a change is
+// NAME@BASE[=FILE]; without FILE the change removes it.
+func (w *world) commands() scripter.Commands {
+	return scripter.Commands{
+		"change": func(id, by string, files ...string) error { return w.change(publisher.Format, id, by, files) },
+		"newer": func(id, by string, files ...string) error { // of a newer format
+			return w.change(publisher.Format+1, id, by, files)
+		},
+		"withdraw": func(id string) error { return w.append(publisher.Withdrawal{ID: id}) },
+		"snapshot": func(reader string) error { return w.append(publisher.Snapshot{State: w.readers[reader].State()}) },
+		"again":    func(offset int64) { w.records = append(w.records, w.records[offset-1]) },
+		"corrupt": func() { // a record that can't be decoded
+			w.records = append(w.records, entry{kind: publisher.KindChange, body: json.RawMessage(`{"id":7}`)})
+		},
+		"trim":   func(first int64) { w.first = first }, // drops all records before one
+		"reader": func(name string) { w.readers[name] = &publisher.Reader{} },
+		"read":   func(name string) { w.read(w.readers[name]) }, // to the end
+		"adopt":  func(name, peer string) error { return w.adopt(w.readers[name], w.readers[peer]) },
+		"show":   func(name string) { w.show(w.readers[name].State()) },
 	}
-	return nil
-}
-
-func number(s string) int64 {
-	n, err := strconv.ParseInt(s, 10, 64)
-	if err != nil {
-		panic(err)
-	}
-	return n
 }
 
 func (w *world) append(r publisher.Record) error {
@@ -116,8 +75,12 @@
 	for _, f := range files {
 		f, content, keeps := strings.Cut(f, "=")
 		name, base, _ := strings.Cut(f, "@")
+		n, err := strconv.ParseInt(base, 10, 64)
+		if err != nil {
+			return err
+		}
 		c.Files = append(c.Files, publisher.FileChange{
-			Name: name, Base: number(base), Content: w.files[content], Removed: !keeps,
+			Name: name, Base: n, Content: w.files[content], Removed: !keeps,
 		})
 	}
 	return w.append(c)
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -4,15 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rogpeppe/go-internal/txtar"
 
 	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
 	"github.com/lacewingdoor/lacewingdoor/publisher"
 )
 
@@ -123,31 +122,25 @@
 // last that the file "faults" names, each until a number of waits, and compares
 // what is reported with "want". Files in force before are in "before/".
 func TestPublishScripts(t *testing.T) {
-	paths, err := filepath.Glob("testdata/publish/*.txtar")
-	is.New(t).NoErr(err)
-	for _, p := range paths {
-		t.Run(strings.TrimSuffix(filepath.Base(p), ".txtar"), func(t *testing.T) { publishScript(t, p) })
-	}
+	scripter.Archives(t, "testdata/publish/*.txtar", publishScript)
 }
 
-func publishScript(t *testing.T, path string) {
+func publishScript(t *testing.T, a scripter.Archive) {
 	is := is.New(t)
-	a, err := txtar.ParseFile(path)
-	is.NoErr(err)
 	s := service{state: publisher.New(), limit: 30, faults: map[string]int{}}
 	var q publisher.Request
 	want := ""
-	for _, f := range a.Files {
+	for _, f := range a.Scripts {
 		before, isBefore := strings.CutPrefix(f.Name, "before/")
 		switch {
 		case f.Name == "want":
-			want = string(f.Data)
+			want = f.Text
 		case f.Name == "faults":
-			readFaults(string(f.Data), s.faults)
+			readFaults(f.Text, s.faults)
 		case isBefore:
-			s.apply(publisher.Change{ID: before, Publisher: "morfa", Files: []publisher.FileChange{{Name: before, Content: string(f.Data)}}})
+			s.apply(publisher.Change{ID: before, Publisher: "morfa", Files: []publisher.FileChange{{Name: before, Content: f.Text}}})
 		default:
-			q.Files = append(q.Files, decoder.File{Name: f.Name, Content: string(f.Data)})
+			q.Files = append(q.Files, decoder.File{Name: f.Name, Content: f.Text})
 		}
 	}
 	q.DryRun, q.Base = s.has("dry-run"), int64(s.faults["base"])
