Find the archives of decoder by scripter

Change: scripter finds them and runs a subtest for each; no archive is a failure, for the seeds of the fuzz test too. What is decoded and compared is as before.

Conclusion: no check is weaker; no archive changed.

--- a/decoder/decode_test.go
+++ b/decoder/decode_test.go
@@ -3,38 +3,31 @@
 import (
 	"errors"
 	"fmt"
-	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
-	"github.com/rogpeppe/go-internal/txtar"
 
 	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
 )
 
 // TestDecodeScripts decodes the .toml files of each script. The file "problems"
 // holds the problems that are expected, the file "config" the configuration.
 func TestDecodeScripts(t *testing.T) {
-	paths, err := filepath.Glob("testdata/decode/*.txtar")
-	is.New(t).NoErr(err)
-	for _, p := range paths {
-		t.Run(strings.TrimSuffix(filepath.Base(p), ".txtar"), func(t *testing.T) { runScript(t, p) })
-	}
+	scripter.Archives(t, "testdata/decode/*.txtar", runScript)
 }
 
-func runScript(t *testing.T, path string) {
+func runScript(t *testing.T, a scripter.Archive) {
 	is := is.New(t)
-	a, err := txtar.ParseFile(path)
-	is.NoErr(err)
 	var files []decoder.File
 	want := map[string]string{}
-	for _, f := range a.Files {
+	for _, f := range a.Scripts {
 		if strings.HasSuffix(f.Name, ".toml") {
-			files = append(files, decoder.File{Name: f.Name, Content: string(f.Data)})
+			files = append(files, decoder.File{Name: f.Name, Content: f.Text})
 			continue
 		}
-		want[f.Name] = string(f.Data)
+		want[f.Name] = f.Text
 	}
 	c, err := decoder.Decode(files)
 	got := ""
--- a/decoder/fuzz_test.go
+++ b/decoder/fuzz_test.go
@@ -2,30 +2,24 @@
 
 import (
 	"errors"
-	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/rogpeppe/go-internal/txtar"
-
 	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
 )
 
 // FuzzDecode checks that no file makes Decode panic, that each problem names a
 // line of its file, and that the same file gives the same result.
 func FuzzDecode(f *testing.F) {
-	paths, err := filepath.Glob("testdata/decode/*.txtar")
+	archives, err := scripter.Find("testdata/decode/*.txtar")
 	if err != nil {
 		f.Fatal(err)
 	}
-	for _, p := range paths {
-		a, err := txtar.ParseFile(p)
-		if err != nil {
-			f.Fatal(err)
-		}
-		for _, d := range a.Files {
+	for _, a := range archives {
+		for _, d := range a.Scripts {
 			if strings.HasSuffix(d.Name, ".toml") {
-				f.Add(string(d.Data))
+				f.Add(d.Text)
 			}
 		}
 	}
