Run the scripts of reducer by scripter

Cause: its own loop over archives and lines, and a switch of 21 commands that read numbers and durations one by one; a missing word was a panic without the line.

Change: the commands are functions with typed parameters. After each line, a rule that the world found broken fails the line, as before. The options of jobs and organisations are read as before.

Conclusion: no check is weaker; no script changed.

--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -13,9 +12,8 @@
 	"testing"
 	"time"
 
-	"github.com/rogpeppe/go-internal/txtar"
-
 	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 	"github.com/lacewingdoor/lacewingdoor/reducer"
 )
@@ -27,41 +25,18 @@
 	os.Exit(m.Run())
 }
 
-// TestScripts runs the scenarios in testdata. Each archive has one file named
-// "script" with a command a line; the commands are the cases of script.do.
+// TestScripts runs the scenarios in testdata.
 func TestScripts(t *testing.T) {
-	files, _ := filepath.Glob("testdata/*.txtar")
-	if len(files) == 0 {
-		t.Fatal("no scenarios")
-	}
-	for _, f := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(f), ".txtar"), func(t *testing.T) {
-			a, err := txtar.ParseFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, s := range a.Files {
-				runScript(t, s.Name, string(s.Data))
+	scripter.Scripts(t, "testdata/*.txtar", func(t *testing.T, text scripter.Script) {
+		s := &script{world: newWorld(3, 1)}
+		text.Play(t, s.commands(), func(_ string, do func() error) error {
+			err := do()
+			if err == nil && len(s.broken) > 0 {
+				err = errors.New(s.broken[0])
 			}
+			return err
 		})
-	}
-}
-
-func runScript(t *testing.T, name, text string) {
-	s := &script{world: newWorld(3, 1)}
-	for n, line := range strings.Split(text, "\n") {
-		words := strings.Fields(line)
-		if len(words) == 0 || strings.HasPrefix(line, "#") {
-			continue
-		}
-		err := s.do(words)
-		if err == nil && len(s.broken) > 0 {
-			err = fmt.Errorf("%s", s.broken[0])
-		}
-		if err != nil {
-			t.Fatalf("%s:%d: %s: %v", name, n+1, line, err)
-		}
-	}
+	})
 }
 
 type script struct {
@@ -70,62 +45,51 @@
 	err error // of the last submit
 }
 
-func (s *script) do(words []string) error {
-	verb, args := words[0], words[1:]
-	if k, ok := workerVerbs[verb]; ok {
-		k(s.world, s.worker(args[0]))
-		return nil
+func (s *script) commands() scripter.Commands {
+	c := scripter.Commands{
+		"worker":       s.addWorker,
+		"organisation": func(name string, options ...string) { s.organisation(append([]string{name}, options...)) },
+		"submit": func(id, organisation string, options ...string) {
+			s.err = s.submit(job(append([]string{id, organisation}, options...)))
+		},
+		"wave": func(count int, id, organisation string, options ...string) {
+			for n := range count {
+				j := job(append([]string{id, organisation}, options...))
+				j.ID = fmt.Sprintf("%s%d", j.ID, n)
+				s.err = errors.Join(s.err, s.submit(j))
+			}
+		},
+		"force": func(id, organisation string, options ...string) { // into the log without being validated
+			j := job(append([]string{id, organisation}, options...))
+			s.append(reducer.AppendRecord{Record: reducer.JobAccepted{Job: j, Accepted: s.now}}, func(reducer.Event) {})
+		},
+		"expire": s.expire,
+		"cancel": func(id string) {
+			s.append(reducer.AppendRecord{Record: reducer.JobCancelled{
+				Job: id, Organisation: s.status(id).Job.Organisation,
+			}}, func(reducer.Event) {})
+		},
+		"advance":             s.run,
+		"log-down":            func() { s.logDown = true },
+		"log-up":              func() { s.logDown = false },
+		"lose-append-answers": func(times int) { s.loseAnswers = times },
+		"lose-command": func(worker string, k reducer.CommandKind, times int) {
+			s.worker(worker).lost[k] = times
+		},
+		"lose-answer": func(worker string, k reducer.CommandKind, times int) {
+			s.worker(worker).unheard[k] = times
+		},
+		"kill-vm":  func(name string) { s.vm(name).alive = false },
+		"start-vm": func(name string) { s.boot(s.vm(name)) },
+		"cut-from": func(worker, vm string) { s.worker(worker).cutFrom = s.vm(vm).id },
+		"pause":    func(name string) { s.vm(name).paused = true },
+		"resume":   func(name string) { s.resume(s.vm(name)) },
+		"expect":   func(what string, words ...string) error { return s.expect(append([]string{what}, words...)) },
 	}
-	switch verb {
-	case "worker": // ID RACK ACCELERATORS
-		s.addWorker(args[0], args[1], number(args[2]))
-	case "organisation": // NAME [key=value ...]
-		s.organisation(args)
-	case "submit": // ID ORGANISATION [key=value ...]
-		s.err = s.submit(job(args))
-	case "wave": // COUNT ID ORGANISATION [key=value ...]
-		for n := range number(args[0]) {
-			j := job(args[1:])
-			j.ID = fmt.Sprintf("%s%d", j.ID, n)
-			s.err = errors.Join(s.err, s.submit(j))
-		}
-	case "force": // ID ORGANISATION [key=value ...]: into the log without being validated
-		j := job(args)
-		s.append(reducer.AppendRecord{Record: reducer.JobAccepted{Job: j, Accepted: s.now}}, func(reducer.Event) {})
-	case "expire": // AGE
-		s.expire(duration(args[0]))
-	case "cancel":
-		s.append(reducer.AppendRecord{Record: reducer.JobCancelled{
-			Job: args[0], Organisation: s.status(args[0]).Job.Organisation,
-		}}, func(reducer.Event) {})
-	case "advance":
-		s.run(duration(args[0]))
-	case "log-down":
-		s.logDown = true
-	case "log-up":
-		s.logDown = false
-	case "lose-append-answers":
-		s.loseAnswers = number(args[0])
-	case "lose-command": // WORKER KIND TIMES
-		s.worker(args[0]).lost[reducer.CommandKind(args[1])] = number(args[2])
-	case "lose-answer": // WORKER KIND TIMES
-		s.worker(args[0]).unheard[reducer.CommandKind(args[1])] = number(args[2])
-	case "kill-vm":
-		s.vm(args[0]).alive = false
-	case "start-vm":
-		s.boot(s.vm(args[0]))
-	case "cut-from": // WORKER VM
-		s.worker(args[0]).cutFrom = s.vm(args[1]).id
-	case "pause":
-		s.vm(args[0]).paused = true
-	case "resume":
-		s.resume(s.vm(args[0]))
-	case "expect":
-		return s.expect(args)
-	default:
-		return fmt.Errorf("unknown command %q", verb)
+	for name, f := range workerVerbs {
+		c[name] = func(worker string) { f(s.world, s.worker(worker)) }
 	}
-	return nil
+	return c
 }
 
 var workerVerbs = map[string]func(*world, *fakeWorker){
