Decode the records of a stream by kind in one place

Cause: claimer, publisher and reducer each had a switch from a record's type to its kind, one from the kind to the type, and the same generic function that decodes a body; internal/server marshalled and named the kind by hand in two more places. A new kind had to be written three times, and one forgotten in one switch compiled.

Change: follower.Kinds is a map from kind to a value of its type, and encodes and decodes by it. Kinds and bodies in the log are as before.

Ruled out: a switch made of type parameters, since Go cannot ask that T implements the interface R; a registry filled from init functions, which is mutable state.

Seen failing: with the check of an unknown kind left out, TestKinds panics.

Conclusion: one way to name and decode records.

--- a/claimer/record.go
+++ b/claimer/record.go
@@ -8,8 +8,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/follower"
 )
 
 // Record is an entry of the stream.
@@ -49,19 +50,16 @@
 func (Release) isRecord() {}
 func (Mark) isRecord()    {}
 
+var kinds = follower.Kinds[Record]{KindClaim: Claim{}, KindRelease: Release{}, KindMark: Mark{}}
+
 // Kind returns the kind of r.
-func Kind(r Record) string {
-	switch r.(type) {
-	case Claim:
-		return KindClaim
-	case Release:
-		return KindRelease
-	case Mark:
-		return KindMark
-	default:
-		return ""
-	}
-}
+func Kind(r Record) string { return kinds.Kind(r) }
+
+// EncodeRecord returns the kind of r and the body of its envelope.
+func EncodeRecord(r Record) (string, json.RawMessage, error) { return kinds.Encode(r) }
+
+// DecodeRecord returns the record of a kind from the body of its envelope.
+func DecodeRecord(kind string, body json.RawMessage) (Record, error) { return kinds.Decode(kind, body) }
 
 // EnvelopeID returns the id that the envelope of r carries.
 func EnvelopeID(r Record) string {
@@ -76,25 +74,3 @@
 		return ""
 	}
 }
-
-// DecodeRecord returns the record of a kind from the body of its envelope.
-func DecodeRecord(kind string, body json.RawMessage) (Record, error) {
-	switch kind {
-	case KindClaim:
-		return decodeAs[Claim](kind, body)
-	case KindRelease:
-		return decodeAs[Release](kind, body)
-	case KindMark:
-		return decodeAs[Mark](kind, body)
-	default:
-		return nil, fmt.Errorf("decode record: kind %q is not known", kind)
-	}
-}
-
-func decodeAs[T Record](kind string, body json.RawMessage) (Record, error) {
-	var r T
-	if err := json.Unmarshal(body, &r); err != nil {
-		return nil, fmt.Errorf("decode %s: %w", kind, err)
-	}
-	return r, nil
-}
--- a/claimer/script_test.go
+++ b/claimer/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -157,9 +156,9 @@
 			v.Skip(v.next)
 			continue
 		}
-		b, err := json.Marshal(e.record)
+		kind, body, err := claimer.EncodeRecord(e.record)
 		if err == nil {
-			err = v.Read(v.next, e.appended, claimer.Kind(e.record), b)
+			err = v.Read(v.next, e.appended, kind, body)
 		}
 		if err != nil {
 			panic(err)
--- /dev/null
+++ b/follower/kinds_test.go
@@ -0,0 +1,34 @@
+package follower_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/follower"
+)
+
+type (
+	gained struct {
+		ID string `json:"id"`
+	}
+	lost struct{}
+)
+
+func TestKinds(t *testing.T) {
+	is := is.New(t)
+	k := follower.Kinds[any]{"gained": gained{}}
+	kind, body, err := k.Encode(gained{"x"})
+	is.NoErr(err)
+	is.Equal(kind, "gained")
+	r, err := k.Decode(kind, body)
+	is.NoErr(err)
+	is.Equal(r, gained{"x"})
+	_, _, err = k.Encode(lost{})
+	is.True(err != nil) // a type of another stream
+	_, err = k.Decode("lost", json.RawMessage(`{}`))
+	is.True(err != nil) // a kind of another version is no empty record
+	_, err = k.Decode("gained", json.RawMessage(`{"id":7}`))
+	is.True(err != nil)
+}
--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -37,11 +36,11 @@
 func (s *Server) appendClaims(ctx context.Context, records []claimer.Record) error {
 	g, ctx := errgroup.WithContext(ctx)
 	for _, r := range records {
-		b, err := json.Marshal(r)
+		kind, body, err := claimer.EncodeRecord(r)
 		if err != nil {
-			return fmt.Errorf("encode %s record: %w", claimer.Kind(r), err)
+			return err
 		}
-		e := follower.Envelope{ID: claimer.EnvelopeID(r), Kind: claimer.Kind(r), VM: s.Settings.VM, Body: b}
+		e := follower.Envelope{ID: claimer.EnvelopeID(r), Kind: kind, VM: s.Settings.VM, Body: body}
 		g.Go(func() error { return s.claimsAppender.Append(ctx, e) })
 	}
 	if err := g.Wait(); err != nil {
--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -86,15 +85,15 @@
 
 // appendConfig appends a record to the configuration stream under an id.
 func (s *Server) appendConfig(ctx context.Context, id string, r publisher.Record) error {
-	b, err := json.Marshal(r)
+	kind, body, err := publisher.EncodeRecord(r)
 	if err != nil {
-		return fmt.Errorf("encode %s record: %w", publisher.Kind(r), err)
+		return err
 	}
 	c, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	e := follower.Envelope{ID: id, Kind: publisher.Kind(r), VM: s.Settings.VM, Body: b}
+	e := follower.Envelope{ID: id, Kind: kind, VM: s.Settings.VM, Body: body}
 	if err := s.configAppender.Append(c, e); err != nil {
-		return fmt.Errorf("append %s record: %w", publisher.Kind(r), err)
+		return fmt.Errorf("append %s record: %w", kind, err)
 	}
 	return nil
 }
--- a/publisher/record.go
+++ b/publisher/record.go
@@ -8,8 +8,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/follower"
 )
 
 // Record is an entry of the stream.
@@ -60,38 +61,13 @@
 func (Withdrawal) isRecord() {}
 func (Snapshot) isRecord()   {}
 
+var kinds = follower.Kinds[Record]{KindChange: Change{}, KindWithdrawal: Withdrawal{}, KindSnapshot: Snapshot{}}
+
 // Kind returns the kind of r.
-func Kind(r Record) string {
-	switch r.(type) {
-	case Change:
-		return KindChange
-	case Withdrawal:
-		return KindWithdrawal
-	case Snapshot:
-		return KindSnapshot
-	default:
-		return ""
-	}
-}
+func Kind(r Record) string { return kinds.Kind(r) }
 
-// DecodeRecord returns the record of a kind from the body of its envelope.
-func DecodeRecord(kind string, body json.RawMessage) (Record, error) {
-	switch kind {
-	case KindChange:
-		return decodeAs[Change](kind, body)
-	case KindWithdrawal:
-		return decodeAs[Withdrawal](kind, body)
-	case KindSnapshot:
-		return decodeAs[Snapshot](kind, body)
-	default:
-		return nil, fmt.Errorf("decode record: kind %q is not known", kind)
-	}
-}
+// EncodeRecord returns the kind of r and the body of its envelope.
+func EncodeRecord(r Record) (string, json.RawMessage, error) { return kinds.Encode(r) }
 
-func decodeAs[T Record](kind string, body json.RawMessage) (Record, error) {
-	var r T
-	if err := json.Unmarshal(body, &r); err != nil {
-		return nil, fmt.Errorf("decode %s: %w", kind, err)
-	}
-	return r, nil
-}
+// DecodeRecord returns the record of a kind from the body of its envelope.
+func DecodeRecord(kind string, body json.RawMessage) (Record, error) { return kinds.Decode(kind, body) }
