Show by file and key what a publication would change

Change: lacewingdoor diff DIR prints each key that would be added, removed or changed, as text or JSON, with the exit codes of diff(1): 0, 1, and 2 for any error. Files that differ by comments or layout only are named so. Organisations and services that would disappear are shown with the flag that publish wants for them.

Ruled out: a reader of its own beside publish; comparing decoded configurations, which would hide which file a key stands in and show defaults as changes.

Seen failing: with the exit code left out, diff.txtar fails at line 3; with equal and unequal values exchanged, at line 13.

Conclusion: go test ./internal/cmd ./publisher ./decoder passes. Not tried against daemons; the script runs against the configuration API in memory.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -9,7 +9,7 @@
 	"github.com/alecthomas/kong"
 )
 
-// The exit codes of every command.
+// The exit codes of every command but diff.
 const (
 	ExitOK      = 0 // done as asked
 	ExitFailed  = 1 // could not be done; the message says why
@@ -34,6 +34,7 @@
 	Cancel   CancelCmd   `cmd:"" help:"Cancel a job."`
 	Check    CheckCmd    `cmd:"" help:"Check configuration files without a server."`
 	Demo     DemoCmd     `cmd:"" help:"Run the whole path in one process and check its promises."`
+	Diff     DiffCmd     `cmd:"" help:"Show what publishing files would change. Exits with 0 for no difference, 1 for one, 2 for an error."`
 	History  HistoryCmd  `cmd:"" help:"List the last changes of configuration."`
 	Jobs     JobsCmd     `cmd:"" help:"List jobs."`
 	Key      KeyCmd      `cmd:"" help:"Print a new bearer key and its hash."`
--- a/internal/cmd/files.go
+++ b/internal/cmd/files.go
@@ -44,6 +44,15 @@
 	return files, nil
 }
 
+// collectUnder is collectFiles with a prefix put before the name of each file.
+func collectUnder(prefix, dir string) ([]decoder.File, error) {
+	files, err := collectFiles(dir)
+	for i := range files {
+		files[i].Name = path.Join(prefix, files[i].Name)
+	}
+	return files, err
+}
+
 // readPaths reads files, and every *.toml file below directories. Names hold the
 // given paths, so that an editor finds them.
 func readPaths(paths []string) ([]decoder.File, error) {
--- a/internal/cmd/publishcmd.go
+++ b/internal/cmd/publishcmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"path"
 
 	"github.com/lacewingdoor/lacewingdoor/publisher"
 )
@@ -21,13 +20,10 @@
 
 // Run publishes and waits until every live entry VM has the change.
 func (p *PublishCmd) Run(c *Config) error {
-	files, err := collectFiles(p.Dir)
+	files, err := collectUnder(p.Prefix, p.Dir)
 	if err != nil {
 		return &ExitError{ExitUsage, err}
 	}
-	for i := range files {
-		files[i].Name = path.Join(p.Prefix, files[i].Name)
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), p.Timeout)
 	defer cancel()
 	return configurationClient{&p.Client}.publish(ctx, c, p.ID, publisher.Request{
--- a/publisher/plan.go
+++ b/publisher/plan.go
@@ -28,6 +28,7 @@
 	Change  Change
 	Config  decoder.Config // that would come into force
 	Diff    string         // unified, of all files
+	Changes []KeyChange    // by file and key
 	Dropped []string       // organisations and services that would disappear
 }
 
@@ -57,6 +58,9 @@
 		return p, err
 	}
 	p.Config = c
+	if p.Changes, err = keyChanges(s, p.Change.Files); err != nil {
+		return p, err
+	}
 	p.Dropped = dropped(s.Config(), c)
 	if len(p.Dropped) > 0 && !r.AllowRemoval {
 		return p, &DroppedError{Names: p.Dropped}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -41,12 +41,14 @@
 
 // Result is how a publication went.
 type Result struct {
-	ID       string    `json:"id"`       // of the change, empty when there was nothing to publish
-	Revision int64     `json:"revision"` // in force
-	Diff     string    `json:"diff"`
-	DryRun   bool      `json:"dry-run"`
-	Arrived  []Arrival `json:"arrived"` // in the order in which VMs had it
-	Missing  []string  `json:"missing"` // live VMs that did not have it in time
+	ID       string      `json:"id"`       // of the change, empty when there was nothing to publish
+	Revision int64       `json:"revision"` // in force
+	Diff     string      `json:"diff"`
+	Changes  []KeyChange `json:"changes"` // by file and key
+	Dropped  []string    `json:"dropped"` // organisations and services that disappear
+	DryRun   bool        `json:"dry-run"`
+	Arrived  []Arrival   `json:"arrived"` // in the order in which VMs had it
+	Missing  []string    `json:"missing"` // live VMs that did not have it in time
 }
 
 // Arrival is when a VM had the revision in force.
@@ -84,7 +86,7 @@
 	}
 	if r.DryRun {
 		p.report("dry run: nothing was published")
-		return Result{Revision: s.Revision(), Diff: plan.Diff, DryRun: true}, nil
+		return Result{Revision: s.Revision(), Diff: plan.Diff, Changes: plan.Changes, Dropped: plan.Dropped, DryRun: true}, nil
 	}
 	return p.bringIntoForce(ctx, plan)
 }
@@ -101,7 +103,7 @@
 
 // bringIntoForce appends the change once and follows it.
 func (p *Publisher) bringIntoForce(ctx context.Context, plan Plan) (Result, error) {
-	result := Result{ID: plan.Change.ID, Diff: plan.Diff}
+	result := Result{ID: plan.Change.ID, Diff: plan.Diff, Changes: plan.Changes, Dropped: plan.Dropped}
 	sent := p.Now()
 	err := p.append(ctx, plan.Change)
 	if errors.Is(err, ErrNotAppended) {
