Refuse a publication that promises more than workers report

Cause: reducer.Promised, which packs the guarantees of every hour onto idle workers, was called by no command. Guarantees were checked against the declared [[capacity]] alone, and not at all without it, so an operator could promise what no worker has.

Change: the entry VM that receives a change asks every listed worker that is not leaving for its size, and refuses with 409 over-capacity, not-run, before the append, if the guarantees would not fit. Only a change that promises more than is in force is judged, so that the loss of workers blocks no other publication. Readers of the log judge a record by files alone, as before. Publisher.Check, a seam that nothing set, is gone.

Ruled out: the reducer's state of the receiving VM, since readings of workers go to the leader alone (seen: a VM that does not lead shows no workers); a new call to the leader, as each worker can be asked; a check by readers, who would disagree for good.

Not measured: 1,000 workers, and the time that asking them takes.

Conclusion: a promise is checked against what is there at the moment of publishing.

--- a/internal/cmd/configurationclient.go
+++ b/internal/cmd/configurationclient.go
@@ -22,7 +22,11 @@
 const publishPoll = 250 * time.Millisecond
 
 // configurationClient reads and changes the configuration through an entry VM.
-type configurationClient struct{ *Client }
+type configurationClient struct {
+	*Client
+
+	force string // reason to append a change that promises more than workers report
+}
 
 // publish brings a request into force under an id, a random one when it is
 // empty, and prints how it went.
@@ -98,7 +102,11 @@
 }
 
 func (k configurationClient) appendChange(ctx context.Context, c publisher.Change) error {
-	err := k.callContext(ctx, http.MethodPost, publisher.PathChanges, c, nil)
+	path := publisher.PathChanges
+	if k.force != "" {
+		path += "?" + url.Values{publisher.ParameterForce: {k.force}}.Encode()
+	}
+	err := k.callContext(ctx, http.MethodPost, path, c, nil)
 	if err != nil && surelyNotRun(err) {
 		return fmt.Errorf("%w: %w", publisher.ErrNotAppended, err)
 	}
--- a/internal/cmd/diffcmd.go
+++ b/internal/cmd/diffcmd.go
@@ -30,7 +30,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), d.Timeout)
 	defer cancel()
-	k := configurationClient{&d.Client}
+	k := configurationClient{Client: &d.Client}
 	r, err := k.publisher().Publish(ctx, publisher.Request{
 		Files: files, Remove: d.Remove, AllowRemoval: true, DryRun: true,
 	})
--- a/internal/cmd/historycmd.go
+++ b/internal/cmd/historycmd.go
@@ -20,7 +20,7 @@
 func (h *HistoryCmd) Run(c *Config) error {
 	ctx, cancel := context.WithTimeout(context.Background(), h.Timeout)
 	defer cancel()
-	a, err := configurationClient{&h.Client}.configuration(ctx)
+	a, err := configurationClient{Client: &h.Client}.configuration(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/rollbackcmd.go
+++ b/internal/cmd/rollbackcmd.go
@@ -11,6 +11,7 @@
 	Client `embed:""`
 	Change string `arg:"" help:"Id of the change, as lacewingdoor history prints it."`
 	DryRun bool   `help:"Show the difference and stop."`
+	Force  string `help:"Reason to publish guarantees that promise more than workers report; it is logged." placeholder:"REASON"`
 }
 
 // Run publishes the earlier content of the files that the change brought, as a
@@ -18,7 +19,7 @@
 func (r *RollbackCmd) Run(c *Config) error {
 	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
 	defer cancel()
-	k := configurationClient{&r.Client}
+	k := configurationClient{Client: &r.Client, force: r.Force}
 	a, err := k.configuration(ctx)
 	if err != nil {
 		return err
--- a/internal/responder/configuration.go
+++ b/internal/responder/configuration.go
@@ -39,6 +39,9 @@
 		return refuser.New(http.StatusConflict, "newer-format", "this VM is older than the publisher and cannot judge the change")
 	}
 	c.Publisher = o.Name
+	if err := r.Promised(q.Context(), c, q.URL.Query().Get(publisher.ParameterForce)); err != nil {
+		return refuser.New(http.StatusConflict, "over-capacity", err.Error())
+	}
 	return r.appendConfig(w, q, c.ID, c)
 }
 
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -34,6 +34,9 @@
 	// AppendConfig appends a record to the configuration stream, waits until it is
 	// read back, and returns its offset.
 	AppendConfig func(ctx context.Context, id string, r publisher.Record) (int64, error)
+	// Promised reports why workers could not hold the guarantees of a change. A
+	// reason to force the change is logged instead.
+	Promised func(ctx context.Context, c publisher.Change, force string) error
 	// Detail returns what the leader knows of jobs, by full id; all jobs when ids
 	// is empty. It is nil when this VM leads or the leader can't be asked.
 	Detail func(ctx context.Context, ids []string, why bool) map[string]JobResponse
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -173,6 +173,7 @@
 		Detail:        s.detail,
 		Metrics:       s.recorder,
 		Now:           s.Now,
+		Promised:      s.promised,
 		Status:        s.status,
 	}
 }
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -6,8 +6,6 @@
 	"errors"
 	"fmt"
 	"time"
-
-	"github.com/lacewingdoor/lacewingdoor/decoder"
 )
 
 // ErrNotAppended says that a change is surely not in the log, nor will be.
@@ -38,9 +36,8 @@
 	Wait      func(ctx context.Context) error                 // until the next look; the error is that of ctx
 	Now       func() time.Time
 	NewID     func() string
-	Check     func(c decoder.Config) error // against what only the publisher sees, such as live capacity; may be nil
-	Report    func(line string)            // tells what goes on
-	Settle    time.Duration                // DefaultSettle when 0
+	Report    func(line string) // tells what goes on
+	Settle    time.Duration     // DefaultSettle when 0
 }
 
 // Result is how a publication went.
@@ -109,9 +106,6 @@
 	if v, ok := s.Verdict(id); ok {
 		return Result{ID: id, Diff: plan.Diff}, fmt.Errorf("%w: id %s was used before at offset %d, with the outcome %s", ErrNotAppended, id, v.Offset, v.Outcome)
 	}
-	if err := p.check(plan.Config); err != nil {
-		return Result{Diff: plan.Diff}, err
-	}
 	if r.DryRun {
 		p.report("dry run: nothing was published")
 		return Result{Revision: s.Revision(), Diff: plan.Diff, Changes: plan.Changes, Dropped: plan.Dropped, DryRun: true}, nil
@@ -119,16 +113,6 @@
 	return p.bringIntoForce(ctx, plan)
 }
 
-func (p *Publisher) check(c decoder.Config) error {
-	if p.Check == nil {
-		return nil
-	}
-	if err := p.Check(c); err != nil {
-		return fmt.Errorf("check against live capacity: %w", err)
-	}
-	return nil
-}
-
 // bringIntoForce appends the change once and follows it.
 func (p *Publisher) bringIntoForce(ctx context.Context, plan Plan) (Result, error) {
 	result := Result{ID: plan.Change.ID, Diff: plan.Diff, Changes: plan.Changes, Dropped: plan.Dropped}
--- a/publisher/wire.go
+++ b/publisher/wire.go
@@ -11,6 +11,9 @@
 	// problem+json; its outcome is "not-run" when nothing was appended, nor will
 	// be, and "unknown" when the log's answer was lost.
 	PathChanges = "/-/configuration/changes"
+	// ParameterForce is the query parameter of PathChanges with the reason for which
+	// a change is appended that promises more than workers report.
+	ParameterForce = "force"
 )
 
 // ChangeResponse tells where the record went.
--- a/reducer/promised.go
+++ b/reducer/promised.go
@@ -15,12 +15,20 @@
 	Guarantee    string    // the one for which no room is left
 	At           time.Time // an instant at which it and the others hold
 	Block        int       // first of its blocks that has no room, counting from 1
+
+	Promised placer.Resources // by all guarantees of that instant
+	Exists   placer.Resources // of all workers
 }
 
-// Error names the guarantee, the block and the hour.
+// Error names the guarantee, the block and the hour, what is promised then and what
+// exists.
 func (e *OverpromisedError) Error() string {
-	return fmt.Sprintf("guarantee %q of organisation %q: no room for block %d at %s beside the other guarantees of that hour",
-		e.Guarantee, e.Organisation, e.Block, e.At.Format(time.RFC3339))
+	return fmt.Sprintf("guarantee %q of organisation %q: no room for block %d at %s beside the other guarantees of that hour: promised are %s, workers have %s",
+		e.Guarantee, e.Organisation, e.Block, e.At.Format(time.RFC3339), amounts(e.Promised), amounts(e.Exists))
+}
+
+func amounts(r placer.Resources) string {
+	return fmt.Sprintf("%d accelerators, %d milli-cores and %d MiB", r.Accelerators, r.MilliCores, r.MemoryMB)
 }
 
 // Promised reports whether idle workers could hold the guarantees of every hour
@@ -36,6 +44,19 @@
 	return nil
 }
 
+// PromisesMore reports whether after has a guarantee that before has not, or has with
+// fewer blocks.
+func PromisesMore(before, after decoder.Config) bool {
+	had := promises(before)
+	return slices.ContainsFunc(promises(after), func(p promise) bool {
+		return !slices.ContainsFunc(had, func(h promise) bool {
+			blocks := h.Blocks
+			h.Blocks, h.Location = p.Blocks, p.Location // of the same TimeZone, resolved again
+			return h == p && blocks >= p.Blocks
+		})
+	})
+}
+
 // promise is a guarantee with its owner.
 type promise struct {
 	decoder.Guarantee
@@ -82,7 +103,14 @@
 	for _, p := range in {
 		for n := range p.Blocks {
 			if !placeBlock(p.Guarantee, free) {
-				return &OverpromisedError{Organisation: p.owner, Guarantee: p.Name, At: at, Block: n + 1}
+				e := &OverpromisedError{Organisation: p.owner, Guarantee: p.Name, At: at, Block: n + 1}
+				for _, p := range in {
+					e.Promised = e.Promised.Plus(p.Block.Times(p.Blocks))
+				}
+				for _, w := range workers {
+					e.Exists = e.Exists.Plus(w.Capacity)
+				}
+				return e
 			}
 		}
 	}
--- a/reducer/promised_test.go
+++ b/reducer/promised_test.go
@@ -42,6 +42,28 @@
 	c.Organisations[0].Guarantees[0].Blocks = 3
 	is.True(errors.As(reducer.Promised(c, workers), &e))
 	is.Equal(e.Block, 3)
+	is.Equal(e.Promised.Accelerators, 24)
+	is.Equal(e.Exists.Accelerators, 16)
+}
+
+func TestPromisesMore(t *testing.T) {
+	is := is.New(t)
+	with := func(owner string, g ...decoder.Guarantee) decoder.Config {
+		return decoder.Config{Organisations: []decoder.Organisation{{Name: owner, Guarantees: g}}}
+	}
+	a := decoder.Guarantee{Name: "a", Blocks: 2, TimeZone: "UTC", Location: time.UTC}
+	b, fewer, longer := a, a, a
+	b.Name, b.Location = "b", time.Local
+	fewer.Blocks, longer.To = 1, time.Hour
+	is.True(!reducer.PromisesMore(with("x", a, b), with("x", a)))
+	is.True(!reducer.PromisesMore(with("x", a), with("x", fewer)))
+	is.True(reducer.PromisesMore(with("x", fewer), with("x", a)))
+	is.True(reducer.PromisesMore(with("x", a), with("x", longer)))
+	is.True(reducer.PromisesMore(with("x", a), with("x", a, b)))
+	is.True(reducer.PromisesMore(with("x", a), with("y", a))) // another owner
+	elsewhere := a
+	elsewhere.Location = time.Local // resolved anew, of the same name
+	is.True(!reducer.PromisesMore(with("x", a), with("x", elsewhere)))
 }
 
 // A VM that starts from another's snapshot knows what the other knows.
