Hold the steps of a script and what they print in one file

Cause: each archive of claimer and of publisher's apply scripts had its commands twice: in the file "steps", and again, echoed, in the file "want".

Change: the file "session" is what was "want". Its lines that begin with "> " are the commands, and all that is printed, the echoes included, is compared with the whole file as before.

TestSession covers that printed lines are no commands and that a session without a command fails.

--- a/claimer/script_test.go
+++ b/claimer/script_test.go
@@ -18,8 +18,7 @@
 	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
 )
 
-// TestClaimScripts runs the file "steps" of each script in virtual time and
-// compares what the steps print with the file "want".
+// TestClaimScripts runs the file "session" of each archive in virtual time.
 func TestClaimScripts(t *testing.T) {
 	scripter.Archives(t, "testdata/claims/*.txtar", func(t *testing.T, a scripter.Archive) {
 		synctest.Test(t, func(t *testing.T) { claimScript(t, a) })
@@ -28,7 +27,8 @@
 
 func claimScript(t *testing.T, a scripter.Archive) {
 	w := newWorld()
-	a.Script(t, "steps").Play(t, w.commands(), func(line string, do func() error) error {
+	session := a.Script(t, "session")
+	session.Session().Play(t, w.commands(), func(line string, do func() error) error {
 		fmt.Fprintf(&w.out, "> %s\n", line)
 		defer w.settle()
 		return do()
@@ -36,7 +36,7 @@
 	for _, v := range w.vms {
 		v.stop()
 	}
-	is.New(t).Equal(w.out.String(), a.Script(t, "want").Text)
+	is.New(t).Equal(w.out.String(), session.Text)
 }
 
 // logMode is how the log treats an append.
--- a/internal/scripter/scripter.go
+++ b/internal/scripter/scripter.go
@@ -82,6 +82,21 @@
 	return Script{}
 }
 
+// Session returns the commands of a script that holds what they print too: those are
+// the lines that begin with "> ". Whoever plays them prints each line before it runs,
+// and compares all that was printed with the text of the script.
+func (s Script) Session() Script {
+	lines := strings.Split(s.Text, "\n")
+	for i, l := range lines {
+		lines[i], _ = strings.CutPrefix(l, "> ")
+		if lines[i] == l {
+			lines[i] = "" // its place keeps the numbers of the others
+		}
+	}
+	s.Text = strings.Join(lines, "\n")
+	return s
+}
+
 // Archives runs f for each archive that matches a pattern, as a subtest of the
 // archive's name. It ends the test if there is none.
 func Archives(t *testing.T, pattern string, f func(*testing.T, Archive)) {
--- a/internal/scripter/scripter_test.go
+++ b/internal/scripter/scripter_test.go
@@ -35,6 +35,17 @@
 	})
 }
 
+func TestSession(t *testing.T) {
+	is := is.New(t)
+	s := scripter.Script{Archive: "a.txtar", Name: "session", Text: "> add 1\n1\n  > add 2\n> fail now\n"}
+	var added []int
+	_, err := s.Session().Do(scripter.Commands{"add": func(n int) { added = append(added, n) }, "fail": errors.New}, nil)
+	is.Equal(added, []int{1}) // what is printed is no command
+	is.Equal(err.Error(), "a.txtar:3: session: fail now: now")
+	_, err = scripter.Script{Text: "printed\n"}.Session().Do(scripter.Commands{}, nil)
+	is.True(err != nil) // a session without a command is no pass
+}
+
 func TestFindNothing(t *testing.T) {
 	is := is.New(t)
 	_, err := scripter.Find(filepath.Join(t.TempDir(), "*.txtar"))
--- a/publisher/apply_test.go
+++ b/publisher/apply_test.go
@@ -29,16 +29,16 @@
 	body json.RawMessage
 }
 
-// TestApplyScripts runs the file "steps" of each script and compares what the
-// steps print with the file "want".
+// TestApplyScripts runs the file "session" of each archive.
 func TestApplyScripts(t *testing.T) {
 	scripter.Archives(t, "testdata/apply/*.txtar", func(t *testing.T, a scripter.Archive) {
 		w := world{first: 1, readers: map[string]*publisher.Reader{}, files: a.Files()}
-		a.Script(t, "steps").Play(t, w.commands(), func(line string, do func() error) error {
+		session := a.Script(t, "session")
+		session.Session().Play(t, w.commands(), func(line string, do func() error) error {
 			fmt.Fprintf(&w.out, "> %s\n", line)
 			return do()
 		})
-		is.New(t).Equal(w.out.String(), a.Script(t, "want").Text)
+		is.New(t).Equal(w.out.String(), session.Text)
 	})
 }
 
