--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -33,22 +33,6 @@
 	Fail  bool  `json:"fail"`   // it ends as failed
 }
 
-// WorkerEvent is a start or an end of a task.
-type WorkerEvent struct {
-	Lease    leaser.ID    `json:"lease"`
-	GangSize int          `json:"gang-size"`
-	Event    string       `json:"event"` // "start" or "end"
-	State    leaser.State `json:"state"` // in which it ended
-	Reason   string       `json:"reason"`
-	AtMS     int64        `json:"at-ms"` // Unix milliseconds
-}
-
-// WorkerHistory answers GET /history.
-type WorkerHistory struct {
-	Events []WorkerEvent `json:"events"`
-	Starts int           `json:"starts"`
-}
-
 // Worker is a worker of the platform, whose tasks are timers.
 type Worker struct {
 	Table leaser.Table // as it starts; set before Run
@@ -68,12 +52,6 @@
 	fail bool
 }
 
-// workerPast is a table as it was from a time on.
-type workerPast struct {
-	at    time.Time
-	table leaser.Table
-}
-
 // NewWorker returns a worker without leases.
 func NewWorker(t leaser.Table) *Worker {
 	w := &Worker{Table: t, table: t, tasks: map[leaser.ID]task{}, mux: http.NewServeMux()}
@@ -173,35 +151,6 @@
 	return k
 }
 
-func (w *Worker) note(now time.Time, e WorkerEvent) {
-	e.AtMS = now.UnixMilli()
-	w.history.Events = append(w.history.Events, e)
-}
-
-// remember keeps the tables that a lag can ask for.
-func (w *Worker) remember(now time.Time) {
-	w.past = append(w.past, workerPast{at: now, table: w.table})
-	w.past = w.past[w.pastAt(now):]
-}
-
-// pastAt returns the place of the table that a lagging inventory tells.
-func (w *Worker) pastAt(now time.Time) int {
-	then := now.Add(-milliseconds(w.control.get().LagMS))
-	i := len(w.past) - 1
-	for i > 0 && w.past[i].at.After(then) {
-		i--
-	}
-	return i
-}
-
-// told returns the inventory as far as the lag lets it be known.
-func (w *Worker) told(now time.Time) leaser.Inventory {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	lag := milliseconds(w.control.get().LagMS)
-	return w.past[w.pastAt(now)].table.Inventory(now.Add(-lag))
-}
-
 // held lets the failures that hold for every request act first.
 func (w *Worker) held(f http.HandlerFunc) http.HandlerFunc {
 	return func(a http.ResponseWriter, r *http.Request) {
@@ -233,12 +182,6 @@
 	}
 }
 
-func (w *Worker) tellHistory(a http.ResponseWriter, _ *http.Request) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	answer(a, http.StatusOK, w.history)
-}
-
 // status returns the status that tells an error of the table.
 func status(err error) int {
 	var f *leaser.FencedError
