--- a/internal/demonstrator/world.go
+++ b/internal/demonstrator/world.go
@@ -1,12 +1,8 @@
 package demonstrator
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -232,62 +228,3 @@
 	w.running.Wait()
 	_ = os.RemoveAll(w.dir) // it holds a secret of no further use
 }
-
-// call calls an entry VM as an operator or an organisation.
-func (w *world) call(ctx context.Context, v *vm, method, path, key string, body, answer any) error {
-	var b []byte
-	if body != nil {
-		var err error
-		if b, err = json.Marshal(body); err != nil {
-			return fmt.Errorf("encode request to %s: %w", v.id, err)
-		}
-	}
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+v.callers+path, bytes.NewReader(b))
-	if err != nil {
-		return fmt.Errorf("make request to %s: %w", v.id, err)
-	}
-	q.Header.Set("Authorization", "Bearer "+key)
-	a, err := w.client.Do(q)
-	if err != nil {
-		return fmt.Errorf("call %s: %w", v.id, err)
-	}
-	defer func() { _ = a.Body.Close() }()
-	text, err := io.ReadAll(a.Body)
-	if err != nil {
-		return fmt.Errorf("read answer of %s: %w", v.id, err)
-	}
-	if a.StatusCode >= http.StatusBadRequest {
-		return fmt.Errorf("%s %s at %s: %s: %s", method, path, v.id, a.Status, text)
-	}
-	if answer == nil {
-		return nil
-	}
-	return json.Unmarshal(text, answer)
-}
-
-// live returns an entry VM that runs, in turn.
-func (w *world) live(i int) *vm {
-	var v []*vm
-	for _, x := range w.vms {
-		if !x.dead {
-			v = append(v, x)
-		}
-	}
-	return v[i%len(v)]
-}
-
-// leader returns the entry VM that leads.
-func (w *world) leader(ctx context.Context) (*vm, error) {
-	all, err := w.status(ctx)
-	if err != nil {
-		return nil, err
-	}
-	for _, s := range all {
-		for _, v := range w.vms {
-			if s.Leading && v.id == s.VM {
-				return v, nil
-			}
-		}
-	}
-	return nil, errors.New("no entry VM leads")
-}
