Pack guarantees once for hours in which the same ones hold

Besides, it took blocks off workers by binary search, which missed them when they were not sorted by id, so that nothing was used up.

Change: moments are judged from the most guarantees to the fewest, and one whose guarantees all hold at a moment that fitted is not packed again: what fits together fits in part. First fit could have refused such a part, wrongly. The copy of the workers is sorted.

Changed check: the workers of TestPromisedLooksAtTheHoursThatOverlap stand in an order other than by id; it fails without the sorting. A case was added in which fewer guarantees do not fit where more do; it fails if every moment counts as within another.

--- a/reducer/promised.go
+++ b/reducer/promised.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/decoder"
@@ -34,16 +35,66 @@
 // Promised reports whether idle workers could hold the guarantees of every hour
 // at once. The error is an *OverpromisedError. It looks at the moments at which a
 // guarantee begins, on a day in winter and one in summer, as clocks that are put
-// forward make hours in different zones overlap otherwise.
+// forward make hours in different zones overlap otherwise. Guarantees that all hold
+// at another moment, at which they fit, are not packed again.
 func Promised(c decoder.Config, workers []placer.Worker) error {
+	all := promises(c)
+	var moments []moment
 	for _, at := range beginnings(c) {
-		if err := promisedAt(c, workers, at); err != nil {
+		moments = append(moments, momentOf(all, at))
+	}
+	slices.SortStableFunc(moments, func(a, b moment) int { return b.count - a.count })
+	var fit []moment
+	for _, m := range moments {
+		if slices.ContainsFunc(fit, m.within) {
+			continue
+		}
+		if err := promisedAt(m.in(all), workers, m.at); err != nil {
 			return err
 		}
+		fit = append(fit, m)
 	}
 	return nil
 }
 
+// moment is a time and which guarantees hold then.
+type moment struct {
+	at    time.Time
+	holds []bool // by guarantee
+	count int
+}
+
+func momentOf(all []promise, at time.Time) moment {
+	m := moment{at: at, holds: make([]bool, len(all))}
+	for i, p := range all {
+		if InHours(p.Guarantee, at) {
+			m.holds[i] = true
+			m.count++
+		}
+	}
+	return m
+}
+
+// within reports whether all guarantees of m hold at o too.
+func (m moment) within(o moment) bool {
+	for i, h := range m.holds {
+		if h && !o.holds[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (m moment) in(all []promise) []promise {
+	var in []promise
+	for i, p := range all {
+		if m.holds[i] {
+			in = append(in, p)
+		}
+	}
+	return in
+}
+
 // PromisesMore reports whether after has a guarantee that before has not, or has with
 // fewer blocks.
 func PromisesMore(before, after decoder.Config) bool {
@@ -90,15 +141,15 @@
 	return all
 }
 
-// promisedAt packs the blocks that hold at a time onto idle workers, the closest
-// and largest ones first.
-func promisedAt(c decoder.Config, workers []placer.Worker, at time.Time) error {
+// promisedAt packs the blocks of the guarantees that hold at a time onto idle workers,
+// the closest and largest ones first.
+func promisedAt(in []promise, workers []placer.Worker, at time.Time) error {
 	free := make([]placer.Worker, len(workers))
 	for i, w := range workers {
 		w.Free = w.Capacity
 		free[i] = w
 	}
-	in := slices.DeleteFunc(promises(c), func(p promise) bool { return !InHours(p.Guarantee, at) })
+	slices.SortFunc(free, func(a, b placer.Worker) int { return strings.Compare(a.ID, b.ID) }) // as takeFrom needs them
 	slices.SortStableFunc(in, harder)
 	for _, p := range in {
 		for n := range p.Blocks {
--- a/reducer/promised_test.go
+++ b/reducer/promised_test.go
@@ -18,7 +18,7 @@
 	var workers []placer.Worker
 	for i := range 2 {
 		workers = append(workers, placer.Worker{
-			ID: fmt.Sprintf("w%d", i), Rack: "r", Capacity: placer.Resources{MilliCores: 8000, MemoryMB: 8000, Accelerators: 8},
+			ID: fmt.Sprintf("w%d", 1-i), Rack: "r", Capacity: placer.Resources{MilliCores: 8000, MemoryMB: 8000, Accelerators: 8},
 		})
 	}
 	london, err := time.LoadLocation("Europe/London")
@@ -44,6 +44,13 @@
 	is.Equal(e.Block, 3)
 	is.Equal(e.Promised.Accelerators, 24)
 	is.Equal(e.Exists.Accelerators, 16)
+	x, y, z := night, night, night
+	x.Blocks, y.Blocks, z.Blocks, z.Name = 1, 1, 3, "noon"
+	z.From, z.To = 12*time.Hour, 13*time.Hour
+	c.Organisations[0].Guarantees = []decoder.Guarantee{x, y}
+	c.Organisations[1].Guarantees = []decoder.Guarantee{z}
+	is.True(errors.As(reducer.Promised(c, workers), &e)) // more hold at night, and fit
+	is.Equal(e.Guarantee, "noon")
 }
 
 func TestPromisesMore(t *testing.T) {
