Stop borrowers that straggle in guaranteed slots when the owner waits

Cause: others might use an owner's guaranteed slots for short work, and a request was never stopped.

Change: only short idempotent work borrows guaranteed slots. When the owner waits below its share, borrowers that have run for longer than short work does (1 s) are cancelled, oldest first, no more than the owner is due; a timer looks again when the next one has. A stopped request is retried elsewhere as long work, free of budget, so it is stopped once at most. Short work that is not idempotent has a queue class of its own, so that it does not block the others behind it.

Not stopping cannot keep the guarantee.

Tests: three scripts that failed before, one of stops under way, and a random one (any run times, both with and without second attempts). Seen failing with: no reclaim, no timer, no lengthening, Held ignored when admitting and when stopping, second attempts not attached, the owner's own stopped, stops under way not counted. The limiter's test was rewritten for the new signature and checks the same and more. TestMain of the router fixes the seed of rapid.

--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -135,27 +135,36 @@
 	is := is.New(t)
 	u := limiter.Usage{Owner: "o", Share: 50}
 	const slots = 10
-	for range 5 {
-		is.True(u.May("x", true, slots))
-		u.Start("x", true)
+	long := limiter.Work{Organisation: "x", Long: true}
+	short := limiter.Work{Organisation: "x"}
+	held := limiter.Work{Organisation: "x", Held: true}
+	ownLong := limiter.Work{Organisation: "o", Long: true}
+	own := limiter.Work{Organisation: "o"}
+	for range 4 {
+		is.True(u.May(long, slots))
+		u.Start(long)
 	}
-	is.True(!u.May("x", true, slots)) // half is the owner's
-	for range 3 {
-		is.True(u.May("o", true, slots))
-		u.Start("o", true)
+	is.True(u.May(held, slots))
+	u.Start(held)
+	is.True(!u.May(long, slots)) // half is the owner's
+	is.True(!u.May(held, slots))
+	for range 4 {
+		is.True(u.May(ownLong, slots))
+		u.Start(ownLong)
 	}
-	is.True(!u.May("o", true, slots)) // a fifth is for short work
+	is.True(!u.May(ownLong, slots)) // a fifth is for short work
 	is.True(u.OwnerFirst(slots))
-	for range 2 {
-		is.True(u.May("x", false, slots))
-		u.Start("x", false)
-	}
-	is.True(!u.May("o", false, slots)) // all are in use
-	u.Finish("x", true)
-	u.Overstay("x") // a short one is long now
-	u.Finish("x", false)
-	is.True(!u.May("x", true, slots))
-	is.True(u.May("o", false, slots))
+	is.Equal(u.Due(3, 1, slots), 1) // four of five are in use
+	u.Start(short)
+	is.True(!u.May(own, slots)) // all are in use
+	u.Finish(long)
+	u.Finish(short) // a short one is long now
+	u.Start(long)
+	is.True(!u.May(long, slots))
+	is.True(!u.May(held, slots))
+	is.True(u.May(own, slots))
+	u.Start(long)
+	is.Equal(u.Due(1, 1, slots), 0) // long work would not start for it
 }
 
 func TestPoolNeverLeavesOutMoreThanHalf(t *testing.T) {
--- a/limiter/usage.go
+++ b/limiter/usage.go
@@ -15,39 +15,49 @@
 	tenants map[string]count // by organisation
 }
 
+// Work is what counts of a request: whether it is long, and whether it is short
+// but may not be stopped.
+type Work struct {
+	Organisation string
+	Long         bool
+	Held         bool // short, and not idempotent
+}
+
 type count struct {
 	all  int
 	long int
+	held int // short work that is not stopped
 }
 
-// Start counts work that takes a slot.
-func (u *Usage) Start(organisation string, long bool) {
-	u.add(organisation, count{all: 1})
-	if long {
-		u.Overstay(organisation)
+func (w Work) count() count {
+	c := count{all: 1}
+	switch {
+	case w.Long:
+		c.long = 1
+	case w.Held:
+		c.held = 1
 	}
+	return c
 }
 
-// Overstay counts short work in a slot as long from now on.
-func (u *Usage) Overstay(organisation string) { u.add(organisation, count{long: 1}) }
+// Start counts work that takes a slot.
+func (u *Usage) Start(w Work) { u.add(w.Organisation, w.count(), 1) }
 
-// Finish counts work that gives its slot back.
-func (u *Usage) Finish(organisation string, long bool) {
-	c := count{all: -1}
-	if long {
-		c.long = -1
-	}
-	u.add(organisation, c)
-}
+// Finish counts work that gives its slot back. Work that ran too long finishes
+// as short and starts as long.
+func (u *Usage) Finish(w Work) { u.add(w.Organisation, w.count(), -1) }
 
-func (u *Usage) add(organisation string, c count) {
+func (u *Usage) add(organisation string, c count, sign int) {
 	if u.tenants == nil {
 		u.tenants = make(map[string]count)
 	}
 	t := u.tenants[organisation]
-	u.tenants[organisation] = count{all: t.all + c.all, long: t.long + c.long}
-	u.sum.all += c.all
-	u.sum.long += c.long
+	u.tenants[organisation] = t.plus(c, sign)
+	u.sum = u.sum.plus(c, sign)
+}
+
+func (c count) plus(o count, sign int) count {
+	return count{all: c.all + sign*o.all, long: c.long + sign*o.long, held: c.held + sign*o.held}
 }
 
 // InUse returns the number of slots that an organisation holds.
@@ -68,19 +78,26 @@
 	return slots - max(1, slots*shortReservePercent/percent)
 }
 
-// May reports whether an organisation's work may start in one of slots. Within
-// the owner's guaranteed share others may run short work only, so the owner has
-// it back within the time of one short request.
-func (u *Usage) May(organisation string, long bool, slots int) bool {
-	if u.sum.all >= slots {
+// May reports whether work may start in one of slots. Within the owner's
+// guaranteed share others may run only short work that can be stopped, so the
+// owner has it back within the time of one short request.
+func (u *Usage) May(w Work, slots int) bool {
+	if u.sum.all >= slots || (w.Long && u.sum.long >= u.LongLimit(slots)) {
 		return false
 	}
-	if !long {
+	if w.Organisation == u.Owner || (!w.Long && !w.Held) {
 		return true
 	}
-	if u.sum.long >= u.LongLimit(slots) {
-		return false
+	owner := u.tenants[u.Owner]
+	others := u.sum.long + u.sum.held - owner.long - owner.held
+	return others < slots-u.Guaranteed(slots)
+}
+
+// Due returns how many slots the owner, which has so much waiting, is to get
+// back from borrowers that ran too long.
+func (u *Usage) Due(waiting, long, slots int) int {
+	if u.sum.long > u.LongLimit(slots) {
+		waiting -= long // a slot more would not let long work start
 	}
-	others := u.sum.long - u.tenants[u.Owner].long
-	return organisation == u.Owner || others < slots-u.Guaranteed(slots)
+	return min(waiting, u.Guaranteed(slots)-u.InUse(u.Owner))
 }
--- a/queuer/prediction.go
+++ b/queuer/prediction.go
@@ -48,21 +48,22 @@
 	return time.Duration(float64(c.work) * ratio)
 }
 
-// Predict returns how long a request of an organisation and class would wait if
-// it were offered now, as [Queue.Offer] reckons.
-func (q *Queue) Predict(organisation string, weight int, long bool, c Capacity) time.Duration {
-	return q.wait(q.tenant(organisation, weight), long, c)
+// Predict returns how long a request would wait if it were offered now, as
+// [Queue.Offer] reckons.
+func (q *Queue) Predict(i *Item, c Capacity) time.Duration {
+	return q.wait(q.tenant(i.Organisation, i.Weight), i, c)
 }
 
-// wait predicts how long a request of a tenant and class waits: the work ahead
+// wait predicts how long a request of a tenant waits: the work ahead
 // of it, done by the tenant's part of the slots, and what is left of the work in
 // them, which is at most one more round. Short work is taken as going ahead of
 // long work, which it does until the long work is due.
-func (q *Queue) wait(t *tenant, long bool, c Capacity) time.Duration {
-	sum := work(&t.short, q.learned.short)
-	length := len(t.short.items)
+func (q *Queue) wait(t *tenant, i *Item, c Capacity) time.Duration {
+	held := work(&t.held, q.learned.short)
+	sum := work(&t.short, q.learned.short) + held
+	length := len(t.short.items) + len(t.held.items)
 	slots := q.part(t, c)
-	if long {
+	if i.Long {
 		sum += work(&t.long, q.learned.long)
 		length += len(t.long.items)
 		slots = min(slots, float64(c.LongSlots))
@@ -70,8 +71,12 @@
 	if length == 0 {
 		return 0
 	}
-	mean := sum / time.Duration(length)
-	return mean + time.Duration(float64(sum)/max(slots, leastPart))
+	wait := time.Duration(float64(sum) / max(slots, leastPart))
+	if i.Held && t.organisation != c.Owner {
+		// Only its own class competes for the slots that are not guaranteed.
+		wait = max(wait, time.Duration(float64(held)/max(min(slots, float64(c.Slots-c.Guaranteed)), leastPart)))
+	}
+	return sum/time.Duration(length) + wait
 }
 
 // part returns how many of the slots a tenant gets while all that have something
--- a/queuer/queue.go
+++ b/queuer/queue.go
@@ -15,6 +15,7 @@
 	Organisation string
 	Weight       int // of the organisation
 	Long         bool
+	Held         bool          // short, but it cannot be stopped, so it gets no guaranteed slot of another
 	Estimate     time.Duration // how long it will hold a slot
 	Deadline     time.Time
 	Avoid        []string // executors that were tried already
@@ -61,29 +62,45 @@
 }
 
 type tenant struct {
-	organisation string
-	weight       int
-	short, long  class
+	organisation      string
+	weight            int
+	short, held, long class
 }
 
-func (t *tenant) length() int { return len(t.short.items) + len(t.long.items) }
+func (t *tenant) length() int {
+	return len(t.short.items) + len(t.held.items) + len(t.long.items)
+}
+
+// class returns the class of a request.
+func (t *tenant) class(i *Item) *class {
+	switch {
+	case i.Long:
+		return &t.long
+	case i.Held:
+		return &t.held
+	default:
+		return &t.short
+	}
+}
 
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return q.length }
 
-// Waiting returns the number of waiting requests of an organisation.
-func (q *Queue) Waiting(organisation string) int {
+// Waiting returns the number of waiting requests of an organisation, and how
+// many of them are long.
+func (q *Queue) Waiting(organisation string) (all, long int) {
 	if i, ok := q.find(organisation); ok {
-		return q.tenants[i].length()
+		return q.tenants[i].length(), len(q.tenants[i].long.items)
 	}
-	return 0
+	return 0, 0
 }
 
 // allowed returns how long a request may be expected to wait. A queue of short
 // work that has not been empty for several slacks is no burst: it would only make
 // all wait until they are nearly late, so it is kept short.
-func (t *tenant) allowed(now time.Time, long bool, slack time.Duration) time.Duration {
-	if long || len(t.short.items) == 0 || now.Sub(t.short.since) < burstSlacks*slack {
+func (t *tenant) allowed(now time.Time, i *Item, slack time.Duration) time.Duration {
+	c := t.class(i)
+	if i.Long || len(c.items) == 0 || now.Sub(c.since) < burstSlacks*slack {
 		return slack
 	}
 	return slack / standingPart
@@ -94,9 +111,9 @@
 // part of it gives way: its last request is returned as evicted.
 func (q *Queue) Offer(now time.Time, i *Item, c Capacity) (v Verdict, retry time.Duration, evicted *Item) {
 	t := q.tenant(i.Organisation, i.Weight)
-	wait := q.wait(t, i.Long, c)
+	wait := q.wait(t, i, c)
 	slack := i.LatestStart().Sub(now)
-	if allowed := t.allowed(now, i.Long, slack); wait > allowed {
+	if allowed := t.allowed(now, i, slack); wait > allowed {
 		return TooLate, wait - max(allowed, 0), nil
 	}
 	if q.length >= q.Limit {
@@ -122,13 +139,14 @@
 	if worst == t {
 		return nil
 	}
-	c := &worst.long
-	if len(c.items) == 0 {
-		c = &worst.short
+	for _, c := range []*class{&worst.long, &worst.held, &worst.short} {
+		if len(c.items) > 0 {
+			i := c.last()
+			q.Remove(i)
+			return i
+		}
 	}
-	i := c.last()
-	q.Remove(i)
-	return i
+	return nil
 }
 
 // Eligible reports whether a request may start now.
@@ -156,12 +174,13 @@
 }
 
 func (t *tenant) next(eligible Eligible) *Item {
-	s := t.short.first(eligible)
-	l := t.long.first(eligible)
-	if s == nil || (l != nil && before(l, s)) {
-		return l
+	var best *Item
+	for _, c := range [...]*class{&t.short, &t.held, &t.long} {
+		if i := c.first(eligible); i != nil && (best == nil || before(i, best)) {
+			best = i
+		}
 	}
-	return s
+	return best
 }
 
 // Remove takes a request out of the queue and reports whether it waited.
@@ -178,10 +197,7 @@
 func (q *Queue) push(now time.Time, t *tenant, i *Item) {
 	q.order++
 	i.order = q.order
-	i.queue = &t.short
-	if i.Long {
-		i.queue = &t.long
-	}
+	i.queue = t.class(i)
 	if len(i.queue.items) == 0 {
 		i.queue.since = now
 	}
--- a/router/call.go
+++ b/router/call.go
@@ -79,6 +79,9 @@
 	c.ended = c.router.now()
 	x = s.executor
 	v := c.judge(x, s.id, &s.answer, s.err)
+	if s.err != nil && c.ticket.stopped {
+		v = c.reclaimed(v)
+	}
 	if ok, known := healthy(v); known {
 		c.dispatcher.report(x.ID, ok)
 	}
@@ -129,6 +132,7 @@
 	}
 	within, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
+	c.dispatcher.attach(c.ticket, cancel)
 	h := c.hedge(ctx, x, cancel)
 	a, err := c.router.Send(within, x, q)
 	c.dispatcher.finish(c.ticket)
@@ -192,6 +196,18 @@
 	return verdict{answer: *a}
 }
 
+// reclaimed turns what is known after an attempt that was stopped into a retry
+// as long work. It costs no budget: the owner's requests bound how many there are.
+func (c *call) reclaimed(v verdict) verdict {
+	lengthen(&c.ticket.item, c.ended, c.ended.Sub(c.started))
+	v.refusal.Code = CodeReclaimed
+	v.refusal.Detail = "its slot was needed by the service's owner"
+	v.refusal.RetryAfter = minRetryAfter
+	v.retry = true
+	v.free = true
+	return v
+}
+
 // healthy reports whether an attempt speaks for its executor, if it says
 // anything of it.
 func healthy(v verdict) (ok, known bool) {
--- a/router/crest_test.go
+++ b/router/crest_test.go
@@ -119,6 +119,13 @@
 		decoder.Route{Path: "/proof", Class: "short", Deadline: shortDeadline, DeclaredRun: shortMean * 3 / 2},
 		decoder.Route{Path: "/rebuild", Class: "long", Deadline: time.Minute, DeclaredRun: longRun},
 	)
+	w.route(s, own, set)
+	return w
+}
+
+// route takes requests to a service by the routers of the entry VMs.
+func (w *world) route(s decoder.Service, own bool, set func(r *router.Router)) {
+	z := w.size
 	vms := make([]string, z.vms)
 	for i := range vms {
 		vms[i] = fmt.Sprintf("vm%d", i)
@@ -140,7 +147,6 @@
 		_, err := routers[vm].Do(context.Background(), q)
 		return err
 	}
-	return w
 }
 
 // baseline is what callers would have without us: first come, first served at
--- a/router/dispatcher.go
+++ b/router/dispatcher.go
@@ -25,6 +25,9 @@
 	queue     queuer.Queue
 	budget    retrier.Budget
 	running   tickets // short work in slots, the oldest first
+	overdue   tickets // borrowers that ran too long and can be stopped, the oldest first
+	stopping  int     // borrowers told to stop that still have their slots
+	timed     bool    // a call of tick is due
 }
 
 func (d *dispatcher) refresh() {
@@ -90,7 +93,7 @@
 		}
 	}
 	i := &t.item
-	if d.queue.Waiting(i.Organisation) == 0 {
+	if waiting, _ := d.queue.Waiting(i.Organisation); waiting == 0 {
 		d.shares.Activate(i.Organisation)
 	}
 	t.ready = nil
@@ -137,10 +140,13 @@
 	defer d.mu.Unlock()
 	i := &t.item
 	d.pool.Give(t.executor.ID)
-	d.usage.Finish(i.Organisation, t.long)
+	d.usage.Finish(t.work())
 	d.shares.Correct(i.Organisation, i.Weight, i.Estimate, now.Sub(t.started))
 	d.queue.Learn(i.Long, i.Estimate, now.Sub(t.started))
-	d.running.remove(t)
+	t.unlist()
+	if t.stopped {
+		d.stopping--
+	}
 	t.executor = Executor{}
 	d.apply(now, d.router.Snapshot())
 	d.dispatch(now)
@@ -160,11 +166,17 @@
 	d.pool.Leave(d.router.now(), id)
 }
 
-// dispatch grants free slots to waiting requests.
+// dispatch grants free slots to waiting requests, and has slots that the owner is
+// due given back.
 func (d *dispatcher) dispatch(now time.Time) {
 	d.overstay(now)
 	d.pool.Refresh(now)
 	slots := d.pool.Slots()
+	d.grantAll(now, slots)
+	d.reclaim(now, slots)
+}
+
+func (d *dispatcher) grantAll(now time.Time, slots int) {
 	for d.queue.Len() > 0 && d.pool.CanTake(now, limiter.Choice{}) {
 		i := d.queue.Next(func(i *queuer.Item) bool { return d.eligible(now, i, slots) }, d.rank(slots))
 		if i == nil {
@@ -179,7 +191,7 @@
 }
 
 func (d *dispatcher) eligible(now time.Time, i *queuer.Item, slots int) bool {
-	if !d.usage.May(i.Organisation, i.Long, slots) {
+	if !d.usage.May(work(i), slots) {
 		return false
 	}
 	return len(i.Avoid) == 0 || d.pool.CanTake(now, choice(i))
@@ -210,7 +222,9 @@
 	t.executor = d.executors[id]
 	t.started = now
 	t.long = i.Long
-	d.usage.Start(i.Organisation, i.Long)
+	t.stopped = false
+	t.cancel = nil
+	d.usage.Start(t.work())
 	d.shares.Start(i.Organisation, i.Weight, i.Estimate)
 	if !i.Long {
 		d.running.add(t)
@@ -222,10 +236,14 @@
 // does.
 func (d *dispatcher) overstay(now time.Time) {
 	limit := d.router.shortRun()
-	for t := d.running.first; t != nil && now.Sub(t.started) > limit; t = d.running.first {
-		d.running.remove(t)
+	for t := d.running.first; t != nil && now.Sub(t.started) >= limit; t = d.running.first {
+		t.unlist()
+		d.usage.Finish(t.work())
 		t.long = true
-		d.usage.Overstay(t.item.Organisation)
+		d.usage.Start(t.work())
+		if d.stoppable(t) {
+			d.overdue.add(t)
+		}
 	}
 }
 
@@ -239,7 +257,7 @@
 }
 
 func (d *dispatcher) tooLate(i *queuer.Item) *Refusal {
-	wait := d.queue.Predict(i.Organisation, i.Weight, i.Long, d.capacity())
+	wait := d.queue.Predict(i, d.capacity())
 	return queueRefusal(queuer.TooLate, wait)
 }
 
--- a/router/helper_test.go
+++ b/router/helper_test.go
@@ -30,6 +30,7 @@
 	failing  map[string]bool // answers with status 500 at once
 	silent   map[string]bool // the answer never comes
 	failures int             // attempts that lose their connection, still to come
+	lag      time.Duration   // from the cancelling of an attempt to its end
 }
 
 func newFleet(slots int) *fleet {
@@ -88,6 +89,7 @@
 	case <-t.C:
 		return a, nil
 	case <-ctx.Done():
+		time.Sleep(f.lag)
 		return router.Answer{}, &router.SendError{Code: router.CodeDeadlinePassed, Handed: true, Final: true, Step: "send", Peer: x.ID, Err: ctx.Err()}
 	}
 }
--- a/router/load_test.go
+++ b/router/load_test.go
@@ -58,6 +58,8 @@
 		n, slots, _ := strings.Cut(w[1], "x")
 		s.fleet = newFleet(8)
 		s.executors = executors(number1(t, n), number1(t, slots))
+	case "lag":
+		s.fleet.lag = amount(t, w[1])
 	case "weight":
 		s.weights[w[1]] = number1(t, w[2])
 	case "share":
@@ -66,9 +68,9 @@
 		s.service.QueueLimit = number1(t, w[1])
 	case "learned":
 		s.learned[w[1]] = options(t, "x="+w[2])["x"]
-	case "route":
+	case "route", "route-non-idempotent":
 		o := options(t, w[3:]...)
-		s.service.Routes = append(s.service.Routes, decoder.Route{Path: w[1], Class: w[2], DeclaredRun: o["run"], Deadline: o["deadline"]})
+		s.service.Routes = append(s.service.Routes, decoder.Route{Path: w[1], Class: w[2], DeclaredRun: o["run"], Deadline: o["deadline"], NonIdempotent: w[0] != "route"})
 	case "load":
 		s.load(t, w)
 	case "expect":
@@ -150,6 +152,7 @@
 func (s *stage) observe(o router.Observation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.measured[fmt.Sprintf("%s %s attempts", o.Organisation, o.Route)] += int64(o.Attempts)
 	name := fmt.Sprintf("%s %s wait", o.Organisation, o.Route)
 	if o.Code != "" {
 		name = fmt.Sprintf("%s %s kept", o.Organisation, o.Route)
--- /dev/null
+++ b/router/reclaim_test.go
@@ -0,0 +1,110 @@
+package router_test
+
+import (
+	"flag"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/router"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// arrival is some requests alike that come at once.
+type arrival struct {
+	pause        time.Duration // before it
+	count        int
+	organisation string
+	path         string
+	run          time.Duration
+}
+
+// arrivals draws what borrowers and the owner send; the owner sends no more
+// requests than it has guaranteed slots.
+func arrivals(r *rapid.T, slots, guaranteed int) []arrival {
+	runs := []time.Duration{short, 900 * time.Millisecond, 3 * time.Second, 20 * time.Second}
+	var list []arrival
+	for range rapid.IntRange(1, 40).Draw(r, "arrivals") {
+		a := arrival{
+			pause: time.Duration(rapid.IntRange(0, 1500).Draw(r, "pause")) * time.Millisecond,
+			run:   rapid.SampledFrom(runs).Draw(r, "run"), organisation: "morfa",
+		}
+		if guaranteed > 0 && rapid.IntRange(0, 3).Draw(r, "who") == 0 {
+			a.organisation = "etiquetar"
+			a.path = rapid.SampledFrom([]string{"/proof", "/print"}).Draw(r, "path")
+			a.count = rapid.IntRange(1, guaranteed).Draw(r, "count")
+			guaranteed -= a.count
+		} else {
+			a.path = rapid.SampledFrom([]string{"/proof", "/proof", "/print", "/rebuild"}).Draw(r, "path")
+			a.count = rapid.IntRange(1, 2*slots).Draw(r, "count")
+		}
+		list = append(list, a)
+	}
+	return list
+}
+
+// observe plays arrivals and returns what the router observed.
+func observe(t *testing.T, n *router.Snapshot, list []arrival) []router.Observation {
+	var seen []router.Observation
+	synctest.Test(t, func(t *testing.T) {
+		x := newRouter(newFleet(10), n)
+		var mu sync.Mutex
+		x.Observe = func(o router.Observation) {
+			mu.Lock()
+			defer mu.Unlock()
+			seen = append(seen, o)
+		}
+		var work sync.WaitGroup
+		for _, a := range list {
+			time.Sleep(a.pause)
+			for range a.count {
+				work.Go(func() { _, _ = x.Do(t.Context(), request(a.organisation, a.path, a.run)) })
+			}
+		}
+		work.Wait()
+		_ = x.Drain(t.Context()) // what cannot be stopped runs on
+	})
+	return seen
+}
+
+// Whatever borrowers run, and for however long, an owner with no more requests
+// than its guaranteed share has slots waits for none longer than short work runs.
+// Its requests are never stopped, and what is not idempotent is sent once.
+func TestGuaranteedShareComesBack(t *testing.T) {
+	const slots, guaranteed = 10, 5
+	s := service(
+		decoder.Route{Path: "/proof", Class: "short", Deadline: time.Minute, DeclaredRun: short},
+		decoder.Route{Path: "/print", Class: "short", Deadline: time.Minute, DeclaredRun: short, NonIdempotent: true},
+		decoder.Route{Path: "/rebuild", Class: "long", Deadline: time.Minute, DeclaredRun: 10 * time.Second},
+	)
+	s.Share = 100 * guaranteed / slots
+	stopped := 0
+	rapid.Check(t, func(r *rapid.T) {
+		is := is.New(r)
+		s.RetryPercent = rapid.SampledFrom([]int{0, 100}).Draw(r, "retry-percent") // with and without second attempts
+		count := rapid.SampledFrom([]int{1, 2, 5}).Draw(r, "executors")
+		for _, o := range observe(t, snapshot(s, executors(count, slots/count)), arrivals(r, slots, guaranteed)) {
+			is.True(o.Organisation == "morfa" || (o.Code == "" && o.Wait <= time.Second))
+			if s.RetryPercent > 0 && o.Route != "/print" {
+				continue
+			}
+			stopped += max(o.Attempts-1, 0)
+			is.True(o.Attempts <= 1 || (o.Route == "/proof" && o.Organisation == "morfa"))
+			is.True(o.Attempts <= 2) // stopped once at most
+		}
+	})
+	is.New(t).True(stopped > 0)
+}
--- a/router/request.go
+++ b/router/request.go
@@ -55,6 +55,7 @@
 	CodeDeadlinePassed   Code = "deadline-passed"
 	CodeNoExecutor       Code = "no-executor"
 	CodeRefused          Code = "executor-refused"
+	CodeReclaimed        Code = "slot-reclaimed" // it ran too long in a guaranteed slot
 	CodeUnreachable      Code = "executor-unreachable"
 	CodeConnectionLost   Code = "connection-lost"
 	CodeBadAnswer        Code = "bad-answer"
--- a/router/router.go
+++ b/router/router.go
@@ -196,6 +196,7 @@
 		estimate = o.DeclaredRun
 	}
 	t.item.Organisation = q.Organisation
+	t.item.Held = !t.item.Long && o.NonIdempotent
 	t.item.Weight = max(weight, 1)
 	t.item.Deadline = q.Deadline
 	// A high quantile may pass the deadline where a few requests are stragglers.
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lacewingdoor/lacewingdoor/limiter"
 	"github.com/lacewingdoor/lacewingdoor/queuer"
 )
 
@@ -13,10 +14,23 @@
 	executor Executor
 	refusal  *Refusal
 	started  time.Time
-	long     bool // counted as long in the usage
+	long     bool   // counted as long in the usage
+	cancel   func() // ends the attempt that holds the slot; nil before it began
+	stopped  bool   // the slot was reclaimed for the owner of the service
 
-	next, previous *ticket // in dispatcher.running
-	listed         bool
+	list           *tickets // that it is in, nil for none
+	next, previous *ticket  // in list
+}
+
+// work returns what the usage counts of t.
+func (t *ticket) work() limiter.Work {
+	w := work(&t.item)
+	w.Long = t.long
+	return w
+}
+
+func work(i *queuer.Item) limiter.Work {
+	return limiter.Work{Organisation: i.Organisation, Long: i.Long, Held: i.Held}
 }
 
 // wake tells the waiting goroutine, if there is one yet.
@@ -32,7 +46,7 @@
 }
 
 func (l *tickets) add(t *ticket) {
-	t.listed = true
+	t.list = l
 	t.next = nil
 	t.previous = l.last
 	if l.last != nil {
@@ -43,11 +57,13 @@
 	l.last = t
 }
 
-func (l *tickets) remove(t *ticket) {
-	if !t.listed {
+// unlist takes t out of the list that it is in, if any.
+func (t *ticket) unlist() {
+	l := t.list
+	if l == nil {
 		return
 	}
-	t.listed = false
+	t.list = nil
 	if t.previous != nil {
 		t.previous.next = t.next
 	} else {
