Divide slots so that VMs that disagree on who is live give out no more

Cause: each VM divided an executor's slots among the VMs it took for live, and used what it gained 2 s later. A VM also used one slot of each executor at its start, and its old share after a pause.

Change: limiter.Division. Shares do not rise when more VMs are counted, so the sum holds as long as of any two VMs that use slots each counts the other. A VM counts others at once; uses slots when all that it counts say that they heard it, or after 3.5 s; drops silent ones only while it exchanges heartbeats with more than half, and after 3.5 s beyond suspicion, by when a VM that was cut off knows. VMs that reach half or fewer keep the share that they had. A VM that owns no slot of a service uses one in sum instead of one of each executor, and none before it is counted.

Ruled out: stopping VMs that reach half or fewer (no excess at all, but no service when more than half die at once); dropping only what the list dropped (an eighth idle for a minute after each death); a vote (no consensus here).

TestVMWithoutSlots now also asks that a VM without slots serves one request at a time and none before it is counted; both seen failing.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -158,6 +158,20 @@
 	return s.filter(now, true, func(Member) bool { return true })
 }
 
+// Others returns the sorted VMs but for this one that are thought to be live,
+// those that are leaving included, and those of which only others have heard.
+func (s State) Others(now time.Time) []string {
+	var v []string
+	for _, m := range s.members {
+		if s.direct(now, m) {
+			v = append(append(v, m.Digest.VM), m.Digest.Heard...)
+		}
+	}
+	v = slices.DeleteFunc(v, func(vm string) bool { return vm == s.self })
+	slices.Sort(v)
+	return slices.Compact(v)
+}
+
 // Heard returns the sorted VMs that this VM has itself heard lately.
 func (s State) Heard(now time.Time) []string {
 	var v []string
@@ -169,6 +183,33 @@
 	return v
 }
 
+// Mutual returns the sorted VMs that this VM has itself heard lately, and since
+// it was last paused, and that have heard it.
+func (s State) Mutual(now time.Time) []string {
+	var v []string
+	for _, m := range s.members {
+		if s.direct(now, m) && !m.Heard.Before(s.woke) && slices.Contains(m.Digest.Heard, s.self) {
+			v = append(v, m.Digest.VM)
+		}
+	}
+	return v
+}
+
+// Known returns the sorted other VMs that may be live although they are silent:
+// those that are not forgotten and did not say that they leave.
+func (s State) Known() []string {
+	var v []string
+	for _, m := range s.members {
+		if !m.Digest.Leaving {
+			v = append(v, m.Digest.VM)
+		}
+	}
+	return v
+}
+
+// Woke returns when a pause of this process was last noticed, zero for never.
+func (s State) Woke() time.Time { return s.woke }
+
 // Members returns all other VMs that are known, sorted.
 func (s State) Members() []Member { return slices.Clone(s.members) }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/lacewingdoor/lacewingdoor/internal/connector"
 	"github.com/lacewingdoor/lacewingdoor/internal/forwarder"
 	"github.com/lacewingdoor/lacewingdoor/internal/runner"
+	"github.com/lacewingdoor/lacewingdoor/limiter"
 	"github.com/lacewingdoor/lacewingdoor/publisher"
 	"github.com/lacewingdoor/lacewingdoor/recorder"
 	"github.com/lacewingdoor/lacewingdoor/reducer"
@@ -137,11 +138,12 @@
 	}
 	s.prepareTraffic()
 	s.view.Store(&view{
-		self:    s.Settings.VM,
-		control: s.newControl(),
-		config:  s.config.State(),
-		members: heartbeater.New(s.Settings.VM),
-		logUp:   true,
+		self:     s.Settings.VM,
+		control:  s.newControl(),
+		config:   s.config.State(),
+		members:  heartbeater.New(s.Settings.VM),
+		division: limiter.NewDivision(s.Settings.VM, heartbeater.SuspectAfter),
+		logUp:    true,
 	})
 	return nil
 }
--- a/internal/server/traffic.go
+++ b/internal/server/traffic.go
@@ -5,54 +5,47 @@
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/decoder"
-	"github.com/lacewingdoor/lacewingdoor/heartbeater"
 	"github.com/lacewingdoor/lacewingdoor/internal/connector"
 	"github.com/lacewingdoor/lacewingdoor/limiter"
 	"github.com/lacewingdoor/lacewingdoor/router"
 )
 
-// settleTime is how long a VM waits before it uses slots gained by a change of
-// membership: their former owner has heard of the change by then.
-const settleTime = 2 * heartbeater.Interval
-
 // defaultSlots is the number of slots of an executor whose list row names none.
 const defaultSlots = 8
 
 // retraffic builds the snapshot for traffic, if anything that it depends on has
 // changed.
 func (s *Server) retraffic(now time.Time, v view) view {
-	present := v.members.Present(now)
-	leaving := union(v.leaving, v.members.LeavingExecutors(now))
-	if !slices.Equal(present, s.traffic.present) {
-		s.traffic.settled = now.Add(settleTime)
-	}
-	settled := !now.Before(s.traffic.settled)
+	v.division = v.division.With(now, limiter.Sight{
+		Present: v.members.Others(now), Mutual: v.members.Mutual(now), Known: v.members.Known(),
+		Paused: !v.members.Woke().Equal(s.traffic.woke),
+	})
 	t := trafficInputs{
-		revision: v.config.Revision(), list: v.list,
-		present: present, leaving: leaving, settled: s.traffic.settled, isSettled: settled,
+		revision: v.config.Revision(), list: v.list, leaving: union(v.leaving, v.members.LeavingExecutors(now)),
+		sharing: v.division.VMs(), joined: v.division.Joined(), woke: v.members.Woke(),
 	}
 	if v.traffic != nil && s.traffic.equal(t) {
 		return v
 	}
 	s.traffic = t
-	v.settled = v.settled || settled
+	v.settled = v.settled || t.joined
 	v.traffic = s.snapshot(v, t)
 	return v
 }
 
 // trafficInputs is what a snapshot for traffic was built from.
 type trafficInputs struct {
-	revision  int64
-	list      []connector.ListedVM
-	present   []string // entry VMs that share the slots
-	leaving   []string // executors
-	settled   time.Time
-	isSettled bool
+	revision int64
+	list     []connector.ListedVM
+	sharing  []string // entry VMs that share the slots
+	joined   bool     // this one may use its share
+	leaving  []string // executors
+	woke     time.Time
 }
 
 func (t trafficInputs) equal(o trafficInputs) bool {
-	return t.revision == o.revision && t.isSettled == o.isSettled &&
-		slices.Equal(t.present, o.present) && slices.Equal(t.leaving, o.leaving) &&
+	return t.revision == o.revision && t.joined == o.joined && t.woke.Equal(o.woke) &&
+		slices.Equal(t.sharing, o.sharing) && slices.Equal(t.leaving, o.leaving) &&
 		slices.Equal(t.list, o.list)
 }
 
@@ -61,6 +54,7 @@
 	n := &router.Snapshot{
 		Revision:  c.Revision,
 		Zone:      s.Settings.Zone,
+		Apart:     !t.joined,
 		Services:  map[string]decoder.Service{},
 		Executors: map[string][]router.Executor{},
 		Weights:   map[string]int{},
@@ -73,40 +67,23 @@
 	}
 	for _, l := range v.list {
 		if l.Role == connector.RoleExecutor {
-			n.Executors[l.Service] = append(n.Executors[l.Service], s.executor(v, t, l))
+			n.Executors[l.Service] = append(n.Executors[l.Service], executor(v, t, l))
 		}
 	}
 	return n
 }
 
 // executor returns an executor with the slots that this VM may use of it.
-func (s *Server) executor(v view, t trafficInputs, l connector.ListedVM) router.Executor {
+func executor(v view, t trafficInputs, l connector.ListedVM) router.Executor {
 	total := l.Slots
 	if total == 0 {
 		total = defaultSlots
 	}
-	slots := limiter.Own(t.present, s.Settings.VM, l.ID, total)
-	if !t.isSettled {
-		slots = min(slots, ownedBefore(v.traffic, l))
-	}
 	_, leaving := slices.BinarySearch(t.leaving, l.ID)
 	return router.Executor{
 		ID: l.ID, Address: l.Address, Zone: l.Zone,
-		Slots: slots, Total: total, Leaving: l.Leaving || leaving,
-	}
-}
-
-// ownedBefore returns the slots that this VM had of an executor before.
-func ownedBefore(n *router.Snapshot, l connector.ListedVM) int {
-	if n == nil {
-		return 0
-	}
-	for _, x := range n.Executors[l.Service] {
-		if x.ID == l.ID {
-			return x.Slots
-		}
+		Slots: v.division.Own(l.ID, total), Total: total, Leaving: l.Leaving || leaving,
 	}
-	return 0
 }
 
 // union returns the sorted elements of both sorted slices, each once.
--- a/internal/server/view.go
+++ b/internal/server/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/lacewingdoor/lacewingdoor/heartbeater"
 	"github.com/lacewingdoor/lacewingdoor/internal/connector"
+	"github.com/lacewingdoor/lacewingdoor/limiter"
 	"github.com/lacewingdoor/lacewingdoor/publisher"
 	"github.com/lacewingdoor/lacewingdoor/reducer"
 	"github.com/lacewingdoor/lacewingdoor/router"
@@ -18,6 +19,7 @@
 	control        reducer.State
 	config         publisher.State
 	members        heartbeater.State
+	division       limiter.Division
 	list           []connector.ListedVM // sorted by id
 	addresses      map[listKey]string   // of the list
 	leaving        []string             // executors that said so to this VM, sorted
@@ -29,7 +31,7 @@
 	controlOffset  int64 // next offset of the control stream
 	logUp          bool
 	logDownSince   time.Time // while logUp is false
-	settled        bool      // the slots were divided once
+	settled        bool      // this VM had a share of the slots once
 	paused         bool      // this process was paused and has not read the log since
 }
 
--- a/router/dispatcher.go
+++ b/router/dispatcher.go
@@ -28,6 +28,7 @@
 	overdue   tickets // borrowers that ran too long and can be stopped, the oldest first
 	stopping  int     // borrowers told to stop that still have their slots
 	timed     bool    // a call of tick is due
+	extra     bool    // this VM owns no slot, and may use a single one
 }
 
 func (d *dispatcher) refresh() {
@@ -171,7 +172,7 @@
 func (d *dispatcher) dispatch(now time.Time) {
 	d.overstay(now)
 	d.pool.Refresh(now)
-	slots := d.pool.Slots()
+	slots := d.slots()
 	d.grantAll(now, slots)
 	d.reclaim(now, slots)
 }
@@ -249,7 +250,7 @@
 
 // capacity returns what serves the queue now.
 func (d *dispatcher) capacity() queuer.Capacity {
-	slots := d.pool.Slots()
+	slots := d.slots()
 	return queuer.Capacity{
 		Slots: slots, LongSlots: d.usage.LongLimit(slots),
 		Owner: d.usage.Owner, Guaranteed: d.usage.Guaranteed(slots),
--- a/router/hedge.go
+++ b/router/hedge.go
@@ -138,7 +138,7 @@
 	d.overstay(now)
 	d.pool.Refresh(now)
 	c := limiter.Choice{Avoid: append(i.Avoid[:len(i.Avoid):len(i.Avoid)], first.ID), AvoidZone: first.Zone}
-	if d.queue.Len() > 0 || !d.usage.May(limiter.Work{Organisation: i.Organisation}, d.pool.Slots()) || !d.pool.CanTake(now, c) || !d.budget.Spend() {
+	if d.queue.Len() > 0 || !d.usage.May(limiter.Work{Organisation: i.Organisation}, d.slots()) || !d.pool.CanTake(now, c) || !d.budget.Spend() {
 		return nil
 	}
 	t := &ticket{}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -315,14 +315,22 @@
 	})
 }
 
-// A service with fewer slots than there are entry VMs is served by all of them.
+// A service with fewer slots than there are entry VMs is served by all of them,
+// one request at a time by a VM that owns none; but by none that the others do
+// not count yet.
 func TestVMWithoutSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(1)
 		x := executors(2, 0)
 		x[0].Total, x[1].Total = 1, 1
-		r := newRouter(f, snapshot(service(), x))
+		n := snapshot(service(), x)
+		apart := *n
+		apart.Apart = true
+		_, err := newRouter(f, &apart).Do(t.Context(), request("etiquetar", "/proof", short))
+		is.Equal(refusal(err), "no-executor not-run")
+		r := newRouter(f, n)
+		start := time.Now()
 		var w sync.WaitGroup
 		for range 6 {
 			w.Go(func() {
@@ -332,8 +340,9 @@
 		}
 		w.Wait()
 		is.Equal(f.most, map[string]int{"e00": 1, "e01": 1})
+		is.Equal(time.Since(start), 6*short)
 		f.busy["e00"], f.busy["e01"] = 1, 1 // by another VM
-		_, err := r.Do(t.Context(), request("etiquetar", "/print", short))
+		_, err = r.Do(t.Context(), request("etiquetar", "/print", short))
 		is.Equal(refusal(err), "executor-refused not-run")
 	})
 }
--- a/router/slots.go
+++ b/router/slots.go
@@ -27,12 +27,21 @@
 		d.executors[x.ID] = x
 		owned[i] = limiter.Executor{ID: x.ID, Zone: x.Zone, Slots: x.Slots, Leaving: x.Leaving}
 	}
-	if ownsNone(owned) {
+	d.extra = !s.Apart && ownsNone(owned)
+	if d.extra {
 		borrow(owned, list)
 	}
 	d.pool.Set(now, owned)
 }
 
+// slots returns how many slots may be in use in sum.
+func (d *dispatcher) slots() int {
+	if d.extra {
+		return min(1, d.pool.Slots())
+	}
+	return d.pool.Slots()
+}
+
 func ownsNone(owned []limiter.Executor) bool {
 	for _, x := range owned {
 		if x.Slots > 0 && !x.Leaving {
@@ -43,8 +52,9 @@
 }
 
 // borrow lets a VM that owns no slot of a service, because the service has fewer
-// slots than there are entry VMs, use one of each executor. The executor's own
-// refusal when it is full, which means not-run, keeps that safe.
+// slots than there are entry VMs, use a single one of any executor. So the service
+// is given at most one slot more for each such VM, and the executor's own refusal
+// when it is full, which means not-run, keeps that safe.
 func borrow(owned []limiter.Executor, list []Executor) {
 	for i, x := range list {
 		owned[i].Slots = min(1, x.Total)
--- a/router/snapshot.go
+++ b/router/snapshot.go
@@ -15,6 +15,7 @@
 type Snapshot struct {
 	Revision  int64                      // of the configuration
 	Zone      string                     // availability zone of this VM
+	Apart     bool                       // the other VMs don't count this one yet, so it may use no slot
 	Services  map[string]decoder.Service // by name
 	Executors map[string][]Executor      // by service
 	Weights   map[string]int             // by organisation; 1 for those not listed
