Test when there is no second attempt

Cause: three conditions of second attempts had no test: that nobody waits for a slot, that the work is short, and that the attempt could still end in time.

Change: TestNoHedge. With a silent executor, a request is left without a second attempt while a ninth long request waits although slots are free (long work leaves a fifth of them), when it is long itself, and when three estimates pass its latest start.

Seen failing: each of the three conditions left out fails its own case and no other.

--- a/router/hedge_test.go
+++ b/router/hedge_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lacewingdoor/lacewingdoor/decoder"
 	"github.com/lacewingdoor/lacewingdoor/router"
 )
 
@@ -77,3 +78,45 @@
 		is.Equal(time.Since(start), 350*time.Millisecond)
 	})
 }
+
+// There is no second attempt while another request waits for a slot, for long
+// work, or when it would end too late.
+func TestNoHedge(t *testing.T) {
+	for name, c := range map[string]struct {
+		path     string
+		deadline time.Duration
+		longs    int // long requests beside it; eight run, others wait
+	}{
+		"another-waits": {"/proof", 2 * time.Second, 9},
+		"long":          {"/rebuild", time.Minute, 0},
+		"too-late":      {"/proof", 350 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(8)
+				f.silent["e00"] = true
+				s := service(
+					decoder.Route{Path: "/proof", Class: "short", Deadline: time.Minute, DeclaredRun: short},
+					decoder.Route{Path: "/rebuild", Class: "long", Deadline: time.Minute, DeclaredRun: 10 * time.Second},
+				)
+				s.RetryPercent = 100
+				r := newRouter(f, snapshot(s, executors(5, 2)))
+				q := request("etiquetar", c.path, short)
+				q.Deadline = time.Now().Add(c.deadline)
+				var w sync.WaitGroup
+				w.Go(func() {
+					_, err := r.Do(t.Context(), q)
+					is.Equal(refusal(err), "deadline-passed unknown")
+				})
+				synctest.Wait()
+				for range c.longs {
+					w.Go(func() { _, _ = r.Do(t.Context(), request("etiquetar", "/rebuild", 10*time.Second)) })
+				}
+				time.Sleep(c.deadline + time.Millisecond)
+				is.Equal(f.attempts(), 1+min(c.longs, 8))
+				w.Wait()
+			})
+		})
+	}
+}
