--- a/prober/prober.go
+++ b/prober/prober.go
@@ -11,14 +11,10 @@
 package prober
 
 import (
-	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"syscall"
 	"time"
-
-	"github.com/go-resty/resty/v2"
 )
 
 // DropBound is the longest time for which a silent connection is kept.
@@ -51,27 +47,3 @@
 		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, unackedBound) },
 	}
 }
-
-// Prober asks executors on fresh connections.
-type Prober struct {
-	client *resty.Client
-}
-
-// New returns a Prober.
-func New() *Prober {
-	t := &http.Transport{DialContext: Dialer().DialContext, DisableKeepAlives: true}
-	return &Prober{client: resty.New().SetTransport(t).SetTimeout(dialTimeout)}
-}
-
-// Alive returns nil if the executor at address answers GET /healthz on a fresh
-// connection.
-func (p *Prober) Alive(ctx context.Context, address string) error {
-	a, err := p.client.R().SetContext(ctx).Get("http://" + address + "/healthz")
-	if err != nil {
-		return fmt.Errorf("probe executor at %s: %w", address, err)
-	}
-	if a.IsError() {
-		return fmt.Errorf("probe executor at %s: status %d", address, a.StatusCode())
-	}
-	return nil
-}
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -50,16 +50,6 @@
 	is.Equal(p, prober.Unknown)
 }
 
-func TestAlive(t *testing.T) {
-	is := is.New(t)
-	p := prober.New()
-	is.NoErr(p.Alive(t.Context(), start(t, true, false)))
-	v, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	is.NoErr(v.Close())
-	is.True(p.Alive(t.Context(), v.Addr().String()) != nil)
-}
-
 // The kernel gives up a connection before the bound, whether bytes wait to be
 // acknowledged or nothing is under way.
 func TestKernelBounds(t *testing.T) {
