Take the VM's own zone first for a first attempt

Cause: the first executor was chosen by load alone, and two of three choices were in another zone, 1 ms away.

Change: Choice.Zone. The free slot of an executor in the VM's own zone goes first, and among those the least loaded; a retry still avoids the zone that failed.

Seen failing: TestPoolTakesItsOwnZoneFirst with the preference left out.

--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -131,6 +131,22 @@
 	is.Equal(p.Slots(), 11) // the lists have caught up and still show them
 }
 
+func TestPoolTakesItsOwnZoneFirst(t *testing.T) {
+	is := is.New(t)
+	var p limiter.Pool
+	p.Set(now, []limiter.Executor{{ID: "a1", Zone: "a", Slots: 2}, {ID: "b1", Zone: "b", Slots: 2}, {ID: "b2", Zone: "b", Slots: 1}})
+	var taken []string
+	for range 5 {
+		id, _ := p.Take(now, limiter.Choice{Zone: "b"})
+		taken = append(taken, id)
+	}
+	is.Equal(taken, []string{"b1", "b2", "b1", "a1", "a1"})
+	p.Give("a1")
+	p.Give("b1")
+	id, _ := p.Take(now, limiter.Choice{Zone: "b", AvoidZone: "b"})
+	is.Equal(id, "a1") // one to avoid counts more
+}
+
 func TestUsageKeepsSlotsForShortWorkAndTheOwner(t *testing.T) {
 	is := is.New(t)
 	u := limiter.Usage{Owner: "o", Share: 50}
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -21,6 +21,14 @@
 type Choice struct {
 	Avoid     []string // executors that were tried already; taken only if there is no other executor
 	AvoidZone string   // zone that is taken only if no other zone has a free slot, "" for none
+	Zone      string   // zone that is taken first if there is none to avoid, "" for none
+}
+
+func (c Choice) prefers(zone string) bool {
+	if c.AvoidZone != "" {
+		return zone != c.AvoidZone
+	}
+	return c.Zone == "" || zone == c.Zone
 }
 
 // Pool counts the slots of the executors of one service that this VM owns.
@@ -94,8 +102,8 @@
 	return n
 }
 
-// Take takes a free slot and returns the id of its executor. It prefers the
-// executor with the smallest part of its slots in use.
+// Take takes a free slot and returns the id of its executor. In the zone that is
+// preferred, and then in the others, it takes the executor with the smallest part of its slots in use.
 func (p *Pool) Take(now time.Time, c Choice) (string, bool) {
 	i := p.best(now, c)
 	if i < 0 {
@@ -130,14 +138,14 @@
 		if e.inUse >= limit {
 			continue
 		}
-		zone := c.AvoidZone == "" || e.Zone != c.AvoidZone
+		zone := c.prefers(e.Zone)
 		if best < 0 || (zone && !bestZone) || (zone == bestZone && lessLoaded(e, &p.entries[best])) {
 			best = i
 			bestZone = zone
 		}
 	}
 	if best < 0 && !fresh && len(c.Avoid) > 0 {
-		return p.best(now, Choice{AvoidZone: c.AvoidZone})
+		return p.best(now, Choice{AvoidZone: c.AvoidZone, Zone: c.Zone})
 	}
 	return best
 }
--- a/router/dispatcher.go
+++ b/router/dispatcher.go
@@ -195,7 +195,7 @@
 	if !d.usage.May(work(i), slots) {
 		return false
 	}
-	return len(i.Avoid) == 0 || d.pool.CanTake(now, choice(i))
+	return len(i.Avoid) == 0 || d.pool.CanTake(now, d.choice(i))
 }
 
 // rank orders organisations: the owner first while it is below its guaranteed
@@ -215,7 +215,7 @@
 	if !ok {
 		return
 	}
-	id, ok := d.pool.Take(now, choice(i))
+	id, ok := d.pool.Take(now, d.choice(i))
 	if !ok {
 		refuse(i, queueRefusal(queuer.Full, minRetryAfter))
 		return
@@ -262,8 +262,8 @@
 	return queueRefusal(queuer.TooLate, wait)
 }
 
-func choice(i *queuer.Item) limiter.Choice {
-	return limiter.Choice{Avoid: i.Avoid, AvoidZone: i.AvoidZone}
+func (d *dispatcher) choice(i *queuer.Item) limiter.Choice {
+	return limiter.Choice{Avoid: i.Avoid, AvoidZone: i.AvoidZone, Zone: d.snapshot.Zone}
 }
 
 // refuse ends the wait of a request without a slot.
