--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -16,6 +16,10 @@
 // ErrRefused says that a VM refuses to be read, and asking again is of no use.
 var ErrRefused = errors.New("reading is refused")
 
+// ErrWithdrawn says that a change is void, as it did not reach the log before its
+// withdrawal.
+var ErrWithdrawn = errors.New("withdrawn")
+
 // ErrUnknown says that a change may or may not be in force: its fate could not
 // be read back in time.
 var ErrUnknown = errors.New("change may or may not be in force")
@@ -41,12 +45,14 @@
 
 // Result is how a publication went.
 type Result struct {
-	ID       string    `json:"id"`       // of the change, empty when there was nothing to publish
-	Revision int64     `json:"revision"` // in force
-	Diff     string    `json:"diff"`
-	DryRun   bool      `json:"dry-run"`
-	Arrived  []Arrival `json:"arrived"` // in the order in which VMs had it
-	Missing  []string  `json:"missing"` // live VMs that did not have it in time
+	ID       string      `json:"id"`       // of the change, empty when there was nothing to publish
+	Revision int64       `json:"revision"` // in force
+	Diff     string      `json:"diff"`
+	Changes  []KeyChange `json:"changes"` // by file and key
+	Dropped  []string    `json:"dropped"` // organisations and services that disappear
+	DryRun   bool        `json:"dry-run"`
+	Arrived  []Arrival   `json:"arrived"` // in the order in which VMs had it
+	Missing  []string    `json:"missing"` // live VMs that did not have it in time
 }
 
 // Arrival is when a VM had the revision in force.
@@ -55,18 +61,42 @@
 	TookMS int64  `json:"took-ms"` // milliseconds since the change was sent
 }
 
+// settleTimes is how many times DefaultSettle a change may take until its fate is
+// known: its append, the look for it, and its withdrawal.
+const settleTimes = 3
+
 // Publish brings r into force and waits until every live VM has it, or ctx ends.
-// The context needs a deadline.
+// The context needs a deadline. A change that got lost is withdrawn and, while
+// there is time to settle another, sent anew under another id, if NewID gives one.
 //
 // The error is ErrUnknown only when what became of the change could not be read
 // back; any other error means that it is not in force and never will be. A
 // change in force is no error, even when some VM does not have it in time.
 func (p *Publisher) Publish(ctx context.Context, r Request) (Result, error) {
+	result, err := p.publish(ctx, r, p.NewID())
+	for errors.Is(err, ErrWithdrawn) && p.timeLeft(ctx) {
+		id := p.NewID()
+		if id == result.ID {
+			break
+		}
+		p.report("publishing the files anew, as change %s", id)
+		result, err = p.publish(ctx, r, id)
+	}
+	return result, err
+}
+
+// timeLeft reports whether one more change could be settled before ctx ends.
+func (p *Publisher) timeLeft(ctx context.Context) bool {
+	end, ok := ctx.Deadline()
+	return !ok || end.Sub(p.Now()) > settleTimes*p.settleTime()
+}
+
+// publish brings r into force as one change.
+func (p *Publisher) publish(ctx context.Context, r Request, id string) (Result, error) {
 	s, err := p.readComplete(ctx)
 	if err != nil {
 		return Result{}, fmt.Errorf("read the configuration in force: %w", err)
 	}
-	id := p.NewID()
 	plan, err := NewPlan(s, r, id, p.Now())
 	if errors.Is(err, ErrNothing) {
 		p.report("nothing to publish: revision %d is in force with these files", s.Revision())
@@ -84,7 +114,7 @@
 	}
 	if r.DryRun {
 		p.report("dry run: nothing was published")
-		return Result{Revision: s.Revision(), Diff: plan.Diff, DryRun: true}, nil
+		return Result{Revision: s.Revision(), Diff: plan.Diff, Changes: plan.Changes, Dropped: plan.Dropped, DryRun: true}, nil
 	}
 	return p.bringIntoForce(ctx, plan)
 }
@@ -101,7 +131,7 @@
 
 // bringIntoForce appends the change once and follows it.
 func (p *Publisher) bringIntoForce(ctx context.Context, plan Plan) (Result, error) {
-	result := Result{ID: plan.Change.ID, Diff: plan.Diff}
+	result := Result{ID: plan.Change.ID, Diff: plan.Diff, Changes: plan.Changes, Dropped: plan.Dropped}
 	sent := p.Now()
 	err := p.append(ctx, plan.Change)
 	if errors.Is(err, ErrNotAppended) {
