--- a/router/call.go
+++ b/router/call.go
@@ -197,18 +197,6 @@
 	return verdict{answer: *a}
 }
 
-// reclaimed turns what is known after an attempt that was stopped into a retry
-// as long work. It costs no budget: the owner's requests bound how many there are.
-func (c *call) reclaimed(v verdict) verdict {
-	lengthen(&c.ticket.item, c.ended, c.ended.Sub(c.started))
-	v.refusal.Code = CodeReclaimed
-	v.refusal.Detail = "its slot was needed by the service's owner"
-	v.refusal.RetryAfter = minRetryAfter
-	v.retry = true
-	v.free = true
-	return v
-}
-
 // healthy reports whether an attempt speaks for its executor, if it says
 // anything of it.
 func healthy(v verdict) (ok, known bool) {
--- a/router/dispatcher.go
+++ b/router/dispatcher.go
@@ -233,30 +233,6 @@
 	t.wake()
 }
 
-// overstay counts short work as long that has run for longer than short work
-// does.
-func (d *dispatcher) overstay(now time.Time) {
-	limit := d.router.shortRun()
-	for t := d.running.first; t != nil && now.Sub(t.started) >= limit; t = d.running.first {
-		t.unlist()
-		d.usage.Finish(t.work())
-		t.long = true
-		d.usage.Start(t.work())
-		if d.stoppable(t) {
-			d.overdue.add(t)
-		}
-	}
-}
-
-// capacity returns what serves the queue now.
-func (d *dispatcher) capacity() queuer.Capacity {
-	slots := d.slots()
-	return queuer.Capacity{
-		Slots: slots, LongSlots: d.usage.LongLimit(slots),
-		Owner: d.usage.Owner, Guaranteed: d.usage.Guaranteed(slots),
-	}
-}
-
 func (d *dispatcher) tooLate(i *queuer.Item) *Refusal {
 	wait := d.queue.Predict(i, d.capacity())
 	return queueRefusal(queuer.TooLate, wait)
--- a/router/reclaim.go
+++ b/router/reclaim.go
@@ -6,6 +6,21 @@
 	"github.com/lacewingdoor/lacewingdoor/queuer"
 )
 
+// overstay counts short work as long that has run for longer than short work
+// does.
+func (d *dispatcher) overstay(now time.Time) {
+	limit := d.router.shortRun()
+	for t := d.running.first; t != nil && now.Sub(t.started) >= limit; t = d.running.first {
+		t.unlist()
+		d.usage.Finish(t.work())
+		t.long = true
+		d.usage.Start(t.work())
+		if d.stoppable(t) {
+			d.overdue.add(t)
+		}
+	}
+}
+
 // reclaim stops borrowers that ran for longer than short work does, the oldest
 // first, as far as the owner of the service waits for slots of its guaranteed
 // share. If not enough of them have run so long, it looks again when the next one
@@ -69,6 +84,18 @@
 	}
 }
 
+// reclaimed turns what is known after an attempt that was stopped into a retry
+// as long work. It costs no budget: the owner's requests bound how many there are.
+func (c *call) reclaimed(v verdict) verdict {
+	lengthen(&c.ticket.item, c.ended, c.ended.Sub(c.started))
+	v.refusal.Code = CodeReclaimed
+	v.refusal.Detail = "its slot was needed by the service's owner"
+	v.refusal.RetryAfter = minRetryAfter
+	v.retry = true
+	v.free = true
+	return v
+}
+
 // lengthen makes a request that was stopped go on as long work, which gets no
 // guaranteed slot of another, so it is stopped once at most. As nothing better is
 // known, it is expected to run for as long as it has.
--- a/router/slots.go
+++ b/router/slots.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/limiter"
+	"github.com/lacewingdoor/lacewingdoor/queuer"
 )
 
 // apply takes over a snapshot.
@@ -42,6 +43,15 @@
 	return d.pool.Slots()
 }
 
+// capacity returns what serves the queue now.
+func (d *dispatcher) capacity() queuer.Capacity {
+	slots := d.slots()
+	return queuer.Capacity{
+		Slots: slots, LongSlots: d.usage.LongLimit(slots),
+		Owner: d.usage.Owner, Guaranteed: d.usage.Guaranteed(slots),
+	}
+}
+
 func ownsNone(owned []limiter.Executor) bool {
 	for _, x := range owned {
 		if x.Slots > 0 && !x.Leaving {
