--- a/router/call.go
+++ b/router/call.go
@@ -80,6 +80,9 @@
 	c.ended = c.router.now()
 	x = s.executor
 	v := c.judge(x, s.id, &s.answer, s.err)
+	if s.err != nil && c.ticket.stopped {
+		v = c.reclaimed(v)
+	}
 	if ok, known := healthy(v); known {
 		c.dispatcher.report(x.ID, ok)
 	}
@@ -130,6 +133,7 @@
 	}
 	within, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
+	c.dispatcher.attach(c.ticket, cancel)
 	h := c.hedge(ctx, x, cancel)
 	a, err := c.router.Send(within, x, q)
 	c.dispatcher.finish(c.ticket)
