Put network links between processes, and cut an entry VM off

Cause: nothing could cut one VM off from another over processes, for the stand-ins fail as a whole; docs/PROOFS.md listed peers that see each other one way only, and a VM that is cut off, as not proved.

`stand-in link ROUTE...` relays TCP for named routes; /control cuts a route, holds it back in one or both directions, and heals it; /bytes counts. A cut route keeps its port and does not listen, so that callers are refused as by a host that is gone. What is held back is passed on later, as TCP would. The script command `linked` starts an entry VM all of whose connections pass links of its own; `link` sets them.

A VM told its listening address to others, and they preferred it to the list's: links could not lie between, and a VM that listens on 0.0.0.0 would have been called there. With listen.translated, or without a single IP, it tells none, and the list's address holds, also when the list changes it.

New scripts: cut-off (safe requests go on, keyed ones are refused and don't run, no lower revision, the newest when healed) and one-way (live lists agree, one leader). A keyed request at the VM that is cut off is refused as `unknown`, not as `not-run`: the key may have run through a VM that reads the log (docs/design/0006-claims.md), so the script asserts the code, and that it has not run.

Seen failing: cut-off with the listening address told (the VM stays live) and with an unclaimed key sent; one-way with vouching left out. A link whose port the system had chosen could not listen on it again after a cut, so it asks for the port by number.

--- a/decoder/settings.go
+++ b/decoder/settings.go
@@ -12,6 +12,7 @@
 	Zone           string        // availability zone
 	CallersAddress string        // IP:PORT to listen on for callers and operators
 	PeersAddress   string        // IP:PORT to listen on for other entry VMs
+	Translated     bool          // other entry VMs reach this one by the list's address, not by PeersAddress
 	LogAddress     string        // IP:PORT of the platform's log service
 	ListAddress    string        // IP:PORT of the platform's list of VMs
 	PeerAddresses  []string      // IP:PORT of other entry VMs, tried while the list is down
@@ -40,8 +41,9 @@
 }
 
 type rawListen struct {
-	Callers any `toml:"callers"`
-	Peers   any `toml:"peers"`
+	Callers    any `toml:"callers"`
+	Peers      any `toml:"peers"`
+	Translated any `toml:"translated"`
 }
 
 type rawPlatform struct {
@@ -119,6 +121,7 @@
 		LogLevel:       s.choice("log-level", r.LogLevel, "info", "debug", "warning", "error"),
 		CallersAddress: listen.address("callers", r.Listen.Callers, true),
 		PeersAddress:   listen.address("peers", r.Listen.Peers, true),
+		Translated:     listen.boolean("translated", r.Listen.Translated),
 		LogAddress:     platform.address("log", r.Platform.Log, false),
 		ListAddress:    platform.address("list", r.Platform.List, false),
 		Retention:      platform.duration("retention", r.Platform.Retention, defaultRetention, minRetention, maxRetention),
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -24,7 +24,7 @@
 type Digest struct {
 	VM              string
 	Zone            string
-	Address         string // HOST:PORT for other entry VMs
+	Address         string // HOST:PORT for other entry VMs, "" for the one that the list names
 	Incarnation     uint64 // rises when the process starts anew
 	Sequence        uint64 // rises with each digest of an incarnation
 	Leaving         bool
@@ -110,7 +110,7 @@
 			})
 		}
 		s.members[i].Listed = true
-		if s.members[i].Heard.IsZero() {
+		if s.members[i].Digest.Address == "" {
 			s.members[i].Address = l.Address
 		}
 	}
@@ -178,6 +178,9 @@
 func (s State) Calls(now time.Time) []Member {
 	var c []Member
 	for _, m := range s.members {
+		if m.Address == "" {
+			continue // it has called, and the list does not name it yet
+		}
 		if s.self < m.Digest.VM || now.Sub(m.Heard) >= reverseAfter {
 			c = append(c, m)
 		}
--- a/internal/cmd/standincmd.go
+++ b/internal/cmd/standincmd.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os/signal"
 	"syscall"
@@ -19,6 +20,7 @@
 // StandinCmd runs a stand-in for a part of the platform.
 type StandinCmd struct {
 	Executor StandinExecutorCmd `cmd:"" help:"Run an executor."`
+	Link     StandinLinkCmd     `cmd:"" help:"Run network links, each passing TCP connections on."`
 	List     StandinListCmd     `cmd:"" help:"Run the list of VMs."`
 	Log      StandinLogCmd      `cmd:"" help:"Run the log service."`
 	Worker   StandinWorkerCmd   `cmd:"" help:"Run a worker."`
@@ -26,9 +28,10 @@
 
 // standinReady is the line that a stand-in prints when it can be reached.
 type standinReady struct {
-	Role    string `json:"role"`
-	ID      string `json:"id,omitempty"`
-	Address string `json:"address"`
+	Role    string            `json:"role"`
+	ID      string            `json:"id,omitempty"`
+	Address string            `json:"address"`
+	Routes  map[string]string `json:"routes,omitempty"` // where each listens, of a link
 }
 
 // standinListen is where a stand-in listens.
@@ -59,6 +62,27 @@
 	return runStandin(c, standinReady{Role: "log"}, s.Listen, l)
 }
 
+// StandinLinkCmd runs network links.
+type StandinLinkCmd struct {
+	standinListen
+
+	Routes []string `arg:"" help:"Names of the routes; POST /control sets where each goes."`
+}
+
+// Run passes connections on until a signal ends it.
+func (s *StandinLinkCmd) Run(c *Config) error {
+	host, _, err := net.SplitHostPort(s.Listen)
+	if err != nil {
+		return &ExitError{ExitUsage, fmt.Errorf("address to listen on: %w", err)}
+	}
+	l, err := standin.NewLink(context.Background(), host, s.Routes)
+	if err != nil {
+		return err
+	}
+	run := func(ctx context.Context, _ string) error { return l.Run(ctx) }
+	return runStandin(c, standinReady{Role: "link", Routes: l.Addresses()}, s.Listen, l, run)
+}
+
 // StandinListCmd runs the list of VMs.
 type StandinListCmd struct {
 	standinListen
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"connectrpc.com/connect"
@@ -107,7 +108,7 @@
 	return &peerv1.Digest{
 		Vm:               s.Settings.VM,
 		Zone:             s.Settings.Zone,
-		Address:          s.peersAddress,
+		Address:          s.ownAddress(),
 		Incarnation:      s.incarnation,
 		Sequence:         s.sequence.Add(1),
 		Leaving:          s.leaving.Load(),
@@ -124,6 +125,16 @@
 	}
 }
 
+// ownAddress returns where this VM tells others to reach it, "" when they are to
+// take the list's address.
+func (s *Server) ownAddress() string {
+	a, err := netip.ParseAddrPort(s.peersAddress)
+	if err != nil || s.Settings.Translated || a.Addr().IsUnspecified() {
+		return ""
+	}
+	return s.peersAddress
+}
+
 // beat exchanges heartbeats with the other entry VMs until ctx ends.
 func (s *Server) beat(ctx context.Context) {
 	every(ctx, heartbeater.Interval, func() {
--- a/scripts_test.go
+++ b/scripts_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,6 +22,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/cmd"
+	"github.com/lacewingdoor/lacewingdoor/internal/connector"
 )
 
 // deadline is how long a script waits for a condition. It is far more than any
@@ -53,6 +55,7 @@
 				e.Setenv(n, k)
 				e.Setenv(n+"_HASH", hex.EncodeToString(h[:]))
 			}
+			e.Setenv("NEW_KEY", fmt.Sprintf("%d-%032x", time.Now().Unix(), 1))
 			e.Values[processesKey{}] = &processes{byName: map[string]*process{}, loads: map[string]*load{}}
 			return os.WriteFile(filepath.Join(e.WorkDir, "secret"), []byte(strings.Repeat("s", 64)), 0o600)
 		},
@@ -62,6 +65,8 @@
 			"expect-json": cmdExpectJSON,
 			"gangs-check": cmdGangsCheck,
 			"get":         cmdGet,
+			"link":        cmdLink,
+			"linked":      cmdLinked,
 			"load":        cmdLoad,
 			"load-check":  cmdLoadCheck,
 			"load-stop":   cmdLoadStop,
@@ -105,14 +110,16 @@
 	}
 	line, err := start(t, name, a[1:])
 	t.Check(err)
-	var addresses map[string]string
+	var addresses map[string]any
 	t.Check(json.Unmarshal([]byte(line), &addresses))
+	routes, _ := addresses["routes"].(map[string]any)
+	maps.Copy(addresses, routes)
 	for k, v := range addresses {
-		t.Setenv(name+"_"+strings.ReplaceAll(k, "-", "_"), v)
+		t.Setenv(name+"_"+strings.ReplaceAll(k, "-", "_"), fmt.Sprint(v))
 	}
 	for _, k := range []string{"address", "callers"} {
 		if v, ok := addresses[k]; ok {
-			t.Setenv(name, v)
+			t.Setenv(name, fmt.Sprint(v))
 		}
 	}
 }
@@ -227,7 +234,20 @@
 // the list that the script has started under these names. An entry VM that was
 // started before keeps its addresses.
 func cmdEntry(t *testscript.TestScript, _ bool, a []string) {
-	name, zone := a[0], a[1]
+	cmdStart(t, false, []string{a[0], "serve", "--settings", settings(t, a[0], a[1], t.Getenv("log"), t.Getenv("list"), false)})
+	row := connector.ListedVM{ID: a[0], Role: connector.RoleEntry, Zone: a[1], Address: t.Getenv(a[0] + "_peers")}
+	register(t, "list", row)
+}
+
+// register puts a row on the list of a name.
+func register(t *testscript.TestScript, list string, row connector.ListedVM) {
+	b, err := json.Marshal(row)
+	t.Check(err)
+	t.Check(request(t, "POST", "http://"+t.Getenv(list)+"/register", string(b)).err())
+}
+
+// settings writes the settings of an entry VM and returns the name of the file.
+func settings(t *testscript.TestScript, name, zone, log, list string, translated bool) string {
 	callers, peers := t.Getenv(name+"_callers"), t.Getenv(name+"_peers")
 	if callers == "" {
 		callers, peers = "127.0.0.1:0", "127.0.0.1:0"
@@ -237,6 +257,7 @@
 [listen]
 callers = %q
 peers = %q
+translated = %v
 [platform]
 log = %q
 list = %q
@@ -244,13 +265,9 @@
 secret-file = "secret"
 [operator]
 key-hash = %q
-`, name, zone, callers, peers, t.Getenv("log"), t.Getenv("list"), t.Getenv("KEY_HASH"))
+`, name, zone, callers, peers, translated, log, list, t.Getenv("KEY_HASH"))
 	t.Check(os.WriteFile(t.MkAbs(name+".toml"), []byte(s), 0o600))
-	cmdStart(t, false, []string{name, "serve", "--settings", name + ".toml"})
-	row := map[string]string{"id": name, "role": "entry", "zone": zone, "address": t.Getenv(name + "_peers")}
-	b, err := json.Marshal(row)
-	t.Check(err)
-	t.Check(request(t, "POST", "http://"+t.Getenv("list")+"/register", string(b)).err())
+	return name + ".toml"
 }
 
 // once runs f in the background and returns what waits for its end.
