Keep a VM that alone has lost the log from leading provisionally

Cause: over processes, a leader whose link to the log was cut was fenced off by the next one after 5 s, as meant. It was still the first of the live VMs in its own eyes and without the log, so it took a sub-term above the epoch that the refusal showed, fenced the new leader off, and stopped the job that had been accepted meanwhile, for it had not read of it. The two took turns (terms 5, 5.1, 7, 7.1, 9 within 9 s), until the link was healed; a job went into its second attempt.

Change: a VM without the log that hears a VM that has it does not count itself among the live ones for the reducer, so it neither leads provisionally nor is first. When the log is down for all, nobody says that they have it, and the first leads provisionally as before.

Ruled out: refusing a provisional epoch above a claimed one, for a worker cannot tell an outage from a cut link.

The existing cases are unchanged.

--- a/internal/server/view.go
+++ b/internal/server/view.go
@@ -76,10 +76,12 @@
 const cutOffAfter = 5 * time.Second
 
 // withoutCutOff returns the live VMs but for those that alone have lost the log: a
-// leader that cannot read it places no job that is accepted now.
+// leader that cannot read it places no job that is accepted now, and would stop one
+// that it has not read of. So this VM, without the log, is none of them as long as it
+// hears one that has it.
 func (v *view) withoutCutOff(now time.Time, live []string) []string {
 	if !v.logUp {
-		return live
+		return slices.DeleteFunc(slices.Clone(live), func(vm string) bool { return vm == v.self && v.hearsLog(now) })
 	}
 	cutOff := map[string]bool{}
 	for _, m := range v.members.Members() {
@@ -89,6 +91,14 @@
 	return slices.DeleteFunc(slices.Clone(live), func(vm string) bool { return cutOff[vm] })
 }
 
+// hearsLog reports whether another VM has the log and is heard.
+func (v *view) hearsLog(now time.Time) bool {
+	heard := v.members.Heard(now)
+	return slices.ContainsFunc(v.members.Members(), func(m heartbeater.Member) bool {
+		return m.Digest.LogDown == 0 && !m.Digest.Leaving && slices.Contains(heard, m.Digest.VM)
+	})
+}
+
 // leader returns the VM that leads, and where it can be called; the address is ""
 // when this VM leads or nobody is known to.
 func (v *view) leader(now time.Time) (vm, address string) {
--- a/internal/server/view_test.go
+++ b/internal/server/view_test.go
@@ -21,6 +21,7 @@
 		{"all have the log", true, 0, time.Second, []string{"a", "b"}},
 		{"the leader has just lost it", true, 2 * time.Second, time.Second, []string{"a", "b"}},
 		{"the leader lost it a while ago", true, 5 * time.Second, time.Second, []string{"b"}},
+		{"this VM alone has lost it", false, 0, time.Second, []string{"a"}},
 		{"it is down for this VM too", false, time.Minute, time.Second, []string{"a", "b"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
