Let commands go on with the next server when one cannot be reached

Cause: `publish` talked to one entry VM; when that one died between the append and the read-back, the publication ended as unknown though any other VM could have told its outcome.

A call that could not connect within 2 s goes on with the next server, and so does a read that one of several has not answered within 5 s. A change that may have been sent is never sent again: the next call, the read-back under the same id, goes to the next server, and a change that is not found there is withdrawn as before. So it is applied at most once, whichever server died when. All commands that call a VM share this.

Ruled out: going on after a refusal that says not-run, for the VM was reached and its reason is worth reading; sending the change again under its id, which readers would ignore when doubled, but which could take force after the publisher was told otherwise by a withdrawal that came in between.

--- a/internal/cmd/client.go
+++ b/internal/cmd/client.go
@@ -20,12 +20,20 @@
 
 // Client holds the flags of every command that calls an entry VM.
 type Client struct {
-	Server  string        `default:"127.0.0.1:8080" env:"LACEWINGDOOR_SERVER" help:"IP:PORT of an entry VM."`
+	Server  []string      `default:"127.0.0.1:8080" env:"LACEWINGDOOR_SERVER" help:"IP:PORT of an entry VM; may be repeated: the next is called when one cannot be reached."`
 	KeyFile string        `env:"LACEWINGDOOR_KEY_FILE" help:"File with the bearer key of the organisation." required:"" type:"path"`
 	Output  string        `default:"text" enum:"text,json" help:"Form of the output: text or json."`
 	Timeout time.Duration `default:"30s" help:"Longest time that the command takes."`
+
+	current int // index of the server that is called
 }
 
+// The limits on one of several servers, so that a silent one leaves time for the next.
+const (
+	serverDial = 2 * time.Second // to connect; a VM is milliseconds away
+	serverRead = 5 * time.Second // to answer a call that changes nothing
+)
+
 // call sends a request and decodes the answer. The error says whether it may
 // have taken effect.
 func (c *Client) call(method, path string, body, answer any) error {
@@ -34,28 +42,59 @@
 	return c.callContext(ctx, method, path, body, answer)
 }
 
-// callContext is call within the deadline of ctx.
+// callContext is call within the deadline of ctx. It goes on to the next server when
+// one cannot be reached, or does not answer a call that changes nothing. A change that
+// may have been sent is never sent again; the next call goes to the next server.
 func (c *Client) callContext(ctx context.Context, method, path string, body, answer any) error {
 	key, err := os.ReadFile(c.KeyFile)
 	if err != nil {
 		return &ExitError{ExitUsage, fmt.Errorf("read key: %w", err)}
 	}
-	q := resty.New().R().SetContext(ctx).SetAuthToken(strings.TrimSpace(string(key)))
+	q := resty.NewWithClient(httpClient()).R().SetAuthToken(strings.TrimSpace(string(key)))
 	if body != nil {
 		q.SetBody(body)
 	}
-	a, err := q.Execute(method, "http://"+c.Server+path)
+	for range c.Server {
+		var answered bool
+		if answered, err = c.callOne(ctx, q, method, path, answer); answered {
+			return err
+		}
+		c.current = (c.current + 1) % len(c.Server)
+		if method != http.MethodGet && !notReached(err) || ctx.Err() != nil {
+			break
+		}
+	}
+	return err
+}
+
+func httpClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: serverDial}).DialContext}}
+}
+
+// callOne calls the present server, and reports whether it answered.
+func (c *Client) callOne(ctx context.Context, q *resty.Request, method, path string, answer any) (bool, error) {
+	server := c.Server[c.current]
+	if method == http.MethodGet && len(c.Server) > 1 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, serverRead)
+		defer cancel()
+	}
+	a, err := q.SetContext(ctx).Execute(method, "http://"+server+path)
 	if err != nil {
-		return unanswered(method, c.Server, err)
+		return false, unanswered(method, server, err)
 	}
+	return true, decodeAnswer(server, a, answer)
+}
+
+func decodeAnswer(server string, a *resty.Response, answer any) error {
 	if a.StatusCode() >= http.StatusBadRequest {
-		return refused(c.Server, a)
+		return refused(server, a)
 	}
 	if answer == nil {
 		return nil
 	}
 	if err := json.Unmarshal(a.Body(), answer); err != nil {
-		return fmt.Errorf("decode answer of %s: %w", c.Server, err)
+		return fmt.Errorf("decode answer of %s: %w", server, err)
 	}
 	return nil
 }
@@ -64,14 +103,18 @@
 // reads, or that did not reach the server, has changed nothing.
 func unanswered(method, server string, err error) error {
 	err = fmt.Errorf("call entry VM %s: %w", server, err)
-	var o *net.OpError
-	dial := errors.As(err, &o) && o.Op == "dial"
-	if method == http.MethodGet || dial || errors.Is(err, syscall.ECONNREFUSED) {
+	if method == http.MethodGet || notReached(err) {
 		return err
 	}
 	return &ExitError{ExitUnknown, fmt.Errorf("%w; it may have taken effect: ask with the same id", err)}
 }
 
+// notReached reports whether a call surely did not reach its server.
+func notReached(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial" || errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // refused returns the error of an answer that is a refusal.
 func refused(server string, a *resty.Response) error {
 	var p refuser.ProblemError
--- a/internal/cmd/configurationclient.go
+++ b/internal/cmd/configurationclient.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -116,8 +115,7 @@
 	if errors.As(err, &q) {
 		return q.Outcome == refuser.OutcomeNotRun
 	}
-	var o *net.OpError
-	return errors.As(err, &o) && o.Op == "dial"
+	return notReached(err)
 }
 
 // waitPoll waits until the next look, or until ctx ends and returns its error.
--- a/internal/cmd/files_test.go
+++ b/internal/cmd/files_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -22,7 +23,9 @@
 //	lacewingdoor CODE ARGUMENTS  run the command line and check its exit code
 //	entry-vm MODE                start an entry VM's configuration API at $SERVER;
 //	                             MODE is up, lost (answers to changes get lost),
-//	                             unreadable (once it has a change) or refusing
+//	                             unreadable (once it has a change), refusing, or dies
+//	                             (at a change, which $OTHER then has or, in the mode
+//	                             dies-before, has not)
 func TestFileCommands(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/files",
@@ -60,9 +63,38 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+publisher.PathConfiguration, e.get)
 	m.HandleFunc("POST "+publisher.PathChanges, e.change)
-	s := httptest.NewServer(m)
+	m.HandleFunc("DELETE "+publisher.PathChanges+"/{id}", e.withdraw)
+	s, other := httptest.NewServer(e.mayDie(m)), httptest.NewServer(m)
 	ts.Defer(s.Close)
+	ts.Defer(other.Close)
 	ts.Setenv("SERVER", strings.TrimPrefix(s.URL, "http://"))
+	ts.Setenv("OTHER", strings.TrimPrefix(other.URL, "http://"))
+}
+
+// mayDie returns what answers nothing once a change has come, if the mode says so.
+func (e *entryVM) mayDie(m http.Handler) http.Handler {
+	var dead atomic.Bool
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && strings.HasPrefix(e.mode, "dies") {
+			dead.Store(true)
+			if e.mode == "dies" {
+				m.ServeHTTP(httptest.NewRecorder(), r)
+			}
+		}
+		if dead.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		m.ServeHTTP(w, r)
+	})
+}
+
+func (e *entryVM) withdraw(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.offset++
+	e.state, _ = publisher.Apply(e.state, e.offset, publisher.Withdrawal{ID: r.PathValue("id")})
+	w.WriteHeader(http.StatusAccepted)
+	_ = json.NewEncoder(w).Encode(publisher.ChangeResponse{Offset: e.offset})
 }
 
 func (e *entryVM) get(w http.ResponseWriter, r *http.Request) {
