--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -24,7 +24,7 @@
 type Digest struct {
 	VM              string
 	Zone            string
-	Address         string // HOST:PORT for other entry VMs
+	Address         string // HOST:PORT for other entry VMs, "" for the one that the list names
 	Incarnation     uint64 // rises when the process starts anew
 	Sequence        uint64 // rises with each digest of an incarnation
 	Leaving         bool
@@ -110,7 +110,7 @@
 			})
 		}
 		s.members[i].Listed = true
-		if s.members[i].Heard.IsZero() {
+		if s.members[i].Digest.Address == "" {
 			s.members[i].Address = l.Address
 		}
 	}
@@ -172,6 +172,19 @@
 	return slices.Compact(v)
 }
 
+// Missing returns when the last of the listed VMs was heard that are silent though
+// they did not say that they leave, zero when there is none. They may be dead, or on
+// the other side of a network that has split.
+func (s State) Missing(now time.Time) time.Time {
+	var last time.Time
+	for _, m := range s.members {
+		if m.Listed && !m.Digest.Leaving && !s.direct(now, m) && !s.vouched(now, m) {
+			last = later(last, m.Heard)
+		}
+	}
+	return last
+}
+
 // Heard returns the sorted VMs that this VM has itself heard lately.
 func (s State) Heard(now time.Time) []string {
 	var v []string
@@ -219,6 +232,9 @@
 func (s State) Calls(now time.Time) []Member {
 	var c []Member
 	for _, m := range s.members {
+		if m.Address == "" {
+			continue // it has called, and the list does not name it yet
+		}
 		if s.self < m.Digest.VM || now.Sub(m.Heard) >= reverseAfter {
 			c = append(c, m)
 		}
