Hand a worker to another VM when its renewing VM cannot reach it

Cause: the renewing VM of a worker followed from who is live alone. A VM that was cut off from a worker, and from nobody else, stayed its renewing VM, so the leases there lapsed after 15 s and the gang started anew, though others reached it.

Change: `leaser.Reach` counts calls that fail; what a VM cannot reach it tells in its digest as short names, 4 bytes each, racks counted once, at most 32. `Renewer` is the first VM in the rank of the rack that does not say so, and the first of all when all do. A VM calls what it left to another again every 3 s and takes it back. The worker needs no change: a renewal prolongs running leases only and needs no token, and gang counts name tasks by bits, so two VMs that both read a worker count it once. Owners are now worked out once for each rack, not for each worker.

Seen failing first: with the old owner the new scripts of `leaser/testdata` lapse or find no reader (4 of 5; the fifth checks that half a gang still lapses), and the server test finds no second reader. Retrying every 5 s was tried first: a worker that nobody reached for 9 s lapsed, for the retries of the VM that reached it again fell past the lease; with 3 s it lives.

Changed check: `stale-inventory-of-a-worker-that-is-cut-off-is-not-counted` cut one of two VMs from the worker and wanted its lease to lapse. The other VM now renews it, as is the point; the script cuts both, and wants the same end within the same time.

Not proved: the same over processes, for no stand-in can be cut off from one VM only.

--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -120,6 +120,7 @@
 		LeavingExecutors: v.leaving,
 		Gangs:            s.renewer.gangs(now),
 		Heard:            v.members.Heard(now),
+		Unreached:        s.renewer.unreached(),
 		LogDownMs:        v.logDown(now).Milliseconds(),
 	}
 }
--- a/internal/server/renewer.go
+++ b/internal/server/renewer.go
@@ -28,13 +28,17 @@
 	mu       sync.Mutex
 	readings map[string]leaser.Reading // by worker
 	others   map[string]leaser.Told    // by entry VM
+	reach    leaser.Reach
+	heard    map[string][]uint32 // by entry VM, what it says that it cannot reach
 }
 
 func newRenewer(s *Server) *renewer {
-	return &renewer{s: s, readings: map[string]leaser.Reading{}, others: map[string]leaser.Told{}}
+	return &renewer{
+		s: s, readings: map[string]leaser.Reading{}, others: map[string]leaser.Told{}, heard: map[string][]uint32{},
+	}
 }
 
-// told notes which gangs another VM sees running.
+// told notes which gangs another VM sees running, and what it cannot reach.
 func (r *renewer) told(now time.Time, d *peerv1.Digest) {
 	t := leaser.Told{VM: d.GetVm(), At: now}
 	for _, g := range d.GetGangs() {
@@ -43,6 +47,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.others[t.VM] = t
+	r.heard[t.VM] = d.GetUnreached()
 }
 
 // gangs returns which gangs this VM sees running, for its digest. One that it sees
@@ -97,13 +102,15 @@
 
 // run renews until ctx ends.
 func (r *renewer) run(ctx context.Context) {
-	every(ctx, renewInterval, func() {
-		owned := r.owned()
-		r.forget(owned)
-		now := r.s.Now()
-		told := []leaser.Told{leaser.Merge(now, r.all(now))}
-		r.s.reporter.report(ctx, r.round(ctx, owned, told))
-	})
+	every(ctx, renewInterval, func() { r.s.reporter.report(ctx, r.turn(ctx)) })
+}
+
+// turn calls the workers whose turn it is, and returns what was read.
+func (r *renewer) turn(ctx context.Context) []leaser.Reading {
+	now := r.s.Now()
+	owned := r.owned(now)
+	r.forget(owned)
+	return r.round(ctx, owned, []leaser.Told{leaser.Merge(now, r.all(now))})
 }
 
 // round renews the leases of all owned workers once, and returns what was read.
@@ -123,16 +130,6 @@
 	return slices.DeleteFunc(readings, func(x leaser.Reading) bool { return x.At.IsZero() })
 }
 
-// owned returns the listed workers that this VM renews. Workers of one rack have
-// one owner, so that gangs within a rack are counted by a single VM.
-func (r *renewer) owned() []connector.ListedVM {
-	v := r.s.view.Load()
-	live := v.members.Live(r.s.Now(), r.s.leaving.Load())
-	return slices.DeleteFunc(v.workers(), func(l connector.ListedVM) bool {
-		return leaser.Owner(l.Rack, live) != r.s.Settings.VM
-	})
-}
-
 // forget drops what is known of workers that this VM does not renew any more.
 func (r *renewer) forget(owned []connector.ListedVM) {
 	keep := make(map[string]bool, len(owned))
@@ -156,6 +153,7 @@
 	a, err := r.s.worker(l.Address).Renew(c, r.request(at, last, told))
 	if err != nil {
 		r.s.quiet.log("renew", l.ID, err)
+		r.missed(at, l.ID)
 		return leaser.Reading{}
 	}
 	i, ok := a.Whole(last)
@@ -166,6 +164,7 @@
 	x := leaser.Reading{At: at, Inventory: i}
 	r.mu.Lock()
 	r.readings[l.ID] = x
+	r.reach = r.reach.WithAnswer(l.ID)
 	r.mu.Unlock()
 	if !ok {
 		return leaser.Reading{}
--- a/leaser/script_test.go
+++ b/leaser/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -51,6 +52,8 @@
 	live     []string
 	readings map[string]leaser.Reading
 	told     map[string]leaser.Told
+	reach    leaser.Reach
+	heard    map[string][]uint32 // what the others do not reach
 }
 
 func newWorld(t *testing.T) *world {
@@ -95,7 +98,7 @@
 	case "vms": // NAME...
 		w.names = a
 		for _, n := range a {
-			w.vms[n] = &vm{live: a, readings: map[string]leaser.Reading{}, told: map[string]leaser.Told{}}
+			w.vms[n] = &vm{live: a, readings: map[string]leaser.Reading{}, told: map[string]leaser.Told{}, heard: map[string][]uint32{}}
 		}
 	case "believe": // VM LIVE...
 		w.vms[a[0]].live = a[1:]
@@ -109,6 +112,12 @@
 		delete(w.away, a[0])
 	case "cut": // FROM TO
 		w.cut[a[0]+">"+a[1]] = true
+	case "join": // FROM TO
+		delete(w.cut, a[0]+">"+a[1])
+	case "renews": // VM WORKER
+		if at := w.vms[a[0]].readings[a[1]].At; w.now.Sub(at) > 2*time.Second {
+			return fmt.Errorf("%s last read %s %s ago", a[0], a[1], w.now.Sub(at))
+		}
 	case "pass": // DURATION
 		d, err := time.ParseDuration(a[0])
 		w.pass(d)
@@ -200,10 +209,19 @@
 // beat renews the leases of a VM's workers, and tells the others its counts.
 func (w *world) beat(name string) {
 	v := w.vms[name]
-	for n := range w.workers {
-		if leaser.Owner(n, v.live) != name || w.away[n] || w.cut[name+">"+n] {
+	places := w.places()
+	v.heard[name] = v.reach.Unreached(places)
+	for _, p := range places {
+		n := p.Worker
+		if leaser.Renewer(p, v.live, v.heard) != name && !v.reach.Retry(w.now, n) {
+			delete(v.readings, n)
+			continue
+		}
+		if w.away[n] || w.cut[name+">"+n] {
+			v.reach = v.reach.WithMiss(w.now, n, !v.readings[n].At.IsZero())
 			continue
 		}
+		v.reach = v.reach.WithAnswer(n)
 		i := w.workers[n].Inventory(w.now)
 		told := []leaser.Told{{VM: name, At: w.now, Gangs: leaser.Counts(w.now, v.list())}}
 		for _, o := range v.told {
@@ -215,10 +233,20 @@
 	for _, n := range w.names {
 		if n != name && !w.cut[name+">"+n] {
 			w.vms[n].told[name] = leaser.Told{VM: name, At: w.now, Gangs: leaser.Counts(w.now, v.list())}
+			w.vms[n].heard[name] = v.reach.Unreached(places)
 		}
 	}
 }
 
+// places returns the workers, each in a rack of its own, sorted.
+func (w *world) places() []leaser.Place {
+	var p []leaser.Place
+	for _, n := range slices.Sorted(maps.Keys(w.workers)) {
+		p = append(p, leaser.Place{Worker: n, Rack: n})
+	}
+	return p
+}
+
 // list returns the readings in an order.
 func (v *vm) list() []leaser.Reading {
 	var r []leaser.Reading
