Call steady workers every 2.75 s, and spread the calls

Cause: every worker was called every second, all in one burst, and the round waited for the slowest. An entry VM with 125 workers spent most of its bytes on answers that say that nothing has changed.

Change: `leaser.Due` gives each worker a moment within its interval, by the hash of its name; the VM looks every 250 ms whose turn it is. The interval is `CallInterval` (1 s), and `SteadyInterval` once a reading shows the same mark as the one before and all leases run. SteadyInterval = MaxCountAge - CallTimeout - CallTick = 2.75 s: the next call begins a tick late and takes its whole timeout, and the reading before it still counts. The leader probes at the same age of 4 s. Longer intervals would let counts of a healthy gang go stale between two calls.

While jobs wait, all workers are called each second, so that freed room is noticed as before: the leader says so in its digest (`reducer.State.Waiting`). A task that ends while nobody waits for its room is noticed up to 2.75 s later instead of 1 s. Reports go out each tick, apart from the calls, so a silent worker no longer delays the reports of others by a second.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -33,6 +33,7 @@
 	ControlOffset   int64         // next offset of the control stream
 	LogDown         time.Duration // for how long it has lacked the log, 0 when it has it
 	Leading         bool          // it decides placements
+	Waiting         bool          // it leads, and jobs wait for workers
 	Epoch           leaser.Epoch
 	Heard           []string // VMs heard directly within SuspectAfter
 	LeavingExecutor []string // executors that said that they leave
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -94,6 +94,7 @@
 		Leading:         d.GetLeading(),
 		Epoch:           leaser.Epoch{Term: d.GetTerm(), SubTerm: d.GetSubTerm()},
 		Heard:           d.GetHeard(),
+		Waiting:         d.GetWaiting(),
 		LogDown:         time.Duration(d.GetLogDownMs()) * time.Millisecond,
 		LeavingExecutor: d.GetLeavingExecutors(),
 	}})
@@ -121,6 +122,7 @@
 		Gangs:            s.renewer.gangs(now),
 		Heard:            v.members.Heard(now),
 		Unreached:        s.renewer.unreached(),
+		Waiting:          v.control.Leading() && v.control.Waiting(),
 		LogDownMs:        v.logDown(now).Milliseconds(),
 	}
 }
--- a/internal/server/reach.go
+++ b/internal/server/reach.go
@@ -66,10 +66,11 @@
 	return p
 }
 
-// missed notes that a worker did not answer.
+// missed notes that a worker did not answer. It is called again soon.
 func (r *renewer) missed(now time.Time, worker string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, read := r.readings[worker]
 	r.reach = r.reach.WithMiss(now, worker, read)
+	r.pace[worker] = pace{called: now}
 }
--- a/internal/server/renewer.go
+++ b/internal/server/renewer.go
@@ -13,12 +13,8 @@
 	peerv1 "github.com/lacewingdoor/lacewingdoor/proto/peer/v1"
 )
 
-// The timing of renewals.
-const (
-	renewInterval = 1 * time.Second // well below leaser.MaxCountAge, so that counts stay fresh
-	renewTimeout  = 1 * time.Second // of one call to a worker
-	maxRenewals   = 64              // calls to workers under way
-)
+// maxRenewals is how many calls to workers may be under way.
+const maxRenewals = 64
 
 // renewer renews the leases on the workers that this VM owns, and reports what
 // it reads there to the leader. It needs neither a leader nor the log.
@@ -27,14 +23,27 @@
 
 	mu       sync.Mutex
 	readings map[string]leaser.Reading // by worker
+	news     []leaser.Reading          // not yet reported
+	mine     []connector.ListedVM      // workers that this VM calls
+	taken    time.Time                 // when mine was found
+	pace     map[string]pace           // by worker
 	others   map[string]leaser.Told    // by entry VM
 	reach    leaser.Reach
 	heard    map[string][]uint32 // by entry VM, what it says that it cannot reach
+	calls    chan struct{}       // holds a value for each call under way
+}
+
+// pace is when a worker was called, and when it is to be called again.
+type pace struct {
+	called   time.Time
+	underWay bool
+	steady   bool // it answered, nothing has changed there, and all its leases run
 }
 
 func newRenewer(s *Server) *renewer {
 	return &renewer{
 		s: s, readings: map[string]leaser.Reading{}, others: map[string]leaser.Told{}, heard: map[string][]uint32{},
+		pace: map[string]pace{}, calls: make(chan struct{}, maxRenewals),
 	}
 }
 
@@ -100,53 +109,96 @@
 	return append([]leaser.Told{own}, slices.Collect(maps.Values(r.others))...)
 }
 
-// run renews until ctx ends.
+// run renews until ctx ends. A call that takes long holds up no other.
 func (r *renewer) run(ctx context.Context) {
-	every(ctx, renewInterval, func() { r.s.reporter.report(ctx, r.turn(ctx)) })
+	every(ctx, leaser.CallTick, func() { go r.turn(ctx) })
+}
+
+// report reports what was read until ctx ends.
+func (r *renewer) report(ctx context.Context) {
+	every(ctx, leaser.CallTick, func() {
+		r.mu.Lock()
+		news := r.news
+		r.news = nil
+		r.mu.Unlock()
+		if len(news) > 0 {
+			r.s.reporter.report(ctx, news)
+		}
+	})
 }
 
-// turn calls the workers whose turn it is, and returns what was read.
-func (r *renewer) turn(ctx context.Context) []leaser.Reading {
+// turn calls the workers whose turn it is.
+func (r *renewer) turn(ctx context.Context) {
 	now := r.s.Now()
-	owned := r.owned(now)
-	r.forget(owned)
-	return r.round(ctx, owned, []leaser.Told{leaser.Merge(now, r.all(now))})
-}
-
-// round renews the leases of all owned workers once, and returns what was read.
-// A worker that does not answer in time is left out.
-func (r *renewer) round(ctx context.Context, owned []connector.ListedVM, told []leaser.Told) []leaser.Reading {
+	if r.stale(now) {
+		r.take(r.owned(now))
+	}
+	due := r.due(now)
+	if len(due) == 0 {
+		return
+	}
+	told := []leaser.Told{leaser.Merge(now, r.all(now))}
 	var wg sync.WaitGroup
-	slots := make(chan struct{}, maxRenewals)
-	readings := make([]leaser.Reading, len(owned))
-	for i, w := range owned {
-		slots <- struct{}{}
+	for _, w := range due {
+		r.calls <- struct{}{}
 		wg.Go(func() {
-			defer func() { <-slots }()
-			readings[i] = r.renew(ctx, w, told)
+			defer func() { <-r.calls }()
+			r.renew(ctx, w, told)
 		})
 	}
 	wg.Wait()
-	return slices.DeleteFunc(readings, func(x leaser.Reading) bool { return x.At.IsZero() })
 }
 
-// forget drops what is known of workers that this VM does not renew any more.
-func (r *renewer) forget(owned []connector.ListedVM) {
-	keep := make(map[string]bool, len(owned))
-	for _, w := range owned {
+// stale reports whether it is time to find anew which workers this VM calls.
+func (r *renewer) stale(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.taken) < leaser.CallInterval {
+		return false
+	}
+	r.taken = now
+	return true
+}
+
+// due returns the workers that are to be called now, and notes that they are.
+func (r *renewer) due(now time.Time) []connector.ListedVM {
+	waiting := r.s.view.Load().waiting(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var due []connector.ListedVM
+	for _, w := range r.mine {
+		p := r.pace[w.ID]
+		interval := leaser.CallInterval
+		if p.steady && !waiting {
+			interval = leaser.SteadyInterval
+		}
+		if !p.underWay && leaser.Due(now, p.called, w.ID, interval) {
+			p.called, p.underWay = now, true
+			r.pace[w.ID] = p
+			due = append(due, w)
+		}
+	}
+	return due
+}
+
+// take notes which workers this VM calls, and drops what is known of others.
+func (r *renewer) take(mine []connector.ListedVM) {
+	keep := make(map[string]bool, len(mine))
+	for _, w := range mine {
 		keep[w.ID] = true
 	}
 	gone := func(worker string) bool { return !keep[worker] }
 	r.mu.Lock()
+	r.mine = mine
 	maps.DeleteFunc(r.readings, func(w string, _ leaser.Reading) bool { return gone(w) })
+	maps.DeleteFunc(r.pace, func(w string, p pace) bool { return gone(w) && !p.underWay })
 	r.mu.Unlock()
 	r.s.reporter.forget(gone)
 }
 
-// renew renews the leases of one worker and returns its inventory; the zero
-// reading when it did not answer.
-func (r *renewer) renew(ctx context.Context, l connector.ListedVM, told []leaser.Told) leaser.Reading {
-	c, cancel := context.WithTimeout(ctx, renewTimeout)
+// renew renews the leases of one worker, and keeps what it answers.
+func (r *renewer) renew(ctx context.Context, l connector.ListedVM, told []leaser.Told) {
+	c, cancel := context.WithTimeout(ctx, leaser.CallTimeout)
 	defer cancel()
 	last := r.last(l.ID)
 	at := r.s.Now()
@@ -154,22 +206,22 @@
 	if err != nil {
 		r.s.quiet.log("renew", l.ID, err)
 		r.missed(at, l.ID)
-		return leaser.Reading{}
+		return
 	}
 	i, ok := a.Whole(last)
 	if !ok {
 		r.s.quiet.log("renew", l.ID, fmt.Errorf("renew leases at worker %s: its brief answer is to something else", l.ID))
-		i = leaser.Inventory{Worker: l.ID} // asks for the whole at the next round
+		i = leaser.Inventory{Worker: l.ID} // asks for the whole at the next call
 	}
-	x := leaser.Reading{At: at, Inventory: i}
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := leaser.Reading{At: at, Inventory: i}
 	r.readings[l.ID] = x
 	r.reach = r.reach.WithAnswer(l.ID)
-	r.mu.Unlock()
-	if !ok {
-		return leaser.Reading{}
+	r.pace[l.ID] = pace{called: at, steady: ok && i.Mark != "" && i.Mark == last.Mark && i.Steady()}
+	if ok {
+		r.news = append(r.news, x)
 	}
-	return x
 }
 
 // request returns what a worker is asked, as short as can be.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -190,6 +190,7 @@
 		s.followControl,
 		s.followList,
 		s.keepSnapshot,
+		s.renewer.report,
 		s.renewer.run,
 		func(c context.Context) { _ = s.claimer.Run(c) },
 		func(c context.Context) { _ = s.claimsAppender.Run(c) },
--- a/internal/server/view.go
+++ b/internal/server/view.go
@@ -100,3 +100,13 @@
 	}
 	return v.control.Leader(), ""
 }
+
+// waiting reports whether this VM leads and jobs wait for workers, or the leader
+// says so.
+func (v *view) waiting(now time.Time) bool {
+	if v.control.Leading() {
+		return v.control.Waiting()
+	}
+	m, ok := v.members.Leader(now)
+	return ok && m.Digest.Waiting
+}
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -89,6 +89,9 @@
 	}
 }
 
+// Waiting reports whether jobs wait to be placed. Only a leader knows.
+func (s State) Waiting() bool { return s.queues.Len() > 0 }
+
 // Over reports whether the leases of an attempt need not be listed any more once
 // they are over: the job has ended by the log, or the log knows no such job. It
 // is for leaser.Acknowledgements.
--- /dev/null
+++ b/reducer/waiting_test.go
@@ -0,0 +1,25 @@
+package reducer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestALeaderKnowsWhetherJobsWait(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 1)
+	w.addWorker("w1", "r1", 8)
+	s := &script{world: w}
+	s.organisation([]string{"a"})
+	w.run(3 * time.Second)
+	is.NoErr(w.submit(job([]string{"runs", "a", "run=1m", "accelerators=8"})))
+	w.run(10 * time.Second)
+	is.True(!w.vms[0].state.Waiting())
+	is.NoErr(w.submit(job([]string{"waits", "a", "run=1h", "accelerators=8"})))
+	w.run(5 * time.Second)
+	is.True(w.vms[0].state.Waiting())
+	w.run(2 * time.Minute)
+	is.True(!w.vms[0].state.Waiting())
+}
