Send a digest whole only when it has changed

Cause: each heartbeat carried the whole digest both ways: the names of all VMs heard, addresses, and 32 bytes for each gang that spans VMs, though these seldom change. The answers were also compressed one by one, which made small ones larger.

Change: a digest has a mark, a hash of all of it but the sequence and the time without the log. Each side tells the mark of the other's digest that it holds; to one that has it, only VM, sequence, log-down time and mark are sent. One that lacks it (it has started anew, or holds another) says so by the mark that it tells, and is sent the whole within the same call. A VM of the version before tells no mark and is always sent the whole. Answers below 1,024 bytes are not compressed. The interval of a second and all that hangs on it stay as they are.

Ruled out: heartbeats every 2 s, with suspicion later: leadership and counts of gangs depend on it, and the bytes no longer ask for it.

--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -16,10 +16,11 @@
 
 // The limits on calls between entry VMs.
 const (
-	peerTimeout  = 1 * time.Second // of one call; below heartbeater.Interval calls don't pile up
-	peerPing     = 2 * time.Second // silence after which a connection is probed
-	peerPingWait = 1 * time.Second // answer to a probe, else the connection is dropped
-	maxPeerBody  = 32 << 20        // bytes; the inventories of 125 workers with 29 tasks each
+	peerTimeout   = 1 * time.Second // of one call; below heartbeater.Interval calls don't pile up
+	peerPing      = 2 * time.Second // silence after which a connection is probed
+	peerPingWait  = 1 * time.Second // answer to a probe, else the connection is dropped
+	minCompressed = 1024            // bytes; heartbeats would grow
+	maxPeerBody   = 32 << 20        // bytes; the inventories of 125 workers with 29 tasks each
 )
 
 // peerClient returns a client for calls to other entry VMs. It probes silent
@@ -55,7 +56,8 @@
 // peerHandler serves other entry VMs; a caller without the secret is refused.
 func (s *Server) peerHandler() http.Handler {
 	m := http.NewServeMux()
-	m.Handle(peerv1connect.NewPeerHandler(&peerServer{s: s}, connect.WithReadMaxBytes(maxPeerBody)))
+	m.Handle(peerv1connect.NewPeerHandler(&peerServer{s: s},
+		connect.WithReadMaxBytes(maxPeerBody), connect.WithCompressMinBytes(minCompressed)))
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if err := s.peerKey.Check(q.Header.Get("Authorization")); err != nil {
 			http.Error(w, err.Error(), http.StatusUnauthorized)
@@ -74,8 +76,11 @@
 	if d.GetVm() == "" || d.GetVm() == p.s.Settings.VM {
 		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("heartbeat of VM %q at VM %q", d.GetVm(), p.s.Settings.VM))
 	}
-	p.s.heard(d)
-	return connect.NewResponse(&peerv1.BeatResponse{Digest: p.s.digest()}), nil
+	if w, ok := p.s.digests.whole(d); ok {
+		p.s.heard(w)
+	}
+	a := &peerv1.BeatResponse{Digest: brief(p.s.digest(), q.Msg.GetKnown()), Known: p.s.digests.known(d.GetVm())}
+	return connect.NewResponse(a), nil
 }
 
 // heard passes a digest on to control and to the renewer.
@@ -105,7 +110,7 @@
 	v := s.view.Load()
 	now := s.Now()
 	e := v.control.Epoch()
-	return &peerv1.Digest{
+	return withMark(&peerv1.Digest{
 		Vm:               s.Settings.VM,
 		Zone:             s.Settings.Zone,
 		Address:          s.peersAddress,
@@ -124,7 +129,7 @@
 		Unreached:        s.renewer.unreached(),
 		Waiting:          v.control.Leading() && v.control.Waiting(),
 		LogDownMs:        v.logDown(now).Milliseconds(),
-	}
+	})
 }
 
 // beat exchanges heartbeats with the other entry VMs until ctx ends.
@@ -139,15 +144,25 @@
 	})
 }
 
+// beatOne exchanges heartbeats with the VM at an address. One that turns out not to
+// have the digest that was sent briefly is sent the whole at once.
 func (s *Server) beatOne(ctx context.Context, address string) {
 	c, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	a, err := s.peer(address).Beat(c, connect.NewRequest(&peerv1.BeatRequest{Digest: s.digest()}))
-	if err != nil {
-		s.quiet.log("beat", address, fmt.Errorf("heartbeat to %s: %w", address, err))
-		return
+	for sent := false; !sent; {
+		d := s.digest()
+		q := s.digests.request(address, d)
+		a, err := s.peer(address).Beat(c, connect.NewRequest(q))
+		if err != nil {
+			s.quiet.log("beat", address, fmt.Errorf("heartbeat to %s: %w", address, err))
+			return
+		}
+		if w, ok := s.digests.whole(a.Msg.GetDigest()); ok {
+			s.heard(w)
+		}
+		s.digests.answered(address, a.Msg)
+		sent = !q.GetDigest().GetBrief() || a.Msg.GetKnown() == d.GetMark()
 	}
-	s.heard(a.Msg.GetDigest())
 }
 
 // unknownPeers returns the addresses of the settings at which no VM is known.
--- a/internal/server/renewing_test.go
+++ b/internal/server/renewing_test.go
@@ -71,7 +71,7 @@
 			workers: &http.Client{Transport: path{c, vm}}, inbox: make(chan message, inboxSize),
 		}
 		s.quiet = &quietLogger{to: l, now: s.Now}
-		s.renewer, s.reporter = newRenewer(s), newReporter(s)
+		s.digests, s.renewer, s.reporter = newDigests(), newRenewer(s), newReporter(s)
 		m := heartbeater.New(vm)
 		for _, o := range vms {
 			m = m.WithHeard(c.now.Add(time.Hour), heartbeater.Digest{VM: o, Sequence: 1})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -64,6 +64,7 @@
 	controlAppender, configAppender, claimsAppender *follower.Appender
 
 	claimer  *claimer.Claimer
+	digests  *digests
 	learner  *learner
 	quiet    *quietLogger
 	recorder *recorder.Recorder
@@ -121,6 +122,7 @@
 	s.quiet = &quietLogger{to: s.Logger, now: s.Now}
 	s.recorder = recorder.New()
 	s.connections.now = s.Now
+	s.digests = newDigests()
 	s.renewer = newRenewer(s)
 	s.reporter = newReporter(s)
 	s.peers, s.workers = peerClient(), workerClient()
