--- a/router/load_test.go
+++ b/router/load_test.go
@@ -50,19 +50,25 @@
 			s.fleet = newFleet(8)
 			s.executors = executors(int(amount(s.t, n)), int(amount(s.t, slots)))
 		},
-		"weight":  func(organisation string, n int) { s.weights[organisation] = n },
-		"share":   func(n int) { s.service.Share = n },
-		"queue":   func(n int) { s.service.QueueLimit = n },
-		"learned": func(path string, d time.Duration) { s.learned[path] = d },
-		"route": func(path, class string, words ...string) {
-			o := options(s.t, words...)
-			s.service.Routes = append(s.service.Routes, decoder.Route{Path: path, Class: class, DeclaredRun: o["run"], Deadline: o["deadline"]})
-		},
-		"load":   s.load,
-		"expect": s.expect,
+		"weight":               func(organisation string, n int) { s.weights[organisation] = n },
+		"share":                func(n int) { s.service.Share = n },
+		"queue":                func(n int) { s.service.QueueLimit = n },
+		"learned":              func(path string, d time.Duration) { s.learned[path] = d },
+		"lag":                  func(d time.Duration) { s.fleet.lag = d },
+		"route":                func(path, class string, words ...string) { s.route(path, class, false, words) },
+		"route-non-idempotent": func(path, class string, words ...string) { s.route(path, class, true, words) },
+		"load":                 s.load,
+		"expect":               s.expect,
 	}
 }
 
+func (s *stage) route(path, class string, nonIdempotent bool, words []string) {
+	o := options(s.t, words...)
+	s.service.Routes = append(s.service.Routes, decoder.Route{
+		Path: path, Class: class, DeclaredRun: o["run"], Deadline: o["deadline"], NonIdempotent: nonIdempotent,
+	})
+}
+
 // options reads NAME=VALUE; a value is a duration, or a count of nanoseconds.
 func options(t *testing.T, words ...string) map[string]time.Duration {
 	m := map[string]time.Duration{}
@@ -127,6 +133,7 @@
 func (s *stage) observe(o router.Observation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.measured[fmt.Sprintf("%s %s attempts", o.Organisation, o.Route)] += int64(o.Attempts)
 	name := fmt.Sprintf("%s %s wait", o.Organisation, o.Route)
 	if o.Code != "" {
 		name = fmt.Sprintf("%s %s kept", o.Organisation, o.Route)
