--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -66,6 +66,7 @@
 	controlAppender, configAppender, claimsAppender *follower.Appender
 
 	claimer  *claimer.Claimer
+	digests  *digests
 	learner  *learner
 	quiet    *quietLogger
 	recorder *recorder.Recorder
@@ -126,6 +127,7 @@
 	s.quiet = &quietLogger{to: s.Logger, now: s.Now}
 	s.recorder = recorder.New()
 	s.connections.now = s.Now
+	s.digests = newDigests()
 	s.renewer = newRenewer(s)
 	s.reporter = newReporter(s)
 	s.peers, s.workers = peerClient(), workerClient()
@@ -196,6 +198,7 @@
 		s.followControl,
 		s.followList,
 		s.keepSnapshot,
+		s.renewer.report,
 		s.renewer.run,
 		func(c context.Context) { _ = s.claimer.Run(c) },
 		func(c context.Context) { _ = s.claimsAppender.Run(c) },
--- a/leaser/script_test.go
+++ b/leaser/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -37,6 +38,10 @@
 	live     []string
 	readings map[string]leaser.Reading
 	told     map[string]leaser.Told
+	reach    leaser.Reach
+	called   map[string]time.Time
+	steady   map[string]bool
+	heard    map[string][]uint32 // what the others do not reach
 }
 
 func newWorld() *world {
@@ -54,7 +59,10 @@
 		"vms": func(names ...string) {
 			w.names = names
 			for _, n := range names {
-				w.vms[n] = &vm{live: names, readings: map[string]leaser.Reading{}, told: map[string]leaser.Told{}}
+				w.vms[n] = &vm{
+					live: names, readings: map[string]leaser.Reading{}, told: map[string]leaser.Told{},
+					called: map[string]time.Time{}, steady: map[string]bool{}, heard: map[string][]uint32{},
+				}
 			}
 		},
 		"believe": func(vm string, live ...string) { w.vms[vm].live = live },
@@ -68,8 +76,12 @@
 		"pause":  func(worker string) { w.away[worker] = true },
 		"resume": func(worker string) { delete(w.away, worker) },
 		"cut":    func(from, to string) { w.cut[from+">"+to] = true },
-		"pass":   w.pass,
-		"free":   func(worker string, n int) error { return want(w.workers[worker].Free().Accelerators, n) },
+		"join":   func(from, to string) { delete(w.cut, from+">"+to) },
+		"renews": func(vm, worker string) error {
+			return want(w.now.Sub(w.vms[vm].readings[worker].At) <= leaser.MaxCountAge, true)
+		},
+		"pass": w.pass,
+		"free": func(worker string, n int) error { return want(w.workers[worker].Free().Accelerators, n) },
 		"fence": func(worker string) error {
 			return w.change(worker, func(t leaser.Table) (leaser.Table, error) { return t.Fence(w.now, w.token) })
 		},
@@ -173,11 +185,29 @@
 // beat renews the leases of a VM's workers, and tells the others its counts.
 func (w *world) beat(name string) {
 	v := w.vms[name]
-	for n := range w.workers {
-		if leaser.Owner(n, v.live) != name || w.away[n] || w.cut[name+">"+n] {
+	places := w.places()
+	v.heard[name] = v.reach.Unreached(places)
+	for _, p := range places {
+		n := p.Worker
+		if leaser.Renewer(p, v.live, v.heard) != name && !v.reach.Retry(w.now, n) {
+			delete(v.readings, n)
 			continue
 		}
-		i := w.workers[n].Inventory(w.now)
+		interval := leaser.CallInterval
+		if v.steady[n] {
+			interval = leaser.SteadyInterval
+		}
+		if !leaser.Due(w.now, v.called[n], n, interval) {
+			continue
+		}
+		v.called[n], v.steady[n] = w.now, false
+		if w.away[n] || w.cut[name+">"+n] {
+			v.reach = v.reach.WithMiss(w.now, n, !v.readings[n].At.IsZero())
+			continue
+		}
+		v.reach = v.reach.WithAnswer(n)
+		i := w.workers[n].Inventory(w.now).WithMark()
+		v.steady[n] = i.Steady() && i.Mark == v.readings[n].Inventory.Mark
 		told := []leaser.Told{{VM: name, At: w.now, Gangs: leaser.Counts(w.now, v.list())}}
 		for _, o := range v.told {
 			told = append(told, o)
@@ -188,10 +218,20 @@
 	for _, n := range w.names {
 		if n != name && !w.cut[name+">"+n] {
 			w.vms[n].told[name] = leaser.Told{VM: name, At: w.now, Gangs: leaser.Counts(w.now, v.list())}
+			w.vms[n].heard[name] = v.reach.Unreached(places)
 		}
 	}
 }
 
+// places returns the workers, each in a rack of its own, sorted.
+func (w *world) places() []leaser.Place {
+	var p []leaser.Place
+	for _, n := range slices.Sorted(maps.Keys(w.workers)) {
+		p = append(p, leaser.Place{Worker: n, Rack: n})
+	}
+	return p
+}
+
 // list returns the readings in an order.
 func (v *vm) list() []leaser.Reading {
 	var r []leaser.Reading
