Give the traces' overnight batches deadlines, and report how many are met

Cause: no trace has a deadline, so that nothing shows whether ordering by deadline would help, nor what it would cost the work beside it.

Every result has the number of jobs with a deadline and the share that succeeded in time; the text report has a column for it.

--- a/internal/measurer/account.go
+++ b/internal/measurer/account.go
@@ -57,6 +57,8 @@
 	LostToReclaim float64 `json:"lost-to-reclaim-accelerator-seconds"`
 	LostInAll     float64 `json:"lost-accelerator-seconds"`
 	Attempts      int     `json:"attempts"`
+	Deadlines     int     `json:"jobs-with-deadline"`
+	Met           float64 `json:"deadlines-met"` // share of them that succeeded in time
 }
 
 func (d *Driver) sample() {
@@ -131,9 +133,25 @@
 		r.Idle = d.account.idle / n
 	}
 	d.addWaits(&r)
+	d.addDeadlines(&r)
 	return r
 }
 
+// addDeadlines counts the jobs with a deadline that were not cancelled.
+func (d *Driver) addDeadlines(r *Result) {
+	met := 0
+	for _, j := range d.Jobs {
+		if j.Cancelled || j.Job.Deadline.IsZero() {
+			continue
+		}
+		r.Deadlines++
+		if !j.Finished.IsZero() && !j.Finished.After(j.Job.Deadline) {
+			met++
+		}
+	}
+	r.Met = float64(met) / float64(max(r.Deadlines, 1))
+}
+
 // makespanBound returns the seconds that no policy can finish all jobs in: the
 // work that arrives from some time on, over the capacity, or the end of the
 // longest job had it started at once.
--- a/internal/measurer/deployment.go
+++ b/internal/measurer/deployment.go
@@ -66,6 +66,7 @@
 	Spread         float64          `toml:"spread"` // standard deviation of their logarithm
 	Checkpointable bool             `toml:"checkpointable"`
 	Share          float64          `toml:"share"` // of the work that comes in no wave
+	Openings       []duration       `toml:"openings"` // after the start, rising; jobs are for one of them in turn
 	Waves          struct {
 		Count  int      `toml:"count"`
 		Jobs   int      `toml:"jobs"` // in each
--- a/internal/measurer/measurer_test.go
+++ b/internal/measurer/measurer_test.go
@@ -132,3 +132,33 @@
 	i.True(strings.Contains(b.String(), "small placer: mean completion 1/1;"))
 	i.True(strings.Contains(b.String(), "small fcfs-first-fit: mean completion 0/1 (missed on seed 7);"))
 }
+
+func TestWorkForAnOpeningCountsAsMetWhenItEndsBefore(t *testing.T) {
+	i := is.New(t)
+	tr := smallTrace(t, 7, false)
+	r := Run(tr, FirstFit())
+	i.Equal(r.Deadlines, 0)
+	tr.Arrivals[0].Job.Deadline = tr.Arrivals[0].At.Add(tr.Arrivals[0].Run)
+	tr.Arrivals[1].Job.Deadline = tr.Arrivals[1].At.Add(tr.Arrivals[1].Run - time.Millisecond)
+	r = Run(tr, FirstFit())
+	i.Equal(r.Deadlines, 2)
+	i.Equal(r.Met, 0.5)
+}
+
+func TestOpeningsAreTakenInTurnUnlessTooNear(t *testing.T) {
+	i := is.New(t)
+	m := maker{trace: &Trace{From: time.Unix(0, 0)}}
+	s := stream{Openings: []duration{{6 * time.Hour}, {7 * time.Hour}}}
+	for _, c := range []struct {
+		at, want time.Duration
+		turn     int
+	}{
+		{at: 0, turn: 0, want: 6 * time.Hour},
+		{at: 0, turn: 3, want: 7 * time.Hour},
+		{at: 5*time.Hour + time.Second, turn: 0, want: 7 * time.Hour},
+		{at: 6*time.Hour + time.Second, turn: 1, want: 30 * time.Hour},
+	} {
+		i.Equal(m.opening(m.trace.From.Add(c.at), s, c.turn), m.trace.From.Add(c.want))
+	}
+	i.True(m.opening(m.trace.From, stream{}, 0).IsZero())
+}
--- a/internal/measurer/report.go
+++ b/internal/measurer/report.go
@@ -72,9 +72,9 @@
 func (r Report) WriteText(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "trace\tpolicy\tseeds\tmean/bound\tp95 s\tspan/bound\tfrag\trebuild p50 s\tp95 s"+
-		"\tshort p50 s\tp99 s\tcrest p99 s\treclaim p99 s\tmax s\tover bound\tlost by reclaim\tlost in all\tunfinished\t")
+		"\tshort p50 s\tp99 s\tcrest p99 s\treclaim p99 s\tmax s\tover bound\tlost by reclaim\tlost in all\tunfinished\tdeadlines met\t")
 	for _, g := range r.groups() {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.0f\t%.3f\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%.0f\t%.0f\t%d\t\n",
+		fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.0f\t%.3f\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%.0f\t%.0f\t%d\t%.4f\t\n",
 			g.trace, g.policy, len(g.results),
 			g.over(func(r Result) float64 { return r.Mean / r.MeanBound }),
 			g.over(func(r Result) float64 { return r.P95 }),
@@ -91,6 +91,7 @@
 			g.over(func(r Result) float64 { return r.LostToReclaim }),
 			g.over(func(r Result) float64 { return r.LostInAll }),
 			g.total(func(r Result) int { return r.Unfinished }),
+			g.over(func(r Result) float64 { return r.Met }),
 		)
 	}
 	_ = t.Flush() // a failed write to the terminal leaves nobody to tell
--- a/internal/measurer/trace.go
+++ b/internal/measurer/trace.go
@@ -189,6 +189,7 @@
 			Class:          s.Class,
 			Gang:           placer.Request{Tasks: tasks, PerTask: s.Task.resources(), Adjacency: s.Adjacency},
 			DeclaredRun:    scaled(s.Median.Duration, declaredSpread*m.rnd.NormFloat64()),
+			Deadline:       m.opening(at, s, i/len(s.Organisations)),
 			Checkpointable: s.Checkpointable,
 		},
 	}
@@ -196,6 +197,24 @@
 	m.trace.Arrivals = append(m.trace.Arrivals, a)
 }
 
+// openingLead is how long before an opening work for it may still be submitted.
+const openingLead = time.Hour
+
+// opening returns the time by which a job of a stream is to be done: in turn one
+// of the openings, but the next one that is openingLead away at least, and after
+// the last one the first of the next day. It is zero when the stream names none.
+func (m *maker) opening(at time.Time, s stream, turn int) time.Time {
+	if len(s.Openings) == 0 {
+		return time.Time{}
+	}
+	for _, o := range s.Openings[turn%len(s.Openings):] {
+		if t := m.trace.From.Add(o.Duration); !t.Before(at.Add(openingLead)) {
+			return t
+		}
+	}
+	return m.trace.From.Add(24*time.Hour + s.Openings[0].Duration)
+}
+
 func scaled(d time.Duration, exponent float64) time.Duration {
 	return time.Duration(float64(d) * math.Exp(exponent)).Round(time.Millisecond)
 }
