Build the maps of jobs and gangs anew when leadership is taken over

Cause: a take-over at 1,000 workers with 29 tasks each took 166 MB in one event. By the profile of allocated space 71 percent of it was for Set on the persistent maps of jobs and of gangs: each of 29,000 entries was replaced on its own, and each replacement copies the path of nodes down to its leaf.

Change: the attempts and gangs that the leases show are found first, for all jobs, and put into two maps that are built in place. Then each job is looked at as before: its gang adopted or stopped, or the job queued again. What is decided for a job does not depend on other gangs, so the order makes no difference.

Ruled out: charging the organisations once instead of once a job, 1.8 percent of the space; collecting the leases by job (3 percent) and the holds (3.6 percent).

All tests of the package pass unchanged.

--- a/reducer/recovery.go
+++ b/reducer/recovery.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/benbjohnson/immutable"
+
 	"github.com/lacewingdoor/lacewingdoor/leaser"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
@@ -82,20 +84,43 @@
 			t.rebuildWorker(all, w)
 		}
 	}
+	t.findGangs(all)
 	for i := t.jobs.Iterator(); !i.Done(); {
 		_, j, _ := i.Next()
-		if j.end != nil {
-			continue
-		}
-		f, ok := all[j.ID]
-		if !ok {
-			f = &found{}
+		if j.end == nil {
+			t.rebuildJob(j)
 		}
-		t.rebuildJob(j, f)
 	}
 	t.placeable = true
 }
 
+// findGangs notes the attempts and gangs that the leases show. It changes nearly
+// every job, so it builds the maps anew, which takes a fraction of the memory of
+// replacing their entries one by one.
+func (t *turn) findGangs(all map[string]*found) {
+	jobs := immutable.NewSortedMapBuilder[string, *job](nil)
+	gangs := immutable.NewSortedMapBuilder[string, *gang](nil)
+	for i := t.jobs.Iterator(); !i.Done(); {
+		id, j, _ := i.Next()
+		if j.end == nil {
+			f, ok := all[id]
+			if !ok {
+				f = &found{}
+			}
+			n := *j
+			n.attempt = f.attempt
+			n.closing = false
+			j = &n
+			if g := gangOf(t.now, j, f); g != nil {
+				gangs.Set(id, g)
+			}
+		}
+		jobs.Set(id, j)
+	}
+	t.jobs = jobs.Map()
+	t.gangs = gangs.Map()
+}
+
 // rebuildWorker takes the leases of a worker into its holds. Those of jobs that
 // are over or unknown are released; the others are collected by job.
 func (t *turn) rebuildWorker(all map[string]*found, w *worker) {
@@ -154,29 +179,24 @@
 
 // rebuildJob adopts the gang of a job if it runs whole. Else what is left of it
 // is stopped, and the job waits for its next attempt.
-func (t *turn) rebuildJob(j *job, f *found) {
-	n := *j
-	n.attempt = f.attempt
-	n.closing = false
-	t.setJob(&n)
-	t.armKeep(&n)
-	g := gangOf(t.now, &n, f)
+func (t *turn) rebuildJob(j *job) {
+	t.armKeep(j)
+	g, ok := t.gangs.Get(j.ID)
+	if ok {
+		t.charge(j.Job)
+	}
 	switch {
-	case g != nil && g.whole():
-		t.gangs = t.gangs.Set(j.ID, g)
-		t.charge(n.Job)
+	case ok && g.whole():
 		t.adopted(g)
-	case g != nil:
-		t.gangs = t.gangs.Set(j.ID, g)
-		t.charge(n.Job)
-		t.stopGang(g, t.leftOver(&n, g), "part of the gang was missing when the leader changed")
-	case n.NonIdempotent && n.start.offset != 0:
-		t.end(&n, OutcomeUnknown, "started before the leader changed, and no lease of it was found", 0)
+	case ok:
+		t.stopGang(g, t.leftOver(j, g), "part of the gang was missing when the leader changed")
+	case j.NonIdempotent && j.start.offset != 0:
+		t.end(j, OutcomeUnknown, "started before the leader changed, and no lease of it was found", 0)
 	default:
-		t.admit(&n)
+		t.admit(j)
 	}
-	if n.cancelled != 0 {
-		t.cancel(&n)
+	if j.cancelled != 0 {
+		t.cancel(j)
 	}
 }
 
