Order the waiting jobs of an organisation and class by when they are due

Cause: a job's deadline was kept and ordered nothing; jobs went by age alone.

Change: each waiting job has a due time, which orders the queue of its organisation and class: the latest start that keeps its deadline by the median learned run time; 30 min after it was accepted without one; 2 h after the latest start once that has passed; never later than 12 h after it was accepted. It is fixed but for a job that becomes late, which is moved once when its turn comes. So no job is starved or dropped, whatever others ask for. Of one organisation the large gang that comes first gets the reservation, no more the oldest.

The random test draws deadlines too.

--- a/internal/cmd/submitcmd.go
+++ b/internal/cmd/submitcmd.go
@@ -24,6 +24,7 @@
 	Accelerators   *int          `help:"Accelerators for each task."`
 	Adjacency      string        `help:"Closeness of the tasks: none, rack or worker."`
 	DeclaredRun    time.Duration `help:"Expected run time; only a first guess."`
+	Deadline       time.Time     `help:"Time by which it is to be done, as 2026-01-05T06:00:00Z; orders it among jobs of its class."`
 	Checkpointable *bool         `help:"The tasks can be checkpointed."                                           negatable:""`
 	NonIdempotent  *bool         `help:"The job must run at most once."                                           negatable:""`
 	Payload        string        `help:"What the workers are told; opaque to lacewingdoor."`
@@ -39,6 +40,7 @@
 		ID: id, Service: s.Service, Team: s.Team, Class: s.Class,
 		Tasks: s.Tasks, MilliCores: s.MilliCores, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators,
 		Adjacency: placer.Adjacency(s.Adjacency), DeclaredRunMS: s.DeclaredRun.Milliseconds(),
+		Deadline:       s.Deadline,
 		Checkpointable: s.Checkpointable, NonIdempotent: s.NonIdempotent, Payload: s.Payload,
 	}
 	var a responder.JobResponse
--- a/internal/measurer/deployment.go
+++ b/internal/measurer/deployment.go
@@ -65,7 +65,7 @@
 	Median         duration         `toml:"median"` // of the run times
 	Spread         float64          `toml:"spread"` // standard deviation of their logarithm
 	Checkpointable bool             `toml:"checkpointable"`
-	Share          float64          `toml:"share"` // of the work that comes in no wave
+	Share          float64          `toml:"share"`    // of the work that comes in no wave
 	Openings       []duration       `toml:"openings"` // after the start, rising; jobs are for one of them in turn
 	Waves          struct {
 		Count  int      `toml:"count"`
--- a/reducer/job.go
+++ b/reducer/job.go
@@ -24,6 +24,7 @@
 	notBefore time.Time
 	callAfter time.Time // when it may call its guarantee back again
 	closing   bool      // its JobEnded is being appended
+	rank      rank      // in its queue
 }
 
 // started is a start record.
@@ -44,13 +45,13 @@
 func (j *job) over() bool { return j.end != nil || j.closing }
 
 // queueKey orders the waiting jobs of an organisation: urgent ones first, then by
-// age.
+// when they are due.
 func (j *job) queueKey() string {
 	class := "1"
 	if j.Class == ClassUrgent {
 		class = "0"
 	}
-	return fmt.Sprintf("%s %019d %s", class, j.accepted.UnixNano(), j.ID)
+	return fmt.Sprintf("%s %019d %s", class, j.rank.due.UnixNano(), j.ID)
 }
 
 // withFailure returns the job after it failed on a worker.
--- a/reducer/move.go
+++ b/reducer/move.go
@@ -64,10 +64,17 @@
 	return j.Gang.Tasks >= largeTasks || j.Gang.Adjacency != placer.AdjacencyNone
 }
 
-// block notes a job that lacks room. The large gang that waits longest comes
-// first, for small ones find room soon.
+// block notes a job that lacks room. Large gangs come first, for small ones find
+// room soon: of each organisation the one that its deadline or age puts first, and
+// of these the one that waits longest.
 func (p *pass) block(j *job) {
 	b := p.blocked
+	if large(j) {
+		if p.blockedOf[j.Organisation] {
+			return
+		}
+		p.blockedOf[j.Organisation] = true
+	}
 	if b == nil || large(j) && (!large(b) || j.accepted.Before(b.accepted)) {
 		p.blocked = j
 	}
--- a/reducer/placement.go
+++ b/reducer/placement.go
@@ -16,12 +16,13 @@
 type pass struct {
 	*turn
 
-	workers []placer.Worker // usable ones, sorted by id
-	size    placer.Resources
-	failed  map[placer.Request]bool // requests that had no room; looked up, never ranged over
-	blocked *job                    // the first that waits for room
-	loans   []loan                  // gangs of all organisations, read at the first call
-	read    bool                    // loans were read
+	workers   []placer.Worker // usable ones, sorted by id
+	size      placer.Resources
+	failed    map[placer.Request]bool // requests that had no room; looked up, never ranged over
+	blocked   *job                    // the first that waits for room
+	blockedOf map[string]bool         // organisations with a large gang that waits for room
+	loans     []loan                  // gangs of all organisations, read at the first call
+	read      bool                    // loans were read
 }
 
 // cursor is the head of the queue of one organisation.
@@ -42,7 +43,7 @@
 	if t.queues.Len() == 0 {
 		return
 	}
-	p := &pass{turn: t, failed: map[placer.Request]bool{}}
+	p := &pass{turn: t, failed: map[placer.Request]bool{}, blockedOf: map[string]bool{}}
 	p.workers = t.views(func(w *worker) bool { return w.usable(t.now) })
 	for _, w := range p.workers {
 		p.size = p.size.Plus(w.Capacity)
@@ -82,6 +83,10 @@
 		_, id, _ := c.queue.Next()
 		c.passed++
 		j, ok := p.liveJob(id)
+		if ok && j.rank.passed(p.now) {
+			p.rankAgain(j)
+			continue
+		}
 		if ok && p.worthTrying(c, j) {
 			c.seen++
 			c.job = j
--- a/reducer/property_test.go
+++ b/reducer/property_test.go
@@ -53,6 +53,9 @@
 	if rapid.Bool().Draw(t, "urgent") {
 		j.Class = reducer.ClassUrgent
 	}
+	if rapid.Bool().Draw(t, "with-deadline") { // some have passed, some pass while the job waits
+		j.Deadline = time.Date(2026, 1, 5, 12, 0, 0, 0, time.UTC).Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "deadline")) * time.Second)
+	}
 	j.Payload = j.DeclaredRun.String()
 	if j.NonIdempotent {
 		j.Payload += " once"
--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -23,11 +23,7 @@
 		return
 	}
 	t.notePossible(j.Job)
-	q, ok := t.queues.Get(j.Organisation)
-	if !ok {
-		q = newTable[string]()
-	}
-	t.queues = t.queues.Set(j.Organisation, q.Set(j.queueKey(), j.ID))
+	t.enqueue(j)
 	t.placeable = true
 	if j.notBefore.After(t.now) {
 		t.arm(timerPlace, "job "+j.ID, j.notBefore)
@@ -38,6 +34,18 @@
 	}
 }
 
+// enqueue puts a job into the queue of its organisation, at its rank.
+func (t *turn) enqueue(j *job) {
+	n := *j
+	n.rank = t.rankOf(t.now, j)
+	t.setJob(&n)
+	q, ok := t.queues.Get(j.Organisation)
+	if !ok {
+		q = newTable[string]()
+	}
+	t.queues = t.queues.Set(n.Organisation, q.Set(n.queueKey(), n.ID))
+}
+
 // unqueue takes a job out of its queue.
 func (t *turn) unqueue(j *job) {
 	q, ok := t.queues.Get(j.Organisation)
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -225,6 +225,8 @@
 			marks += " once"
 		case "team":
 			j.Team = v
+		case "deadline": // RFC 3339; scripts begin at 2026-01-05T12:00:00Z
+			j.Deadline, _ = time.Parse(time.RFC3339, v)
 		}
 	}
 	if run == "" {
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -49,13 +49,14 @@
 
 // The limits of one placement pass.
 const (
-	urgentPause    = 100 * time.Millisecond // between passes for urgent jobs, less than a tick
-	reserveEvery   = 10 * time.Second       // from making a reservation to making it anew; that looks at every gang
-	callPause      = 2 * time.Second        // from a call for a guarantee that found too few borrowers to the next
-	passDepth      = 64                     // waiting jobs that a pass looks at per organisation
-	passScan       = 2000                   // waiting jobs that it passes over per organisation
-	ageingTime     = 30 * time.Minute       // waiting that weighs as much as the whole capacity in use
-	reserveAfter   = 5 * time.Second        // a gang that waits longer gets the reservation
-	runQuantile    = 0.95                   // of learned run times that backfill and reservations count on
-	reclaimOverrun = 3 * time.Second        // from the end of grace to choosing other victims
+	urgentPause      = 100 * time.Millisecond // between passes for urgent jobs, less than a tick
+	reserveEvery     = 10 * time.Second       // from making a reservation to making it anew; that looks at every gang
+	callPause        = 2 * time.Second        // from a call for a guarantee that found too few borrowers to the next
+	passDepth        = 64                     // waiting jobs that a pass looks at per organisation
+	passScan         = 2000                   // waiting jobs that it passes over per organisation
+	ageingTime       = 30 * time.Minute       // waiting that weighs as much as the whole capacity in use
+	reserveAfter     = 5 * time.Second        // a gang that waits longer gets the reservation
+	deadlineQuantile = 0.5                    // of learned run times that a deadline counts on; a higher one gives up jobs that would be in time
+	runQuantile      = 0.95                   // of learned run times that backfill and reservations count on
+	reclaimOverrun   = 3 * time.Second        // from the end of grace to choosing other victims
 )
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -169,7 +169,7 @@
 	case j.notBefore.After(now):
 		return fmt.Sprintf("its next attempt is at %s, after %d failures", j.notBefore.UTC().Format(time.TimeOnly), j.failures)
 	default:
-		return s.whyWaiting(now, j)
+		return s.whyWaiting(now, j) + j.whyRanked()
 	}
 }
 
