--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -36,14 +36,17 @@
 
 // enqueue puts a job into the queue of its organisation, at its rank.
 func (t *turn) enqueue(j *job) {
-	n := *j
-	n.rank = t.rankOf(t.now, j)
-	t.setJob(&n)
+	if r := t.rankOf(t.now, j); r != j.rank {
+		n := *j
+		n.rank = r
+		j = &n
+		t.setJob(j)
+	}
 	q, ok := t.queues.Get(j.Organisation)
 	if !ok {
 		q = newTable[string]()
 	}
-	t.queues = t.queues.Set(n.Organisation, q.Set(n.queueKey(), n.ID))
+	t.queues = t.queues.Set(j.Organisation, q.Set(j.queueKey(), j.ID))
 }
 
 // unqueue takes a job out of its queue.
--- a/reducer/rank.go
+++ b/reducer/rank.go
@@ -7,16 +7,13 @@
 
 // How deadlines order the jobs of one organisation and class.
 const (
-	// A job without a deadline counts as due so long after it was accepted. It is
-	// ageingTime, after which its waiting weighs as much as the whole capacity among
-	// organisations too.
-	dueWithout = ageingTime
+	// A job without a deadline counts as due so long after it was accepted, and a late
+	// one so long after it became late. At 120 percent of the capacity 30 min let work
+	// without a deadline cost others theirs, and 4 h made it wait for hours.
+	dueWithout = 2 * time.Hour
 	// A due time that is further away than a whole night counts as this far, so that
 	// no job is overtaken by one that is accepted later than this after it.
 	dueFurthest = 12 * time.Hour
-	// A late job goes behind those that are due so long after it, so that a deadline
-	// which is missed anyway costs no other job its own, and that it still runs.
-	dueLate = 2 * time.Hour
 )
 
 // rank is where a job stands among those of its organisation and class. The one
@@ -44,7 +41,7 @@
 		if r.due.Before(j.accepted) {
 			r.due = j.accepted
 		}
-		r.due = r.due.Add(dueLate)
+		r.due = r.due.Add(dueWithout)
 	}
 	if furthest := j.accepted.Add(dueFurthest); r.due.After(furthest) {
 		r.due = furthest
--- a/reducer/records.go
+++ b/reducer/records.go
@@ -67,6 +67,9 @@
 		return
 	}
 	j := &job{Job: r.Job, accepted: r.Accepted, offset: e.Offset, recorded: e.Appended}
+	if t.Leading() {
+		j.rank = t.rankOf(t.now, j) // so that admit need not set the job again
+	}
 	t.setJob(j)
 	t.armKeep(j)
 	if t.Leading() {
