--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -24,7 +24,7 @@
 type Digest struct {
 	VM              string
 	Zone            string
-	Address         string // HOST:PORT for other entry VMs
+	Address         string // HOST:PORT for other entry VMs, "" for the one that the list names
 	Incarnation     uint64 // rises when the process starts anew
 	Sequence        uint64 // rises with each digest of an incarnation
 	Leaving         bool
@@ -110,7 +110,7 @@
 			})
 		}
 		s.members[i].Listed = true
-		if s.members[i].Heard.IsZero() {
+		if s.members[i].Digest.Address == "" {
 			s.members[i].Address = l.Address
 		}
 	}
@@ -158,6 +158,33 @@
 	return s.filter(now, true, func(Member) bool { return true })
 }
 
+// Others returns the sorted VMs but for this one that are thought to be live,
+// those that are leaving included, and those of which only others have heard.
+func (s State) Others(now time.Time) []string {
+	var v []string
+	for _, m := range s.members {
+		if s.direct(now, m) {
+			v = append(append(v, m.Digest.VM), m.Digest.Heard...)
+		}
+	}
+	v = slices.DeleteFunc(v, func(vm string) bool { return vm == s.self })
+	slices.Sort(v)
+	return slices.Compact(v)
+}
+
+// Missing returns when the last of the listed VMs was heard that are silent though
+// they did not say that they leave, zero when there is none. They may be dead, or on
+// the other side of a network that has split.
+func (s State) Missing(now time.Time) time.Time {
+	var last time.Time
+	for _, m := range s.members {
+		if m.Listed && !m.Digest.Leaving && !s.direct(now, m) && !s.vouched(now, m) {
+			last = later(last, m.Heard)
+		}
+	}
+	return last
+}
+
 // Heard returns the sorted VMs that this VM has itself heard lately.
 func (s State) Heard(now time.Time) []string {
 	var v []string
@@ -169,6 +196,33 @@
 	return v
 }
 
+// Mutual returns the sorted VMs that this VM has itself heard lately, and since
+// it was last paused, and that have heard it.
+func (s State) Mutual(now time.Time) []string {
+	var v []string
+	for _, m := range s.members {
+		if s.direct(now, m) && !m.Heard.Before(s.woke) && slices.Contains(m.Digest.Heard, s.self) {
+			v = append(v, m.Digest.VM)
+		}
+	}
+	return v
+}
+
+// Known returns the sorted other VMs that may be live although they are silent:
+// those that are not forgotten and did not say that they leave.
+func (s State) Known() []string {
+	var v []string
+	for _, m := range s.members {
+		if !m.Digest.Leaving {
+			v = append(v, m.Digest.VM)
+		}
+	}
+	return v
+}
+
+// Woke returns when a pause of this process was last noticed, zero for never.
+func (s State) Woke() time.Time { return s.woke }
+
 // Members returns all other VMs that are known, sorted.
 func (s State) Members() []Member { return slices.Clone(s.members) }
 
@@ -178,6 +232,9 @@
 func (s State) Calls(now time.Time) []Member {
 	var c []Member
 	for _, m := range s.members {
+		if m.Address == "" {
+			continue // it has called, and the list does not name it yet
+		}
 		if s.self < m.Digest.VM || now.Sub(m.Heard) >= reverseAfter {
 			c = append(c, m)
 		}
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -73,6 +73,13 @@
 				x.print("call", m.Address)
 			}
 		},
+		"missing": func() {
+			var after time.Duration
+			if m := x.s.Missing(x.now); !m.IsZero() {
+				after = m.Sub(time.Unix(0, 0))
+			}
+			x.print("missing", after)
+		},
 		"settled": func() { x.print("settled", x.s.Settled(x.now)) },
 	}
 }
--- a/internal/server/view.go
+++ b/internal/server/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/lacewingdoor/lacewingdoor/heartbeater"
 	"github.com/lacewingdoor/lacewingdoor/internal/connector"
+	"github.com/lacewingdoor/lacewingdoor/limiter"
 	"github.com/lacewingdoor/lacewingdoor/publisher"
 	"github.com/lacewingdoor/lacewingdoor/reducer"
 	"github.com/lacewingdoor/lacewingdoor/router"
@@ -18,6 +19,7 @@
 	control        reducer.State
 	config         publisher.State
 	members        heartbeater.State
+	division       limiter.Division
 	list           []connector.ListedVM // sorted by id
 	addresses      map[listKey]string   // of the list
 	leaving        []string             // executors that said so to this VM, sorted
@@ -29,7 +31,7 @@
 	controlOffset  int64 // next offset of the control stream
 	logUp          bool
 	logDownSince   time.Time // while logUp is false
-	settled        bool      // the slots were divided once
+	settled        bool      // this VM had a share of the slots once
 	paused         bool      // this process was paused and has not read the log since
 }
 
@@ -76,10 +78,12 @@
 const cutOffAfter = 5 * time.Second
 
 // withoutCutOff returns the live VMs but for those that alone have lost the log: a
-// leader that cannot read it places no job that is accepted now.
+// leader that cannot read it places no job that is accepted now, and would stop one
+// that it has not read of. So this VM, without the log, is none of them as long as it
+// hears one that has it.
 func (v *view) withoutCutOff(now time.Time, live []string) []string {
 	if !v.logUp {
-		return live
+		return slices.DeleteFunc(slices.Clone(live), func(vm string) bool { return vm == v.self && v.hearsLog(now) })
 	}
 	cutOff := map[string]bool{}
 	for _, m := range v.members.Members() {
@@ -89,6 +93,14 @@
 	return slices.DeleteFunc(slices.Clone(live), func(vm string) bool { return cutOff[vm] })
 }
 
+// hearsLog reports whether another VM has the log and is heard.
+func (v *view) hearsLog(now time.Time) bool {
+	heard := v.members.Heard(now)
+	return slices.ContainsFunc(v.members.Members(), func(m heartbeater.Member) bool {
+		return m.Digest.LogDown == 0 && !m.Digest.Leaving && slices.Contains(heard, m.Digest.VM)
+	})
+}
+
 // leader returns the VM that leads, and where it can be called; the address is ""
 // when this VM leads or nobody is known to.
 func (v *view) leader(now time.Time) (vm, address string) {
--- a/router/slots.go
+++ b/router/slots.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/limiter"
+	"github.com/lacewingdoor/lacewingdoor/queuer"
 )
 
 // apply takes over a snapshot.
@@ -27,12 +28,30 @@
 		d.executors[x.ID] = x
 		owned[i] = limiter.Executor{ID: x.ID, Zone: x.Zone, Slots: x.Slots, Leaving: x.Leaving}
 	}
-	if ownsNone(owned) {
+	d.extra = !s.Apart && ownsNone(owned)
+	if d.extra {
 		borrow(owned, list)
 	}
 	d.pool.Set(now, owned)
 }
 
+// slots returns how many slots may be in use in sum.
+func (d *dispatcher) slots() int {
+	if d.extra {
+		return min(1, d.pool.Slots())
+	}
+	return d.pool.Slots()
+}
+
+// capacity returns what serves the queue now.
+func (d *dispatcher) capacity() queuer.Capacity {
+	slots := d.slots()
+	return queuer.Capacity{
+		Slots: slots, LongSlots: d.usage.LongLimit(slots),
+		Owner: d.usage.Owner, Guaranteed: d.usage.Guaranteed(slots),
+	}
+}
+
 func ownsNone(owned []limiter.Executor) bool {
 	for _, x := range owned {
 		if x.Slots > 0 && !x.Leaving {
@@ -43,8 +62,9 @@
 }
 
 // borrow lets a VM that owns no slot of a service, because the service has fewer
-// slots than there are entry VMs, use one of each executor. The executor's own
-// refusal when it is full, which means not-run, keeps that safe.
+// slots than there are entry VMs, use a single one of any executor. So the service
+// is given at most one slot more for each such VM, and the executor's own refusal
+// when it is full, which means not-run, keeps that safe.
 func borrow(owned []limiter.Executor, list []Executor) {
 	for i, x := range list {
 		owned[i].Slots = min(1, x.Total)
