Let silence begin anew when missing entry VMs are heard again

The VMs of the other side were heard again before their workers were read, so nothing was missing any more while the workers' last readings were 40 s old: their leases were given up at once, and a recovery that waited ended without them. Jobs ran in a second attempt.

Change: the reducer notes when a missing VM is heard again, or is dropped by the list. A lease is given up only silenceLost after that, and a recovery waits up to a lease longer for workers that were not read.

--- a/reducer/election.go
+++ b/reducer/election.go
@@ -16,6 +16,9 @@
 }
 
 func (t *turn) peersChanged(e PeersChanged) {
+	if e.Missing.Before(t.absent) {
+		t.rejoined = t.now // until now it may have renewed what this VM could not hear of
+	}
 	t.live, t.absent = e.Live, e.Missing
 }
 
--- a/reducer/recovery.go
+++ b/reducer/recovery.go
@@ -67,8 +67,12 @@
 
 // split reports whether entry VMs fell silent shortly before this one led. If a
 // worker is silent too, both may be on the other side of a network that has split:
-// its leases are renewed there, and nobody knows here what it runs.
+// its leases are renewed there, and nobody knows here what it runs. When the VMs are
+// heard again, the worker has the time of a lease to be read too.
 func (t *turn) split() bool {
+	if !t.rejoined.IsZero() && t.now.Before(t.rejoined.Add(leaser.TTL)) {
+		return true
+	}
 	return !t.absent.IsZero() && t.absent.After(t.recovery.since.Add(-splitBefore))
 }
 
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -37,6 +37,7 @@
 	logUp     bool
 	caughtAt  time.Time // when the stream was last read to its end
 	absent    time.Time // PeersChanged.Missing
+	rejoined  time.Time // when a missing entry VM was last heard again, or taken off the list
 	live      []string
 	goneAt    time.Time // since when the leader is missing, zero when it is not
 	claim     claim
--- a/reducer/stopping.go
+++ b/reducer/stopping.go
@@ -185,7 +185,7 @@
 }
 
 func (t *turn) pokeHold(w *worker, h hold) {
-	last := latest(w.asOf, latest(h.since, h.settled))
+	last := latest(latest(w.asOf, t.rejoined), latest(h.since, h.settled))
 	if t.now.Sub(last) > silenceLost && !t.renewedElsewhere(w) {
 		t.lost(w.id, h)
 		return
