--- a/router/dispatcher.go
+++ b/router/dispatcher.go
@@ -25,6 +25,10 @@
 	queue     queuer.Queue
 	budget    retrier.Budget
 	running   tickets // short work in slots, the oldest first
+	overdue   tickets // borrowers that ran too long and can be stopped, the oldest first
+	stopping  int     // borrowers told to stop that still have their slots
+	timed     bool    // a call of tick is due
+	extra     bool    // this VM owns no slot, and may use a single one
 }
 
 func (d *dispatcher) refresh() {
@@ -90,7 +94,7 @@
 		}
 	}
 	i := &t.item
-	if d.queue.Waiting(i.Organisation) == 0 {
+	if waiting, _ := d.queue.Waiting(i.Organisation); waiting == 0 {
 		d.shares.Activate(i.Organisation)
 	}
 	t.ready = nil
@@ -137,10 +141,13 @@
 	defer d.mu.Unlock()
 	i := &t.item
 	d.pool.Give(t.executor.ID)
-	d.usage.Finish(i.Organisation, t.long)
+	d.usage.Finish(t.work())
 	d.shares.Correct(i.Organisation, i.Weight, i.Estimate, now.Sub(t.started))
 	d.queue.Learn(i.Long, i.Estimate, now.Sub(t.started))
-	d.running.remove(t)
+	t.unlist()
+	if t.stopped {
+		d.stopping--
+	}
 	t.executor = Executor{}
 	d.apply(now, d.router.Snapshot())
 	d.dispatch(now)
@@ -160,11 +167,17 @@
 	d.pool.Leave(d.router.now(), id)
 }
 
-// dispatch grants free slots to waiting requests.
+// dispatch grants free slots to waiting requests, and has slots that the owner is
+// due given back.
 func (d *dispatcher) dispatch(now time.Time) {
 	d.overstay(now)
 	d.pool.Refresh(now)
-	slots := d.pool.Slots()
+	slots := d.slots()
+	d.grantAll(now, slots)
+	d.reclaim(now, slots)
+}
+
+func (d *dispatcher) grantAll(now time.Time, slots int) {
 	for d.queue.Len() > 0 && d.pool.CanTake(now, limiter.Choice{}) {
 		i := d.queue.Next(func(i *queuer.Item) bool { return d.eligible(now, i, slots) }, d.rank(slots))
 		if i == nil {
@@ -179,10 +192,10 @@
 }
 
 func (d *dispatcher) eligible(now time.Time, i *queuer.Item, slots int) bool {
-	if !d.usage.May(i.Organisation, i.Long, slots) {
+	if !d.usage.May(work(i), slots) {
 		return false
 	}
-	return len(i.Avoid) == 0 || d.pool.CanTake(now, choice(i))
+	return len(i.Avoid) == 0 || d.pool.CanTake(now, d.choice(i))
 }
 
 // rank orders organisations: the owner first while it is below its guaranteed
@@ -202,7 +215,7 @@
 	if !ok {
 		return
 	}
-	id, ok := d.pool.Take(now, choice(i))
+	id, ok := d.pool.Take(now, d.choice(i))
 	if !ok {
 		refuse(i, queueRefusal(queuer.Full, minRetryAfter))
 		return
@@ -210,7 +223,9 @@
 	t.executor = d.executors[id]
 	t.started = now
 	t.long = i.Long
-	d.usage.Start(i.Organisation, i.Long)
+	t.stopped = false
+	t.cancel = nil
+	d.usage.Start(t.work())
 	d.shares.Start(i.Organisation, i.Weight, i.Estimate)
 	if !i.Long {
 		d.running.add(t)
@@ -218,33 +233,13 @@
 	t.wake()
 }
 
-// overstay counts short work as long that has run for longer than short work
-// does.
-func (d *dispatcher) overstay(now time.Time) {
-	limit := d.router.shortRun()
-	for t := d.running.first; t != nil && now.Sub(t.started) > limit; t = d.running.first {
-		d.running.remove(t)
-		t.long = true
-		d.usage.Overstay(t.item.Organisation)
-	}
-}
-
-// capacity returns what serves the queue now.
-func (d *dispatcher) capacity() queuer.Capacity {
-	slots := d.pool.Slots()
-	return queuer.Capacity{
-		Slots: slots, LongSlots: d.usage.LongLimit(slots),
-		Owner: d.usage.Owner, Guaranteed: d.usage.Guaranteed(slots),
-	}
-}
-
 func (d *dispatcher) tooLate(i *queuer.Item) *Refusal {
-	wait := d.queue.Predict(i.Organisation, i.Weight, i.Long, d.capacity())
+	wait := d.queue.Predict(i, d.capacity())
 	return queueRefusal(queuer.TooLate, wait)
 }
 
-func choice(i *queuer.Item) limiter.Choice {
-	return limiter.Choice{Avoid: i.Avoid, AvoidZone: i.AvoidZone}
+func (d *dispatcher) choice(i *queuer.Item) limiter.Choice {
+	return limiter.Choice{Avoid: i.Avoid, AvoidZone: i.AvoidZone, Zone: d.snapshot.Zone}
 }
 
 // refuse ends the wait of a request without a slot.
