Have a provisional leader wait before it decides, and give way until then

Cause: TestRegions: "task etiquetar:f1/1/0 started 2 times", and jobs in attempt 2 after healing (k2, k3, k4 in three runs). The side without the log has a provisional leader that never gets a majority and goes on fencing. When the links heal, most workers accept it within a second, before it hears of anybody. It then decided at once: a worker that was read last counted as silent for longer than a lease, so its jobs were started anew; and jobs that had ended during the split, of which it had not read, were started again.

Change: it decides 4 s after a majority has accepted it; within three heartbeats and a second a VM that can be reached again is heard. Until it decides it resigns when the log is back, when the leader that the log names is heard, or when another VM is first or it does not count itself.

Ruled out: a sign from the workers that another leader was obeyed since (the split workers obeyed the same term, so they have none); never leading provisionally while VMs are missing (it stands in for one that died).

--- a/reducer/election.go
+++ b/reducer/election.go
@@ -26,6 +26,7 @@
 // stream was read to its end since, and the VMs before it in the list of live
 // ones have had time to claim.
 func (t *turn) elect() {
+	t.giveWay()
 	if !t.leaderMissing() {
 		t.goneAt = time.Time{}
 		return
--- a/reducer/recovery.go
+++ b/reducer/recovery.go
@@ -13,8 +13,9 @@
 // recovery is what a new leader does before it decides anything: it fences every
 // worker and reads which leases it holds.
 type recovery struct {
-	active bool
-	since  time.Time
+	active   bool
+	since    time.Time
+	majority time.Time // when most workers had accepted a provisional leader, zero before
 }
 
 // lead takes leadership under an epoch, and starts to read the workers.
@@ -43,7 +44,7 @@
 
 // recover ends the recovery once every worker has been read, or has been silent
 // for so long that its leases are over. A provisional leader needs a majority of
-// the workers besides.
+// the workers besides, and waits a while when it has one.
 func (t *turn) recover() {
 	if !t.recovery.active || len(t.listed) == 0 {
 		return
@@ -60,13 +61,36 @@
 			return
 		}
 	}
-	if t.epoch.SubTerm > 0 && accepted*2 <= len(t.listed) {
+	if t.epoch.SubTerm > 0 && (accepted*2 <= len(t.listed) || !t.undisputed()) {
 		return
 	}
 	t.recovery = recovery{}
 	t.rebuild()
 }
 
+// undisputed reports whether most workers accepted this provisional leader for long
+// enough ago. When a network that was split heals, they may all do so before it hears
+// of the leader on the other side, of what was decided there, and of the log.
+func (t *turn) undisputed() bool {
+	if t.recovery.majority.IsZero() {
+		t.recovery.majority = t.now
+	}
+	return !t.now.Before(t.recovery.majority.Add(disputeTime))
+}
+
+// giveWay has a provisional leader that has decided nothing yet resign when the log
+// is back, when the leader that the log names is heard again, or when another VM is
+// first.
+func (t *turn) giveWay() {
+	if t.epoch.SubTerm == 0 || !t.recovery.active {
+		return
+	}
+	back := t.leader != t.self && slices.Contains(t.live, t.leader)
+	if t.logUp || back || slices.Index(t.live, t.self) != 0 {
+		t.resign()
+	}
+}
+
 // split reports whether entry VMs fell silent shortly before this one led. If a
 // worker is silent too, both may be on the other side of a network that has split:
 // its leases are renewed there, and nobody knows here what it runs. When the VMs are
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -29,6 +29,7 @@
 	splitWithin  = 5 * time.Second  // between the silence of a worker and of an entry VM that are cut off together
 	splitBefore  = 30 * time.Second // from the silence of entry VMs to a claim because of it, ranks and lost appends included
 	claimPause   = 3 * time.Second  // by which a VM waits longer to claim than the one before it
+	disputeTime  = 4 * time.Second  // in which a VM that is reached again is heard: three heartbeats and a second
 	claimRetry   = 5 * time.Second  // from a claim without a result to the next
 	appendRetry  = time.Second      // from a failed append to the next, doubling
 	appendPause  = 30 * time.Second
