Let a safe request try eight times instead of four

Cause: TestScripts/requests ended twice more with a safe request refused as unknown, "tried as often as is allowed", hedges no longer counted: one executor was frozen, another barred, and the third, the only one left, gave 25 faults; four tries, tens of milliseconds apart, all met one. The request had 19 s left and budget.

Change: eight tries. By then the wait before the next one has reached its ceiling of half a second, so that the tries are spread over more than a second. The sum of all tries is bounded by the budget as before, and one request by its deadline.

Ruled out: the budget and the deadline (the refusal would name them).

--- a/router/call.go
+++ b/router/call.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	maxAttempts = 4 // of one request, hedges not counted; the retry budget bounds the sum, hedges included
+	maxAttempts = 8 // of one request, hedges not counted; the retry budget bounds the sum, hedges included
 	linger      = 5 // a non-idempotent request is waited for this many times its deadline, as it may hold its slot for longer
 )
 
