--- a/scripts_test.go
+++ b/scripts_test.go
@@ -46,9 +46,6 @@
 // the commands of the scripts.
 func TestScripts(t *testing.T) { run(t, filepath.Join("testdata", "scripts")) }
 
-// TestRegions runs testdata/regions. It stands apart so that KNOWN-RED.txt can name it.
-func TestRegions(t *testing.T) { run(t, filepath.Join("testdata", "regions")) }
-
 func run(t *testing.T, dir string) { testscript.Run(t, params(dir)) }
 
 // params returns how the scripts of a directory are run.
