Split the looks at entry VMs and the verdicts on attempts into files of their own

Change: heartbeater/live.go and router/verdict.go. No behaviour changes; the tests of both packages pass.

--- a/router/call.go
+++ b/router/call.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -33,14 +31,6 @@
 	handed   bool // an executor may have got some of it
 }
 
-// verdict is what is known after an attempt.
-type verdict struct {
-	answer  Answer
-	refusal *Refusal // nil when answer is the caller's
-	retry   bool     // a further attempt is safe and may help
-	free    bool     // the retry costs no budget
-}
-
 // run makes attempts until the request is answered or refused.
 func (c *call) run(ctx context.Context) (Answer, *Refusal) {
 	c.dispatcher.deposit()
@@ -171,60 +161,6 @@
 	}
 }
 
-// judge says what an attempt amounts to.
-func (c *call) judge(x Executor, id string, a *Answer, err error) verdict {
-	if err != nil {
-		return c.judgeError(x, err)
-	}
-	if err := checkAnswer(id, a); err != nil {
-		c.handed = true
-		refusal := &Refusal{Code: CodeBadAnswer, Step: "check answer", Peer: x.ID, Err: err}
-		return verdict{refusal: refusal, retry: !c.route.NonIdempotent}
-	}
-	leaving := saysLeaving(a)
-	if leaving {
-		c.dispatcher.leave(x.ID)
-		if c.router.Leaving != nil {
-			c.router.Leaving(x.ID)
-		}
-	}
-	if saysNotRun(a) {
-		// An executor that leaves gets no more work, so its refusals end by
-		// themselves and need no budget.
-		refusal := &Refusal{Code: CodeRefused, Step: "send", Peer: x.ID, RetryAfter: minRetryAfter, Detail: "the executor refused it"}
-		return verdict{refusal: refusal, retry: true, free: leaving}
-	}
-	return verdict{answer: *a}
-}
-
-// healthy reports whether an attempt speaks for its executor, if it says
-// anything of it.
-func healthy(v verdict) (ok, known bool) {
-	if v.refusal == nil {
-		return v.answer.Status < http.StatusInternalServerError, true
-	}
-	switch v.refusal.Code {
-	case CodeUnreachable, CodeConnectionLost, CodeBadAnswer, CodeDeadlinePassed:
-		return false, true
-	default:
-		return false, false
-	}
-}
-
-func (c *call) judgeError(x Executor, err error) verdict {
-	var e *SendError
-	if !errors.As(err, &e) {
-		e = &SendError{Code: CodeConnectionLost, Handed: true, Step: "send", Peer: x.ID, Err: err}
-	}
-	c.handed = c.handed || e.Handed
-	refusal := &Refusal{Code: e.Code, Step: e.Step, Peer: x.ID, Err: e.Err}
-	if e.Code == CodeUnreachable {
-		refusal.RetryAfter = minRetryAfter
-	}
-	safe := !e.Handed || !c.route.NonIdempotent
-	return verdict{refusal: refusal, retry: safe && !e.Final}
-}
-
 // again reports whether a further attempt may be made, and waits before it.
 func (c *call) again(ctx context.Context, v verdict) bool {
 	if c.attempts-c.hedges >= maxAttempts {
