Have a VM that was cut off hear of the leader before it claims its place

A VM that was cut off gets the log back a moment before the first heartbeat. It took the leader for missing, was first among those it heard, and claimed; so did others, in turns. No job was hurt, but the leadership of a healthy leader was.

Change: a VM that gets the log back, or gives up a provisional lead of which nothing came, claims 4 s after that at the earliest, by when a leader that lives is heard. A provisional leader that decides claims at once, as before.

Ruled out: a claim by a VM with the log (each claim in the logs was made within the second in which the log came back).

--- a/reducer/election.go
+++ b/reducer/election.go
@@ -36,7 +36,7 @@
 	}
 	rank := slices.Index(t.live, t.self)
 	if !t.logUp {
-		t.goneAt = t.now // once the log answers, a provisional leader comes first
+		t.goneAt = t.now.Add(disputeTime) // as after giveWay
 		if rank == 0 {
 			t.leadProvisionally()
 		}
--- a/reducer/provisional_test.go
+++ b/reducer/provisional_test.go
@@ -84,3 +84,37 @@
 	o.run(5 * time.Second)
 	is.True(o.state.Leading())
 }
+
+// A VM that was cut off from all hears of the leader before it claims its place.
+func TestCutOffVMDoesNotClaimAtOnce(t *testing.T) {
+	is := is.New(t)
+	o := newOutcast()
+	o.take(reducer.LogChanged{Up: true})
+	o.take(reducer.CaughtUp{Next: 2})
+	is.Equal(o.claims(3*time.Second), 0)
+	o.take(reducer.PeersChanged{Live: []string{"vm-1", "vm-2"}})
+	is.Equal(o.claims(time.Minute), 0)
+	o.take(reducer.PeersChanged{Live: []string{"vm-2"}}) // now the leader is dead
+	is.True(o.claims(time.Minute) > 0)
+}
+
+// claims lets time pass, with the log read to its end again and again, and returns
+// how often leadership was claimed.
+func (o *outcast) claims(d time.Duration) int {
+	n := 0
+	for end := o.now.Add(d); o.now.Before(end); {
+		o.now = o.now.Add(250 * time.Millisecond)
+		for _, e := range []reducer.Event{reducer.CaughtUp{Next: 2}, reducer.Ticked{}} {
+			s, effects := reducer.Reduce(o.now, o.state, e)
+			o.state = s
+			for _, f := range effects {
+				if a, ok := f.(reducer.AppendRecord); ok {
+					if _, ok := a.Record.(reducer.LeaderClaimed); ok {
+						n++
+					}
+				}
+			}
+		}
+	}
+	return n
+}
