Count the wait before a claim from when the log came back

The two places that set the older time forward are gone.

Ruled out: a claim before the log was read to its end (the new term had been read).

--- a/reducer/election.go
+++ b/reducer/election.go
@@ -36,12 +36,15 @@
 	}
 	rank := slices.Index(t.live, t.self)
 	if !t.logUp {
-		t.goneAt = t.now.Add(disputeTime) // as after giveWay
+		t.goneAt = t.now // once the log answers, a provisional leader comes first
 		if rank == 0 {
 			t.leadProvisionally()
 		}
 		return
 	}
+	if !t.holding() && t.now.Before(t.upAt.Add(disputeTime)) {
+		return // the whole network may have been cut; a leader that lives is heard by then
+	}
 	if rank < 0 || t.now.Before(t.goneAt.Add(time.Duration(rank)*claimPause)) {
 		return
 	}
--- a/reducer/provisional_test.go
+++ b/reducer/provisional_test.go
@@ -98,6 +98,22 @@
 	is.True(o.claims(time.Minute) > 0)
 }
 
+// A leader that was cut off and reads that another has replaced it hears of that one
+// before it claims again.
+func TestReplacedLeaderDoesNotClaimAtOnce(t *testing.T) {
+	is := is.New(t)
+	o := newOutcast()
+	o.take(reducer.LogChanged{Up: true})
+	o.claims(time.Minute)
+	o.take(reducer.RecordRead{Offset: 2, Appended: o.now, Record: reducer.LeaderClaimed{VM: "vm-2", Previous: 1}})
+	is.Equal(o.state.Epoch(), leaser.Epoch{Term: 2})
+	o.take(reducer.LogChanged{})
+	o.run(time.Minute)
+	o.take(reducer.LogChanged{Up: true})
+	o.take(reducer.RecordRead{Offset: 3, Appended: o.now, Record: reducer.LeaderClaimed{VM: "vm-1", Previous: 2}})
+	is.Equal(o.claims(3*time.Second), 0)
+}
+
 // claims lets time pass, with the log read to its end again and again, and returns
 // how often leadership was claimed.
 func (o *outcast) claims(d time.Duration) int {
--- a/reducer/records.go
+++ b/reducer/records.go
@@ -43,6 +43,7 @@
 
 func (t *turn) logChanged(e LogChanged) {
 	if e.Up && !t.logUp {
+		t.upAt = t.now
 		t.retryAppends()
 		t.placeable = true
 	}
--- a/reducer/recovery.go
+++ b/reducer/recovery.go
@@ -88,7 +88,6 @@
 	back := t.leader != t.self && slices.Contains(t.live, t.leader)
 	if t.logUp || back || slices.Index(t.live, t.self) != 0 {
 		t.resign()
-		t.goneAt = t.now.Add(disputeTime) // the leader is heard by then, if it lives
 	}
 }
 
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -35,6 +35,7 @@
 
 	// What else is known.
 	logUp     bool
+	upAt      time.Time // when the log was back last, zero if it never was away
 	caughtAt  time.Time // when the stream was last read to its end
 	absent    time.Time // PeersChanged.Missing
 	rejoined  time.Time // when a missing entry VM was last heard again, or taken off the list
