--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -41,6 +41,7 @@
 	Measure  MeasureCmd  `cmd:"" help:"Measure policies of placement in virtual time."`
 	Publish  PublishCmd  `cmd:"" help:"Bring configuration files into force."`
 	Rollback RollbackCmd `cmd:"" help:"Undo a change of configuration."`
+	Schedule ScheduleCmd `cmd:"" help:"Run an entry VM on the users' platform; settings come from the file that LACEWINGDOOR_SETTINGS names."`
 	Serve    ServeCmd    `cmd:"" help:"Run the entry daemon."`
 	Standin  StandinCmd  `cmd:"" help:"Run a stand-in for a part of the platform." name:"stand-in"`
 	Status   StatusCmd   `cmd:"" help:"Show what an entry VM says of itself."`
--- /dev/null
+++ b/internal/jobs/scheduler/calls.go
@@ -0,0 +1,326 @@
+package scheduler
+
+import (
+	"time"
+)
+
+// hold calls the workers on which something runs, whose ends are to be
+// acknowledged, or that have not answered yet.
+func (s *Scheduler) hold(now time.Time) {
+	for _, id := range s.order {
+		w := s.workers[id]
+		if w.holding || !w.wantsHold(now) {
+			continue
+		}
+		h := Hold{Worker: id, Address: w.Address, Epoch: s.Epoch, Ack: w.stored}
+		if len(w.runs) > 0 && w.clockMS != 0 {
+			h.DeadlineMS = w.clock(now) + s.Settings.Lease.Milliseconds()
+			w.deadline = max(w.deadline, h.DeadlineMS)
+		}
+		if len(w.runs) > 0 && w.fenced && w.seen == w.stored {
+			h.Wait = holdWait
+		}
+		w.holding = true
+		w.heldAt = now
+		w.acking = w.stored
+		s.emit(h)
+	}
+}
+
+func (w *worker) wantsHold(now time.Time) bool {
+	if !w.failedAt.IsZero() && now.Sub(w.failedAt) < holdPause {
+		return false
+	}
+	if !w.listed && len(w.runs) == 0 {
+		return false
+	}
+	if !w.fenced || !w.silent.IsZero() {
+		return true
+	}
+	if w.seen > w.stored {
+		return now.Sub(w.heldAt) >= storePause
+	}
+	return len(w.runs) > 0 || w.stored > w.acked
+}
+
+// held takes in the lists of a worker.
+func (s *Scheduler) held(now time.Time, e Held) {
+	w, ok := s.workers[e.Worker]
+	if !ok {
+		return
+	}
+	w.holding = false
+	switch e.Outcome {
+	case OutcomeDone:
+	case OutcomeReplaced:
+		s.reborn(now, w, w.Born)
+		w.missed(now)
+		return
+	default:
+		if w.silent.IsZero() {
+			s.log("worker does not answer", "", map[string]any{"worker": w.ID, "outcome": e.Outcome, "runs": len(w.runs)})
+		}
+		w.missed(now)
+		return
+	}
+	if e.Born != 0 && e.Born < w.Born {
+		return
+	}
+	if e.Born > w.Born {
+		if w.Born != 0 {
+			s.reborn(now, w, e.Born)
+		}
+		w.Born = e.Born
+	}
+	if !w.silent.IsZero() && w.fenced {
+		s.log("worker answers again", "", map[string]any{"worker": w.ID, "silent-ms": now.Sub(w.silent).Milliseconds()})
+	}
+	s.passDue = s.passDue || !w.fenced || !w.silent.IsZero()
+	w.note(now, e.ClockMS)
+	w.fenced = true
+	w.acked = max(w.acked, w.acking)
+	s.takeEnds(now, w, e.Ends)
+	s.takeRunning(now, w, e)
+}
+
+func (s *Scheduler) takeEnds(now time.Time, w *worker, ends []End) {
+	for _, e := range ends {
+		if e.Number <= w.seen {
+			continue
+		}
+		w.seen = e.Number
+		s.hurry = true
+		s.passDue = true
+		if p, ok := w.runs[placementKey{e.Task, e.Run}]; ok {
+			w.remove(p)
+		}
+		s.takeEnd(now, w, e)
+	}
+}
+
+// takeEnd draws the conclusions from the end of a run.
+func (s *Scheduler) takeEnd(now time.Time, w *worker, e End) {
+	j, st, t := s.find(e.Task)
+	if t == nil || j.state.Ended() {
+		return
+	}
+	fields := map[string]any{"task": e.Task, "run": e.Run, "worker": w.ID, "how": e.How, "end": e.Number}
+	if t.state == taskDone {
+		s.log("end of a run of a task that is done already", j.ID, fields)
+		return
+	}
+	s.log("run ended", j.ID, fields)
+	lead := st.lead(e.Task.Index)
+	if e.Saved != "" && e.Run >= lead.run {
+		lead.saved = e.Saved
+	}
+	s.mark(j)
+	if e.How == HowDone {
+		w.absolve()
+		s.succeed(now, j, st, e)
+		return
+	}
+	current := t.state == taskPlaced && t.run == e.Run && t.worker == w.ID
+	if current {
+		t.state = taskWaiting
+	}
+	if e.How == HowFailed {
+		w.blame(now, j.ID)
+		if n := st.fail(e.Task.Index, e.Run); n >= j.queue.MaxAttempts {
+			s.end(now, j, StateFailed, "a task failed as often as its queue allows")
+			return
+		}
+	}
+	if st.Gang && current {
+		s.breakGang(now, j, e.Task.Step, e.Run)
+	}
+}
+
+// succeed notes that a task, or a gang, has done its work.
+func (s *Scheduler) succeed(now time.Time, j *job, st *step, e End) {
+	t := &st.tasks[e.Task.Index]
+	if t.state == taskPlaced && t.run != e.Run {
+		s.stopTask(now, e.Task, t)
+	}
+	t.run = e.Run
+	st.finish(e.Task.Index)
+	if j.completed() {
+		s.end(now, j, StateCompleted, "all tasks have succeeded")
+	}
+}
+
+// breakGang stops the members of a gang that still run.
+func (s *Scheduler) breakGang(now time.Time, j *job, step int, run int64) {
+	st := j.steps[step]
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.state == taskPlaced && t.run == run {
+			s.stopTask(now, TaskID{j.ID, step, i}, t)
+		}
+	}
+}
+
+// stopTask stops the current run of a task.
+func (s *Scheduler) stopTask(now time.Time, id TaskID, t *task) {
+	w, ok := s.workers[t.worker]
+	if !ok {
+		return
+	}
+	if p, ok := w.runs[placementKey{id, t.run}]; ok {
+		s.stop(now, w, p)
+	}
+}
+
+// stop stops a run; it holds its room until its worker lists the end.
+func (s *Scheduler) stop(now time.Time, w *worker, p *placement) {
+	if p.stopping {
+		return
+	}
+	p.stopping = true
+	p.settled = time.Time{}
+	s.sendStop(now, w, p)
+}
+
+func (s *Scheduler) sendStop(now time.Time, w *worker, p *placement) {
+	p.inFlight = true
+	p.stopSent = now
+	s.emit(Stop{Worker: w.ID, Address: w.Address, Epoch: s.Epoch, Task: p.task, Run: p.run})
+}
+
+// takeRunning compares what a worker lists as running with what it should run.
+func (s *Scheduler) takeRunning(now time.Time, w *worker, e Held) {
+	listed := make(map[placementKey]bool, len(e.Running))
+	for _, r := range e.Running {
+		k := placementKey{r.Task, r.Run}
+		listed[k] = true
+		p, ok := w.runs[k]
+		if !ok {
+			s.adopt(now, w, r)
+			continue
+		}
+		if p.confirmed.IsZero() {
+			p.confirmed = now
+		}
+		if r.Percent != p.percent {
+			p.percent, p.moved = r.Percent, now
+		}
+		if _, st, t := s.find(r.Task); t != nil && r.Saved != "" && t.run == r.Run {
+			st.lead(r.Task.Index).saved = r.Saved
+		}
+	}
+	for _, p := range w.sorted() {
+		if !listed[placementKey{p.task, p.run}] && p.over(e) {
+			s.lose(now, w, p, "its worker lists it no more")
+		}
+	}
+}
+
+// over reports whether a run that a list lacks is not on the worker and never
+// will be.
+func (p *placement) over(e Held) bool {
+	return (!p.settled.IsZero() && p.settled.Before(e.Sent)) ||
+		(!p.confirmed.IsZero() && p.confirmed.Before(e.Sent)) ||
+		(p.untilMS != 0 && e.ClockMS > p.untilMS)
+}
+
+// adopt takes over a run that an earlier leader started, or stops one that is
+// not wanted.
+func (s *Scheduler) adopt(now time.Time, w *worker, r Running) {
+	p := &placement{task: r.Task, run: r.Run, confirmed: now, percent: r.Percent, moved: now}
+	j, st, t := s.find(r.Task)
+	if t != nil {
+		p.need = st.Need
+	}
+	w.add(p)
+	if t == nil || j.state.Ended() || t.state != taskWaiting || !st.accepts(r.Run) {
+		s.log("run is not wanted", r.Task.Job, map[string]any{"task": r.Task, "run": r.Run, "worker": w.ID})
+		s.stop(now, w, p)
+		return
+	}
+	t.state, t.run, t.worker = taskPlaced, r.Run, w.ID
+	if r.Saved != "" {
+		st.lead(r.Task.Index).saved = r.Saved
+	}
+	s.begin(j)
+	s.log("run taken over", j.ID, map[string]any{"task": r.Task, "run": r.Run, "worker": w.ID, "percent": r.Percent})
+}
+
+// accepts reports whether a run may be taken over: the members of a gang share
+// its number.
+func (s *step) accepts(run int64) bool {
+	if !s.Gang {
+		return true
+	}
+	for i := range s.tasks {
+		if s.tasks[i].state == taskPlaced && s.tasks[i].run != run {
+			return false
+		}
+	}
+	return true
+}
+
+// begin notes that a job has begun.
+func (s *Scheduler) begin(j *job) {
+	if j.state == StateQueued {
+		j.state = StateRunning
+		s.mark(j)
+	}
+}
+
+// started takes in the answer to a start.
+func (s *Scheduler) started(now time.Time, e Started) {
+	w, ok := s.workers[e.Start.Worker]
+	if !ok {
+		return
+	}
+	p, ok := w.runs[placementKey{e.Start.Task, e.Start.Run}]
+	if !ok {
+		return
+	}
+	if e.ClockMS != 0 {
+		w.note(now, e.ClockMS)
+	}
+	if e.Outcome == OutcomeDone {
+		if p.confirmed.IsZero() {
+			p.confirmed = now
+		}
+		return
+	}
+	s.log("start failed", e.Start.Task.Job, map[string]any{"task": e.Start.Task, "run": e.Start.Run, "worker": w.ID, "outcome": e.Outcome})
+	switch e.Outcome {
+	case OutcomeUnknown:
+		w.missed(now)
+		if j, st, _ := s.find(p.task); st != nil && st.Gang {
+			s.breakGang(now, j, p.task.Step, p.run)
+		}
+		s.stop(now, w, p)
+	case OutcomeUnsent, OutcomeReplaced:
+		w.missed(now)
+		s.lose(now, w, p, "its start was not sent")
+	default:
+		if e.Outcome == OutcomeFull || e.Outcome == OutcomeUnhealthy {
+			w.shun = now.Add(shunTime)
+		}
+		s.lose(now, w, p, "its start was refused")
+	}
+}
+
+// stopped takes in the answer to a stop.
+func (s *Scheduler) stopped(now time.Time, e Stopped) {
+	w, ok := s.workers[e.Stop.Worker]
+	if !ok {
+		return
+	}
+	p, ok := w.runs[placementKey{e.Stop.Task, e.Stop.Run}]
+	if !ok {
+		return
+	}
+	p.inFlight = false
+	switch e.Outcome {
+	case OutcomeDone, OutcomeObsolete:
+		p.settled = now
+	case OutcomeUnknown, OutcomeUnsent:
+		w.missed(now)
+	default:
+	}
+}
--- /dev/null
+++ b/internal/jobs/scheduler/place.go
@@ -0,0 +1,390 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+const (
+	lateFactor       = 3           // a job is worth nothing after this many objectives
+	maxReserved      = 2           // gangs for which room is kept free at a time; more would idle the workers
+	spreadUrgent     = time.Second // an urgent gang that found no rack for so long takes any workers
+	acceleratorCores = 8           // cores that an accelerator counts for
+	urgentWorth      = 3000.0      // core-seconds of work that an urgent job may cost others outside its guarantee
+)
+
+// unit is what is placed at once: a gang, or the waiting tasks of a step.
+type unit struct {
+	job   *job
+	index int
+	step  *step
+}
+
+// pass is one round of placements over the workers of all services.
+type pass struct {
+	s        *Scheduler
+	now      time.Time
+	views    map[string][]placer.Worker // by service
+	reserved int
+	held     map[string]int // accelerators that urgent jobs hold or claim, by organisation
+}
+
+// place starts what there is room for, in order of urgency.
+func (s *Scheduler) place(now time.Time) {
+	units := s.units(now)
+	if len(units) == 0 {
+		return
+	}
+	p := &pass{s: s, now: now, views: s.views(now), held: s.urgentHeld()}
+	for _, u := range units {
+		p.tryUnit(u)
+	}
+}
+
+// units returns the steps that wait for workers, the most urgent first. It answers
+// for bursts of short urgent gangs beside long batches: urgent jobs come first,
+// then the job with the earliest latest start; what can earn nothing any more
+// comes last.
+func (s *Scheduler) units(now time.Time) []unit {
+	type ranked struct {
+		unit
+		class int
+		start time.Time
+	}
+	var all []ranked
+	for _, j := range s.active {
+		if s.recovering && j.offset <= s.Old {
+			continue
+		}
+		r := ranked{start: j.accepted.Add(j.objective() - j.chain), class: 1}
+		switch {
+		case j.urgent():
+			r.class = 0
+			r.start = j.accepted
+		case now.After(j.accepted.Add(lateFactor*j.objective() - j.chain)):
+			r.class = 2
+		}
+		for i, st := range j.steps {
+			if !j.open(st) || st.done == len(st.tasks) {
+				continue
+			}
+			r.unit = unit{j, i, st}
+			all = append(all, r)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), a.start.Compare(b.start))
+	})
+	units := make([]unit, len(all))
+	for i, r := range all {
+		units[i] = r.unit
+	}
+	return units
+}
+
+// views returns the usable workers of each service.
+func (s *Scheduler) views(now time.Time) map[string][]placer.Worker {
+	v := map[string][]placer.Worker{}
+	for _, id := range s.order {
+		w := s.workers[id]
+		if w.usable(now) {
+			v[w.Service] = append(v[w.Service], placer.Worker{
+				ID: id, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.Capacity.Minus(w.used),
+			})
+		}
+	}
+	return v
+}
+
+// urgentHeld returns the accelerators that urgent jobs hold, by organisation.
+func (s *Scheduler) urgentHeld() map[string]int {
+	n := map[string]int{}
+	for _, j := range s.active {
+		if !j.urgent() {
+			continue
+		}
+		for _, st := range j.steps {
+			for i := range st.tasks {
+				if st.tasks[i].state == taskPlaced {
+					n[j.Organisation] += st.Need.Accelerators
+				}
+			}
+		}
+	}
+	return n
+}
+
+// tryUnit starts what fits of a unit, or makes room for it.
+func (p *pass) tryUnit(u unit) {
+	waiting := u.step.waiting()
+	if len(waiting) == 0 {
+		return
+	}
+	if u.step.Gang && len(waiting) < len(u.step.tasks) {
+		p.repair(u)
+		return
+	}
+	request := placer.Request{Tasks: len(waiting), PerTask: u.step.Need, Adjacency: placer.AdjacencyNone}
+	if u.step.SameRack {
+		request.Adjacency = placer.AdjacencyRack
+	}
+	if !u.step.Gang {
+		p.trySpread(u, waiting, request)
+		return
+	}
+	p.tryGang(u, waiting, request)
+}
+
+// repair stops what is left of a gang that lost members.
+func (p *pass) repair(u unit) {
+	for i := range u.step.tasks {
+		if t := &u.step.tasks[i]; t.state == taskPlaced && !p.s.recovering {
+			p.s.breakGang(p.now, u.job, u.index, t.run)
+			return
+		}
+	}
+}
+
+// allowed returns the workers that may run the step, with their room clipped to
+// its limits.
+func (p *pass) allowed(u unit) []placer.Worker {
+	all := p.views[u.job.queue.Service]
+	if u.step.Label == "" && u.step.PerWorker == 0 {
+		return all
+	}
+	on := map[string]int{}
+	for i := range u.step.tasks {
+		if t := &u.step.tasks[i]; t.state == taskPlaced {
+			on[t.worker]++
+		}
+	}
+	var out []placer.Worker
+	for _, v := range all {
+		if u.step.Label != "" && !slices.Contains(p.s.workers[v.ID].Labels, u.step.Label) {
+			continue
+		}
+		if limit := u.step.PerWorker; limit > 0 {
+			v.Free = clip(v.Free, u.step.Need.Times(max(0, limit-on[v.ID])))
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func clip(a, b placer.Resources) placer.Resources {
+	return placer.Resources{
+		MilliCores:   min(a.MilliCores, b.MilliCores),
+		MemoryMB:     min(a.MemoryMB, b.MemoryMB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
+// onRack returns the workers of one rack.
+func onRack(all []placer.Worker, rack string) []placer.Worker {
+	var out []placer.Worker
+	for _, v := range all {
+		if v.Rack == rack {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// trySpread starts as many tasks of a step without a gang as fit, near its data
+// where it can.
+func (p *pass) trySpread(u unit, waiting []int, r placer.Request) {
+	r.Adjacency = placer.AdjacencyNone
+	all := p.allowed(u)
+	if rack := u.step.DataRack; rack != "" {
+		if near := onRack(all, rack); fits(r, near) > 0 {
+			all = near
+		}
+	}
+	r.Tasks = min(len(waiting), fits(r, all))
+	if r.Tasks > 0 {
+		if at, ok := placer.Place(r, all); ok {
+			for k, id := range at {
+				p.s.run++
+				p.start(u, waiting[k], id, p.s.run)
+			}
+			u.step.claim = nil
+		}
+	}
+	if left := len(waiting) - r.Tasks; left > 0 && u.job.urgent() {
+		r.Tasks = left
+		p.makeRoom(u, r)
+	}
+}
+
+// fits returns how many tasks of a request fit on workers.
+func fits(r placer.Request, all []placer.Worker) int {
+	n := 0
+	for i := range all {
+		n += max(0, min(placer.Count(r.PerTask, all[i].Free), r.Tasks))
+	}
+	return min(n, r.Tasks)
+}
+
+// tryGang starts a gang whole, or makes room for it.
+func (p *pass) tryGang(u unit, waiting []int, r placer.Request) {
+	all := p.allowed(u)
+	at, ok := placer.Place(r, all)
+	if !ok && r.Adjacency == placer.AdjacencyRack && p.spreads(u, r) {
+		r.Adjacency = placer.AdjacencyNone
+		at, ok = placer.Place(r, all)
+	}
+	if !ok {
+		if u.step.blocked.IsZero() {
+			u.step.blocked = p.now
+		}
+		p.makeRoom(u, r)
+		return
+	}
+	u.step.claim = nil
+	u.step.blocked = time.Time{}
+	p.s.run++
+	for k, id := range at {
+		p.start(u, waiting[k], id, p.s.run)
+	}
+}
+
+// spreads reports whether a gang that wants one rack gives that up: no rack is
+// large enough, or an urgent job has waited for one.
+func (p *pass) spreads(u unit, r placer.Request) bool {
+	if u.job.urgent() && !u.step.blocked.IsZero() && p.now.Sub(u.step.blocked) >= spreadUrgent {
+		return true
+	}
+	empty := slices.Clone(p.allowed(u))
+	for i := range empty {
+		empty[i].Free = empty[i].Capacity
+	}
+	_, ok := placer.Place(r, empty)
+	return !ok
+}
+
+// start starts a task on a worker.
+func (p *pass) start(u unit, index int, id string, run int64) {
+	s, w := p.s, p.s.workers[id]
+	t := &u.step.tasks[index]
+	t.state, t.worker, t.run = taskPlaced, id, run
+	task := TaskID{u.job.ID, u.index, index}
+	until := w.clock(p.now) + startWindow.Milliseconds()
+	w.add(&placement{task: task, run: run, need: u.step.Need, sent: p.now, untilMS: until, moved: p.now})
+	w.deadline = max(w.deadline, until)
+	p.take(u.job.queue.Service, id, u.step.Need)
+	if u.job.urgent() {
+		p.held[u.job.Organisation] += u.step.Need.Accelerators
+	}
+	s.begin(u.job)
+	s.emit(Start{
+		Worker: id, Address: w.Address, Epoch: s.Epoch, Task: task, Run: run,
+		Spec: u.job.Spec, DeadlineMS: until, Checkpoint: u.step.lead(index).saved,
+	})
+	s.log("task placed", u.job.ID, map[string]any{"task": task, "run": run, "worker": id, "waited-ms": p.now.Sub(u.job.accepted).Milliseconds()})
+}
+
+// take reduces the room of a worker for the rest of the pass.
+func (p *pass) take(service, id string, need placer.Resources) {
+	v := p.views[service]
+	i, ok := slices.BinarySearchFunc(v, id, func(w placer.Worker, id string) int { return cmp.Compare(w.ID, id) })
+	if ok {
+		v[i].Free = v[i].Free.Minus(need)
+	}
+}
+
+// makeRoom stops less urgent work for an urgent unit, or keeps room that gets
+// free for a gang that could not start. The room is kept from those that come
+// later in the pass.
+func (p *pass) makeRoom(u unit, r placer.Request) {
+	if u.job.urgent() {
+		p.preempt(u, r)
+		return
+	}
+	if p.reserved >= maxReserved {
+		return
+	}
+	p.reserved++
+	if !p.claimHolds(u) {
+		_, at, ok := placer.Victims(r, p.allowed(u), p.borrowers(u, remaining))
+		if !ok {
+			return
+		}
+		u.step.claim = at
+	}
+	p.keep(u)
+}
+
+// claimHolds reports whether the workers that a gang waits for can still run it.
+func (p *pass) claimHolds(u unit) bool {
+	if len(u.step.claim) == 0 {
+		return false
+	}
+	for _, id := range u.step.claim {
+		if w, ok := p.s.workers[id]; !ok || !w.usable(p.now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *pass) keep(u unit) {
+	for _, id := range u.step.claim {
+		p.take(u.job.queue.Service, id, u.step.Need)
+	}
+}
+
+// preempt stops the work that costs least for an urgent unit: whatever it takes
+// within the guarantee of its organisation, else only little.
+func (p *pass) preempt(u unit, r placer.Request) {
+	if !p.claimHolds(u) || len(u.step.claim) != r.Tasks {
+		victims, at, ok := placer.Victims(r, p.allowed(u), p.borrowers(u, waste))
+		if !ok {
+			return
+		}
+		need := r.Tasks * u.step.Need.Accelerators
+		sure := p.held[u.job.Organisation]+need <= p.s.terms.Guaranteed[u.job.Organisation]
+		cost := 0.0
+		for _, v := range victims {
+			cost += v.Cost
+		}
+		if !sure && cost > urgentWorth {
+			return
+		}
+		u.step.claim = at
+		for _, v := range victims {
+			p.evict(u, v)
+		}
+	}
+	p.held[u.job.Organisation] += r.Tasks * u.step.Need.Accelerators
+	p.keep(u)
+}
+
+// evict stops a running unit.
+func (p *pass) evict(u unit, v placer.Borrower) {
+	id := parseUnit(v.Job)
+	j, st, t := p.s.find(id)
+	if t == nil {
+		return
+	}
+	p.s.log("run is stopped for an urgent job", j.ID, map[string]any{"task": id, "run": t.run, "for": u.job.ID, "core-seconds": int(v.Cost)})
+	if st.Gang {
+		p.s.breakGang(p.now, j, id.Step, t.run)
+		return
+	}
+	p.s.stopTask(p.now, id, t)
+}
+
+func unitName(id TaskID) string {
+	return id.Job + "/" + strconv.Itoa(id.Step) + "/" + strconv.Itoa(id.Index)
+}
+
+func parseUnit(name string) TaskID {
+	parts := splitUnit(name)
+	step, _ := strconv.Atoi(parts[1])  // made by unitName
+	index, _ := strconv.Atoi(parts[2]) // made by unitName
+	return TaskID{parts[0], step, index}
+}
--- /dev/null
+++ b/internal/jobs/scheduler/progress.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"strconv"
+	"time"
+)
+
+// progress returns what is to be stored of a job.
+func (j *job) progress() Progress {
+	p := Progress{State: j.state, Done: make([][]int, len(j.steps)), Failures: map[string][]int64{}, Saved: map[string]string{}}
+	if !j.ended.IsZero() {
+		p.EndedMS = j.ended.UnixMilli()
+	}
+	if j.state.Ended() {
+		p.Done = nil
+		return p
+	}
+	for i, s := range j.steps {
+		for k := range s.tasks {
+			if s.tasks[k].state == taskDone {
+				p.Done[i] = append(p.Done[i], k)
+				continue
+			}
+			key := strconv.Itoa(i) + "." + strconv.Itoa(k)
+			if len(s.tasks[k].failures) > 0 {
+				p.Failures[key] = s.tasks[k].failures
+			}
+			if s.tasks[k].saved != "" {
+				p.Saved[key] = s.tasks[k].saved
+			}
+		}
+	}
+	return p
+}
+
+// restore takes over what an earlier leader has stored.
+func (j *job) restore(p Progress) {
+	if p.State != "" {
+		j.state = p.State
+	}
+	if p.EndedMS != 0 {
+		j.ended = time.UnixMilli(p.EndedMS)
+	}
+	for i, done := range p.Done {
+		for _, k := range done {
+			if i < len(j.steps) && k < len(j.steps[i].tasks) {
+				j.steps[i].finish(k)
+			}
+		}
+	}
+	for i, s := range j.steps {
+		for k := range s.tasks {
+			key := strconv.Itoa(i) + "." + strconv.Itoa(k)
+			s.tasks[k].failures = p.Failures[key]
+			s.tasks[k].saved = p.Saved[key]
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/scheduler/worker.go
@@ -0,0 +1,200 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// placement is a run that holds room on a worker, or may hold it.
+type placement struct {
+	task      TaskID
+	run       int64
+	need      placer.Resources
+	sent      time.Time // when its start was sent, zero for one that an inventory showed
+	confirmed time.Time // when the worker first answered that it has the run, zero before
+	settled   time.Time // a list asked for later names the run if it is there, zero before
+	stopping  bool
+	stopSent  time.Time // last attempt to stop it
+	inFlight  bool      // a stop is in flight
+	untilMS   int64     // a start that arrives later, by the worker's clock, is refused
+	percent   int
+	moved     time.Time // when the percentage last rose
+}
+
+// placementKey names a run on a worker.
+type placementKey struct {
+	task TaskID
+	run  int64
+}
+
+// worker is what is known of a worker.
+type worker struct {
+	Listed
+	listed bool
+
+	fenced   bool      // its lists were read under the own epoch
+	holding  bool      // a hold is in flight
+	heldAt   time.Time // when the last hold was sent
+	failedAt time.Time // when a call last got no answer, zero since one did
+	silent   time.Time // since when calls get no answer
+	clockMS  int64     // of its steady clock
+	clockAt  time.Time // when clockMS was received
+	deadline int64     // latest one sent, by its clock
+	runs     map[placementKey]*placement
+	used     placer.Resources
+	seen     int64 // last end that was taken in
+	stored   int64 // last end that is stored
+	acked    int64 // last end that was acknowledged
+	covered  int64 // last end that the store in flight covers
+	acking   int64 // end that the hold in flight acknowledges
+
+	// Faults of the worker.
+	faults int       // failed runs of different jobs since one succeeded
+	blamed []string  // the jobs that failed
+	shun   time.Time // no new tasks until then
+}
+
+// clock returns a lower bound of the worker's clock.
+func (w *worker) clock(now time.Time) int64 {
+	return w.clockMS + now.Sub(w.clockAt).Milliseconds()*slowClockPercent/100
+}
+
+// lapsed reports whether all leases on the worker have run out.
+func (w *worker) lapsed(now time.Time) bool {
+	return w.clock(now) > w.deadline+lapseSlack.Milliseconds()
+}
+
+// note takes in the clock of an answer.
+func (w *worker) note(now time.Time, clockMS int64) {
+	w.failedAt = time.Time{}
+	w.silent = time.Time{}
+	if clockMS != 0 {
+		w.clockMS = clockMS
+		w.clockAt = now
+	}
+}
+
+// missed notes that a call got no answer.
+func (w *worker) missed(now time.Time) {
+	w.failedAt = now
+	if w.silent.IsZero() {
+		w.silent = now
+	}
+}
+
+func (w *worker) add(p *placement) {
+	w.runs[placementKey{p.task, p.run}] = p
+	w.used = w.used.Plus(p.need)
+}
+
+func (w *worker) remove(p *placement) {
+	k := placementKey{p.task, p.run}
+	if _, ok := w.runs[k]; ok {
+		delete(w.runs, k)
+		w.used = w.used.Minus(p.need)
+	}
+}
+
+// sorted returns the runs on the worker in a fixed order.
+func (w *worker) sorted() []*placement {
+	all := make([]*placement, 0, len(w.runs))
+	for _, p := range w.runs {
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b *placement) int { return cmp.Or(compareTask(a.task, b.task), cmp.Compare(a.run, b.run)) })
+	return all
+}
+
+func compareTask(a, b TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
+// usable reports whether new tasks may be placed on the worker.
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && w.fenced && !w.Draining && w.silent.IsZero() && !now.Before(w.shun)
+}
+
+// blame counts a failed run against the worker. A job that fails everywhere
+// counts once.
+func (w *worker) blame(now time.Time, job string) {
+	if slices.Contains(w.blamed, job) {
+		return
+	}
+	w.blamed = append(w.blamed, job)
+	w.faults++
+	if w.faults >= faultyRuns {
+		w.shun = now.Add(shunTime)
+		w.faults = faultyRuns - 1 // one more failure shuns it again
+		w.blamed = nil
+	}
+}
+
+// absolve forgets the faults of a worker that has done its work.
+func (w *worker) absolve() {
+	w.faults = 0
+	w.blamed = nil
+}
+
+// list takes in the platform's list.
+func (s *Scheduler) list(now time.Time, all []Listed) {
+	named := make(map[string]bool, len(all))
+	for _, l := range all {
+		named[l.ID] = true
+		w, ok := s.workers[l.ID]
+		if !ok {
+			w = &worker{runs: map[placementKey]*placement{}}
+			s.workers[l.ID] = w
+			s.order = append(s.order, l.ID)
+		}
+		if ok && l.Born > w.Born && w.Born != 0 {
+			s.reborn(now, w, l.Born)
+		}
+		if l.Draining && !w.Draining {
+			s.log("worker is draining", "", map[string]any{"worker": l.ID})
+		}
+		born := max(w.Born, l.Born)
+		w.Listed = l
+		w.Born = born
+		w.listed = true
+	}
+	slices.Sort(s.order)
+	for _, id := range s.order {
+		if w := s.workers[id]; w.listed && !named[id] {
+			w.listed = false
+			s.log("worker left the list", "", map[string]any{"worker": id, "runs": len(w.runs)})
+		}
+	}
+	s.passDue = true
+}
+
+// reborn drops all that an earlier life of a worker held.
+func (s *Scheduler) reborn(now time.Time, w *worker, born int64) {
+	s.log("worker began a new life", "", map[string]any{"worker": w.ID, "born": born, "runs": len(w.runs)})
+	for _, p := range w.sorted() {
+		s.lose(now, w, p, "the worker began a new life")
+	}
+	w.Born = born
+	w.fenced = false
+	w.seen, w.stored, w.acked, w.deadline = 0, 0, 0, 0
+	w.clockMS, w.clockAt = 0, now
+	w.absolve()
+}
+
+// lose takes a run off a worker that no longer has it, and lets its task wait
+// for another. The other members of a gang are stopped.
+func (s *Scheduler) lose(now time.Time, w *worker, p *placement, why string) {
+	w.remove(p)
+	s.passDue = true
+	j, st, t := s.find(p.task)
+	if t == nil || t.state != taskPlaced || t.run != p.run || t.worker != w.ID {
+		return
+	}
+	t.state = taskWaiting
+	s.log("run is lost", j.ID, map[string]any{"task": p.task, "run": p.run, "worker": w.ID, "reason": why})
+	if st.Gang {
+		s.breakGang(now, j, p.task.Step, p.run)
+	}
+}
--- /dev/null
+++ b/internal/node/assembler/assembler.go
@@ -0,0 +1,219 @@
+// Package assembler puts an entry VM on the users' platform together: it connects
+// the deciding packages with the adapter in package platform.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/registrar"
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/internal/node/commander"
+	"github.com/lacewingdoor/lacewingdoor/internal/node/gatekeeper"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
+	"github.com/lacewingdoor/lacewingdoor/platform"
+	"github.com/lacewingdoor/lacewingdoor/recorder"
+)
+
+// topicLeader holds the claims to leadership; its keys are of one kind.
+const (
+	topicLeader = "leader"
+	keyLeader   = "leader"
+)
+
+// Assembler is one entry VM. Its fields are set before Run.
+type Assembler struct {
+	Settings platform.Settings
+	Logger   *logrus.Logger
+	Dropped  func() int64 // log lines that were left out
+	Now      func() time.Time
+
+	life      string // of this process
+	client    *platform.Client
+	store     *platform.Store
+	executors *platform.Executors
+	registrar *registrar.Registrar
+	commander *commander.Commander
+	gate      *gatekeeper.Gatekeeper
+	metrics   *recorder.Recorder
+
+	config    atomic.Pointer[gatekeeper.Config]
+	storeDown atomic.Int64 // Unix time in milliseconds since when the store fails, 0 when it answers
+	leaving   atomic.Bool
+	claims    chan claimEvent
+}
+
+// Run serves until the context ends, and then shuts down gracefully.
+func (a *Assembler) Run(ctx context.Context) error {
+	a.assemble()
+	a.log("start").WithFields(logrus.Fields{"zone": a.Settings.Zone, "store": a.Settings.Store, "life": a.life}).Info("entry VM starts")
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	front, err := a.listen(work, g)
+	if err != nil {
+		return err
+	}
+	a.follow(work, g)
+	lead, release := context.WithCancel(work)
+	defer release()
+	led := make(chan struct{})
+	g.Go(func() error {
+		defer close(led)
+		a.elect(lead)
+		return nil
+	})
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		stop()
+		return g.Wait()
+	}
+	a.leaving.Store(true)
+	a.log("stop").Info("entry VM leaves: not ready any more, the leadership is given up")
+	release()
+	<-led
+	a.drain(front)
+	stop()
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	a.log("stop").WithField("dropped-lines", a.Dropped()).Info("entry VM has stopped")
+	return nil
+}
+
+func (a *Assembler) assemble() {
+	a.life = uuid.NewString()
+	a.client = &platform.Client{Store: a.Settings.Store}
+	a.store = &platform.Store{Client: a.client, Address: a.Settings.Store}
+	a.metrics = recorder.New()
+	a.executors = &platform.Executors{Client: a.client, Failed: a.callFailed}
+	a.registrar = registrar.New()
+	a.registrar.Malformed = a.malformed
+	a.claims = make(chan claimEvent, claimEvents)
+	a.commander = &commander.Commander{
+		Lease: a.Settings.Lease,
+		Hold: func(ctx context.Context, h scheduler.Hold) scheduler.Held {
+			return a.executors.Hold(ctx, h, a.Now)
+		},
+		Start: a.executors.Start,
+		Stop:  a.executors.Stop,
+		Note:  a.note,
+		Took: func(what string, d time.Duration) {
+			a.metrics.Observe(recorder.Series{Measure: what}, d)
+		},
+		Now: a.Now,
+	}
+	a.registrar.Submitted = func(e registrar.Entry) { a.commander.Post(submitted(e)) }
+	a.registrar.Cancelled = func(id string) { a.commander.Post(scheduler.Cancelled{Job: id}) }
+	a.gate = &gatekeeper.Gatekeeper{
+		Config: a.config.Load, Registrar: a.registrar, Now: a.Now,
+		StoreJob: a.storeJob, StoreEnd: a.storeCancel, Refresh: a.refresh,
+	}
+}
+
+func submitted(e registrar.Entry) scheduler.Submitted {
+	return scheduler.Submitted{Job: e.Job, Offset: e.Offset, Progress: e.Progress, Cancelled: e.Cancelled}
+}
+
+func (a *Assembler) log(step string) *logrus.Entry {
+	return a.Logger.WithFields(logrus.Fields{"step": step, "vm": a.Settings.VM})
+}
+
+// note logs a decision of the scheduler.
+func (a *Assembler) note(n scheduler.Noted) {
+	e := a.log("schedule")
+	if n.Job != "" {
+		e = e.WithField("job", n.Job)
+	}
+	e.WithFields(n.Fields).Info(n.Message)
+}
+
+func (a *Assembler) callFailed(step, executor string, err error) {
+	a.metrics.Count("executor-calls-failed", 1)
+	if errors.Is(err, context.Canceled) {
+		return // the leadership ended
+	}
+	a.log("call").WithFields(logrus.Fields{"call": step, "worker": executor}).WithError(err).Warn("call to a worker got no answer")
+}
+
+func (a *Assembler) malformed(key string, offset int64, err error) {
+	a.log("read").WithFields(logrus.Fields{"key": key, "offset": offset}).WithError(err).Warn("record is skipped")
+}
+
+// appendJobs appends records of jobs until the store has answered or the context
+// ends. The records may be appended twice, which changes nothing.
+func (a *Assembler) appendJobs(ctx context.Context, records []tailer.Record) error {
+	uncertain := false
+	for {
+		_, err := a.store.Append(ctx, platform.OwnTopic(registrar.TopicJobs), records, platform.AppendOptions{At: -1})
+		if err == nil {
+			return nil
+		}
+		a.metrics.Count("appends-failed", 1)
+		if !errors.Is(err, platform.ErrNotDone) {
+			uncertain = true
+		}
+		if !uncertain {
+			return fmt.Errorf("%w: %w", gatekeeper.ErrNotStored, err)
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(appendPause)
+	}
+}
+
+const appendPause = 50 * time.Millisecond // between two tries of an append
+
+func (a *Assembler) storeJob(ctx context.Context, j scheduler.Job) error {
+	r, err := registrar.JobRecord(j)
+	if err != nil {
+		return fmt.Errorf("%w: %w", gatekeeper.ErrNotStored, err)
+	}
+	return a.appendJobs(ctx, []tailer.Record{r})
+}
+
+func (a *Assembler) storeCancel(ctx context.Context, id string) error {
+	return a.appendJobs(ctx, []tailer.Record{registrar.CancelRecord(id)})
+}
+
+// refresh returns once all jobs are read that were stored before the call.
+func (a *Assembler) refresh(ctx context.Context) error {
+	return a.catchUp(ctx, registrar.TopicJobs)
+}
+
+// catchUp waits until a topic is read to its present end.
+func (a *Assembler) catchUp(ctx context.Context, topic string) error {
+	next, _, _ := a.registrar.Next(topic)
+	_, end, err := a.store.Read(ctx, platform.OwnTopic(topic), next, 0)
+	if errors.Is(err, tailer.ErrTrimmed) {
+		_, end, err = a.store.Newest(ctx, platform.OwnTopic(topic))
+	}
+	if err != nil {
+		return fmt.Errorf("catch up with %s: %w", topic, err)
+	}
+	return a.awaitRead(ctx, topic, end)
+}
+
+// awaitRead waits until a topic is read up to an offset.
+func (a *Assembler) awaitRead(ctx context.Context, topic string, end int64) error {
+	for {
+		next, ok, changed := a.registrar.Next(topic)
+		if ok && next >= end {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for %s to be read up to %d: %w", topic, end, ctx.Err())
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/assembler/follow.go
@@ -0,0 +1,136 @@
+package assembler
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/registrar"
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
+	"github.com/lacewingdoor/lacewingdoor/platform"
+)
+
+const (
+	readWait    = 10 * time.Second       // of a read that waits for a record; fewer calls than with a shorter one
+	leaderWait  = 2 * time.Second        // of a read for signs of the leader, who gives several in that time
+	workersWait = 2 * time.Second        // of a read for entries of workers
+	workersRest = 350 * time.Millisecond // between two such reads: each executor writes every 1.5 s
+)
+
+// follow starts to read all topics that every VM follows.
+func (a *Assembler) follow(ctx context.Context, g *errgroup.Group) {
+	a.tail(ctx, g, platform.TopicOperator, readWait, a.takeConfig)
+	a.tail(ctx, g, platform.OwnTopic(registrar.TopicJobs), readWait, a.registrar.TakeJobs)
+	a.tail(ctx, g, platform.OwnTopic(registrar.TopicProgress), readWait, a.registrar.TakeProgress)
+	a.tail(ctx, g, platform.OwnTopic(topicLeader), leaderWait, a.takeClaims)
+}
+
+func (a *Assembler) tail(ctx context.Context, g *errgroup.Group, t platform.Topic, wait time.Duration, take func(tailer.Batch)) {
+	x := a.tailer(t, wait, take)
+	g.Go(func() error {
+		x.Run(ctx)
+		return nil
+	})
+}
+
+func (a *Assembler) tailer(t platform.Topic, wait time.Duration, take func(tailer.Batch)) *tailer.Tailer {
+	return &tailer.Tailer{
+		Newest: func(ctx context.Context) ([]tailer.Record, int64, error) { return a.store.Newest(ctx, t) },
+		Read: func(ctx context.Context, from int64, wait time.Duration) ([]tailer.Record, int64, error) {
+			return a.store.Read(ctx, t, from, wait)
+		},
+		Take:  take,
+		State: func(err error) { a.storeChanged(t, err) },
+		Wait:  wait,
+	}
+}
+
+// storeChanged logs that a topic can no longer be read, or can be read again.
+func (a *Assembler) storeChanged(t platform.Topic, err error) {
+	l := a.log("read").WithField("topic", t)
+	if err != nil {
+		l.WithError(err).Warn("store does not answer")
+	} else {
+		l.Info("store answers again")
+	}
+	if t != platform.OwnTopic(topicLeader) {
+		return
+	}
+	if err != nil {
+		a.storeDown.Store(a.Now().UnixMilli())
+	} else {
+		a.storeDown.Store(0)
+	}
+	a.claims <- claimEvent{storeChanged: true, up: err == nil}
+}
+
+// takeConfig takes in the operator's records.
+func (a *Assembler) takeConfig(b tailer.Batch) {
+	for _, r := range b.Records {
+		if r.Key == platform.KeyConfiguration && len(r.Value) > 0 {
+			a.applyConfig(r.Value, r.Offset)
+		}
+	}
+}
+
+// applyConfig brings a configuration into force unless it is older than the one
+// in force.
+func (a *Assembler) applyConfig(raw []byte, offset int64) {
+	c, err := platform.DecodeConfiguration(raw)
+	l := a.log("configure").WithField("offset", offset)
+	if err != nil {
+		l.WithError(err).Warn("configuration can't be read; the one before stays in force")
+		return
+	}
+	for {
+		old := a.config.Load()
+		if old != nil && old.Version >= c.Version {
+			return
+		}
+		if a.config.CompareAndSwap(old, c) {
+			break
+		}
+	}
+	l.WithField("version", c.Version).Info("configuration is in force")
+	a.commander.Post(scheduler.ConfigChanged{Terms: c.Terms()})
+}
+
+// workers keeps the platform's list of workers.
+type workers struct {
+	byID map[string]scheduler.Listed
+}
+
+// take takes in entries and reports whether the list has changed.
+func (w *workers) take(b tailer.Batch, skipped func(key string, offset int64, err error)) bool {
+	before := w.byID
+	changed := false
+	if b.Snapshot || before == nil {
+		w.byID = map[string]scheduler.Listed{}
+	}
+	for _, r := range b.Records {
+		if len(r.Value) == 0 {
+			if _, ok := w.byID[r.Key]; ok {
+				delete(w.byID, r.Key)
+				changed = true
+			}
+			continue
+		}
+		l, err := platform.DecodeExecutor(r.Key, r.Value)
+		if err != nil {
+			skipped(r.Key, r.Offset, err)
+			continue
+		}
+		if old, ok := before[r.Key]; !ok || !same(old, l) {
+			changed = true
+		}
+		w.byID[r.Key] = l
+	}
+	return changed || len(before) != len(w.byID)
+}
+
+func same(a, b scheduler.Listed) bool {
+	return a.Address == b.Address && a.Service == b.Service && a.Rack == b.Rack &&
+		a.Capacity == b.Capacity && a.Draining == b.Draining && a.Born == b.Born
+}
--- /dev/null
+++ b/internal/node/assembler/lead.go
@@ -0,0 +1,293 @@
+package assembler
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/registrar"
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/internal/node/commander"
+	"github.com/lacewingdoor/lacewingdoor/internal/node/elector"
+	"github.com/lacewingdoor/lacewingdoor/internal/sleeper"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
+	"github.com/lacewingdoor/lacewingdoor/platform"
+)
+
+const (
+	claimEvents  = 64
+	electionTick = 200 * time.Millisecond // a quarter of the time between renewals
+	claimTimeout = time.Second            // of a claim or renewal; a later one would not help
+	retryStore   = 100 * time.Millisecond // between two tries to store progress
+)
+
+// claimEvent is news for the elector.
+type claimEvent struct {
+	records      []tailer.Record
+	next         int64
+	storeChanged bool
+	up           bool
+}
+
+func (a *Assembler) takeClaims(b tailer.Batch) {
+	a.claims <- claimEvent{records: b.Records, next: b.Next}
+}
+
+// elect claims the leadership when it is free, and leads while it holds it.
+func (a *Assembler) elect(ctx context.Context) {
+	e := &elector.Elector{Self: a.Settings.VM, Life: a.life}
+	t := time.NewTicker(electionTick)
+	defer t.Stop()
+	leader := ""
+	current := leadership{}
+	for {
+		select {
+		case <-ctx.Done():
+			current.end()
+			a.release(e)
+			return
+		case v := <-a.claims:
+			a.takeClaim(e, v)
+		case <-t.C:
+		}
+		switch e.Decide(a.Now()) {
+		case elector.MakeClaim:
+			a.claim(ctx, e, 0)
+		case elector.Renew:
+			a.claim(ctx, e, e.Epoch())
+		case elector.Nothing:
+		}
+		if l := e.Leader(); l != leader {
+			leader = l
+			a.log("elect").WithFields(logrus.Fields{"leader": l, "epoch": e.Epoch()}).Info("leader changed")
+		}
+		current = a.follows(ctx, e, current)
+	}
+}
+
+// leadership is a running leadership of this VM.
+type leadership struct {
+	epoch int64
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+func (l leadership) end() {
+	if l.stop != nil {
+		l.stop()
+		<-l.done
+	}
+}
+
+// follows starts or ends the leadership that the elector says.
+func (a *Assembler) follows(ctx context.Context, e *elector.Elector, l leadership) leadership {
+	if e.Leading() && l.stop != nil && l.epoch == e.Epoch() {
+		return l
+	}
+	l.end()
+	if !e.Leading() {
+		return leadership{}
+	}
+	x, cancel := context.WithCancel(ctx)
+	n := leadership{epoch: e.Epoch(), stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(n.done)
+		a.lead(x, n.epoch)
+	}()
+	return n
+}
+
+func (a *Assembler) takeClaim(e *elector.Elector, v claimEvent) {
+	now := a.Now()
+	if v.storeChanged {
+		e.StoreChanged(now, v.up)
+		return
+	}
+	for _, r := range v.records {
+		c, err := elector.Decode(r.Offset, r.Value)
+		if err != nil {
+			a.malformed(r.Key, r.Offset, err)
+			continue
+		}
+		e.Take(now, r.Offset, c)
+	}
+	e.Reached(now, v.next)
+}
+
+// claim appends a claim, or a renewal of one.
+func (a *Assembler) claim(ctx context.Context, e *elector.Elector, epoch int64) {
+	c := elector.Claim{Holder: a.Settings.VM, Life: a.life, Epoch: epoch}
+	x, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	offset, err := a.appendClaim(x, c, e.Next())
+	if err != nil {
+		if epoch == 0 {
+			a.log("elect").WithField("at", e.Next()).WithError(err).Info("claim was not taken")
+		}
+		return
+	}
+	if epoch == 0 {
+		c.Epoch = offset + 1
+	}
+	e.Take(a.Now(), offset, c)
+}
+
+func (a *Assembler) appendClaim(ctx context.Context, c elector.Claim, at int64) (int64, error) {
+	b, err := c.Encode()
+	if err != nil {
+		return 0, err
+	}
+	r, err := a.store.Append(ctx, platform.OwnTopic(topicLeader), []tailer.Record{{Key: keyLeader, Value: b}}, platform.AppendOptions{At: at})
+	return r.Offset, err
+}
+
+// release tells the other VMs that the leadership is free.
+func (a *Assembler) release(e *elector.Elector) {
+	if !e.Leading() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	c := elector.Claim{Holder: a.Settings.VM, Life: a.life, Epoch: e.Epoch(), Released: true}
+	_, err := a.appendClaim(ctx, c, e.Next())
+	a.log("elect").WithFields(logrus.Fields{"epoch": e.Epoch(), "error": err}).Info("leadership is given up")
+}
+
+// lead runs one leadership until the context ends or another VM leads.
+func (a *Assembler) lead(ctx context.Context, epoch int64) {
+	began := a.Now()
+	l := a.log("lead").WithField("epoch", epoch)
+	l.Info("leadership begins")
+	w := &writer{assembler: a, epoch: epoch}
+	if err := w.begin(ctx); err != nil {
+		l.WithError(err).Info("leadership ended before it began")
+		return
+	}
+	old, _, _ := a.registrar.Next(registrar.TopicJobs)
+	s := &scheduler.Scheduler{
+		Settings: scheduler.Settings{Lease: a.Settings.Lease},
+		Epoch:    epoch, Began: a.Now(), Old: old - 1,
+	}
+	a.commander.Store = w.store
+	a.commander.Forget = w.forget
+	x, cancel := context.WithCancel(ctx)
+	defer cancel()
+	err := a.commander.Lead(x, s, func() []scheduler.Event {
+		go a.followWorkers(x)
+		return a.firstEvents()
+	})
+	l.WithError(err).WithField("after-ms", a.Now().Sub(began).Milliseconds()).Info("leadership ended")
+}
+
+// firstEvents returns what a new leader knows.
+func (a *Assembler) firstEvents() []scheduler.Event {
+	var all []scheduler.Event
+	if c := a.config.Load(); c != nil {
+		all = append(all, scheduler.ConfigChanged{Terms: c.Terms()})
+	}
+	for _, e := range a.registrar.Entries() {
+		all = append(all, submitted(e))
+	}
+	return all
+}
+
+// followWorkers follows the list of workers for the scheduler.
+func (a *Assembler) followWorkers(ctx context.Context) {
+	w := &workers{}
+	t := a.tailer(platform.TopicExecutors, workersWait, func(b tailer.Batch) {
+		if !w.take(b, a.malformed) {
+			return
+		}
+		all := slices.SortedFunc(maps.Values(w.byID), func(x, y scheduler.Listed) int { return cmp.Compare(x.ID, y.ID) })
+		a.commander.Post(scheduler.WorkersListed{Workers: all})
+	})
+	t.Pause = func() time.Duration { return workersRest }
+	t.Run(ctx)
+}
+
+// writer stores what the leader decides, in its epoch.
+type writer struct {
+	assembler *Assembler
+	epoch     int64
+	sequence  int64
+}
+
+const writerName = "leader"
+
+// begin shuts out earlier leaders from the topic of progress, and reads all that
+// they and the callers have stored.
+func (w *writer) begin(ctx context.Context) error {
+	end, err := w.append(ctx, nil)
+	if err != nil {
+		return err
+	}
+	if err := w.assembler.awaitRead(ctx, registrar.TopicProgress, end); err != nil {
+		return err
+	}
+	for {
+		err := w.assembler.catchUp(ctx, registrar.TopicJobs)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		w.assembler.log("lead").WithError(err).Warn("jobs can't be read yet")
+		_ = sleeper.Sleep(ctx, retryStore) // ends early with the context only
+	}
+}
+
+// append appends records in the own epoch until the store has them. It returns
+// the offset after the last record.
+func (w *writer) append(ctx context.Context, records []tailer.Record) (int64, error) {
+	for {
+		r, err := w.assembler.store.Append(ctx, platform.OwnTopic(registrar.TopicProgress), records, platform.AppendOptions{
+			At:     -1,
+			Writer: platform.Writer{Name: writerName, Epoch: w.epoch, Sequence: w.sequence},
+		})
+		var s *platform.SequenceError
+		switch {
+		case err == nil:
+			if len(records) > 0 {
+				w.sequence++
+			}
+			return r.End, nil
+		case errors.Is(err, platform.ErrFenced):
+			return 0, errors.Join(commander.ErrOutranked, err)
+		case errors.As(err, &s):
+			w.assembler.log("store").WithError(err).WithField("sequence", w.sequence).Warn("sequence number is taken over from the store")
+			w.sequence = s.Expected
+		case ctx.Err() != nil:
+			return 0, err
+		default:
+			w.assembler.log("store").WithError(err).Warn("progress is not stored yet")
+		}
+		_ = sleeper.Sleep(ctx, retryStore) // ends early with the context only
+	}
+}
+
+func (w *writer) store(ctx context.Context, all map[string]scheduler.Progress) error {
+	var records []tailer.Record
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		r, err := registrar.ProgressRecord(id, all[id])
+		if err != nil {
+			return err
+		}
+		records = append(records, r)
+	}
+	_, err := w.append(ctx, records)
+	return err
+}
+
+// forget drops what is stored of jobs that ended long ago.
+func (w *writer) forget(ctx context.Context, jobs []string) {
+	var records []tailer.Record
+	for _, id := range jobs {
+		records = append(records, registrar.ForgetRecords(id)...)
+	}
+	if err := w.assembler.appendJobs(ctx, records); err != nil {
+		w.assembler.log("store").WithError(err).Warn("old jobs stay in the store")
+	}
+}
--- /dev/null
+++ b/internal/store/tailer/tailer.go
@@ -0,0 +1,102 @@
+// Package tailer follows a topic of the store that keeps the newest record of
+// each key: first a snapshot, then every record after it.
+package tailer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/sleeper"
+)
+
+// Record is a record of a keyed topic. One without a value drops its key.
+type Record struct {
+	Offset int64
+	Key    string
+	Value  []byte
+}
+
+// ErrTrimmed says that the records at an offset are gone; a snapshot has what
+// matters of them.
+var ErrTrimmed = errors.New("the records are gone")
+
+// Batch is what a Tailer has read.
+type Batch struct {
+	Records  []Record
+	Snapshot bool  // Records name every key; others are gone
+	Next     int64 // offset of the next record
+}
+
+const (
+	retryMin = 100 * time.Millisecond // after a failed read
+	retryMax = 800 * time.Millisecond // an outage's end is noticed within this time
+)
+
+// Tailer follows one topic. Its fields are set before Run.
+type Tailer struct {
+	Newest func(context.Context) ([]Record, int64, error)
+	Read   func(ctx context.Context, from int64, wait time.Duration) ([]Record, int64, error)
+	Take   func(Batch)          // called in order, from one goroutine
+	State  func(err error)      // told when reads begin to fail and when they work again
+	Wait   time.Duration        // of one read
+	Pause  func() time.Duration // between two reads; nil for none
+
+	failing bool
+}
+
+// Run follows the topic until the context ends.
+func (t *Tailer) Run(ctx context.Context) {
+	next := int64(-1)
+	retry := retryMin
+	for ctx.Err() == nil {
+		n, err := t.step(ctx, next)
+		if ctx.Err() != nil {
+			return
+		}
+		t.note(err)
+		if err != nil {
+			if errors.Is(err, ErrTrimmed) {
+				next = -1
+				continue
+			}
+			_ = sleeper.Sleep(ctx, retry) // ends early with the context only
+			retry = min(2*retry, retryMax)
+			continue
+		}
+		retry = retryMin
+		next = n
+		if t.Pause != nil {
+			_ = sleeper.Sleep(ctx, t.Pause()) // ends early with the context only
+		}
+	}
+}
+
+func (t *Tailer) step(ctx context.Context, next int64) (int64, error) {
+	if next < 0 {
+		r, end, err := t.Newest(ctx)
+		if err != nil {
+			return 0, err
+		}
+		t.Take(Batch{Records: r, Snapshot: true, Next: end})
+		return end, nil
+	}
+	r, _, err := t.Read(ctx, next, t.Wait)
+	if err != nil {
+		return 0, err
+	}
+	next += int64(len(r))
+	t.Take(Batch{Records: r, Next: next})
+	return next, nil
+}
+
+func (t *Tailer) note(err error) {
+	if errors.Is(err, ErrTrimmed) {
+		return
+	}
+	if (err != nil) == t.failing {
+		return
+	}
+	t.failing = err != nil
+	t.State(err)
+}
