Bound how long a read without news is trusted

Change: reads wait for 1 s at most, and a job that is not known is read directly from the store instead of waiting for the read that follows it.

--- a/internal/jobs/registrar/registrar.go
+++ b/internal/jobs/registrar/registrar.go
@@ -31,6 +31,8 @@
 	Offset    int64 // of its submission
 	Progress  scheduler.Progress
 	Cancelled bool
+
+	progressAt int64 // offset of the progress
 }
 
 // State returns where the job stands.
@@ -47,7 +49,14 @@
 	}
 }
 
-// Registrar holds the jobs. It is safe for concurrent use; its fields are set
+// early is progress of a job that was not read yet.
+type early struct {
+	progress scheduler.Progress
+	offset   int64
+}
+
+// Registrar holds the jobs. Records may be taken again and out of order: what is
+// newer stays. It is safe for concurrent use; its fields are set
 // before records are taken.
 type Registrar struct {
 	Malformed func(key string, offset int64, err error) // told of records that can't be read
@@ -56,10 +65,9 @@
 
 	mu        sync.Mutex
 	jobs      map[string]*Entry
-	early     map[string]scheduler.Progress // of jobs that were not read yet
-	cancelled map[string]bool               // of jobs that were not read yet
-	next      map[string]int64              // by topic: offset of the next record
-	changed   chan struct{}                 // closed when records are taken
+	early     map[string]early // progress of jobs that were not read yet
+	cancelled map[string]bool  // of jobs that were not read yet
+	next      map[string]int64 // by topic: offset of the next record
 }
 
 // New returns a registrar that knows no job.
@@ -69,10 +77,9 @@
 		Submitted: func(Entry) {},
 		Cancelled: func(string) {},
 		jobs:      map[string]*Entry{},
-		early:     map[string]scheduler.Progress{},
+		early:     map[string]early{},
 		cancelled: map[string]bool{},
 		next:      map[string]int64{},
-		changed:   make(chan struct{}),
 	}
 }
 
@@ -117,7 +124,7 @@
 		r.Malformed(v.Key, v.Offset, err)
 		return Entry{}, false
 	}
-	e.Progress = r.early[id]
+	e.Progress, e.progressAt = r.early[id].progress, r.early[id].offset
 	e.Cancelled = r.cancelled[id]
 	delete(r.early, id)
 	delete(r.cancelled, id)
@@ -155,27 +162,29 @@
 			continue
 		}
 		if e, ok := r.jobs[v.Key]; ok {
-			e.Progress = p
+			if v.Offset >= e.progressAt {
+				e.Progress, e.progressAt = p, v.Offset
+			}
 			continue
 		}
-		r.early[v.Key] = p
+		if old, ok := r.early[v.Key]; !ok || v.Offset >= old.offset {
+			r.early[v.Key] = early{p, v.Offset}
+		}
 	}
 	r.advance(TopicProgress, b.Next)
 }
 
 func (r *Registrar) advance(topic string, next int64) {
-	r.next[topic] = next
-	close(r.changed)
-	r.changed = make(chan struct{})
+	r.next[topic] = max(r.next[topic], next)
 }
 
 // Next returns the offset of the next record of a topic, and whether the topic
-// has been read at all. The channel is closed when more is read.
-func (r *Registrar) Next(topic string) (int64, bool, <-chan struct{}) {
+// has been read at all.
+func (r *Registrar) Next(topic string) (int64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n, ok := r.next[topic]
-	return n, ok, r.changed
+	return n, ok
 }
 
 // Get returns what is stored of a job.
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -190,30 +190,27 @@
 	return a.catchUp(ctx, registrar.TopicJobs)
 }
 
-// catchUp waits until a topic is read to its present end.
+// catchUp reads a topic to its present end. It does not rely on the read that
+// waits for records: the store may leave such a read without an answer.
 func (a *Assembler) catchUp(ctx context.Context, topic string) error {
-	next, _, _ := a.registrar.Next(topic)
-	_, end, err := a.store.Read(ctx, platform.OwnTopic(topic), next, 0)
-	if errors.Is(err, tailer.ErrTrimmed) {
-		_, end, err = a.store.Newest(ctx, platform.OwnTopic(topic))
+	t := platform.OwnTopic(topic)
+	next, _ := a.registrar.Next(topic)
+	records, end, err := a.store.Read(ctx, t, next, 0)
+	snapshot := errors.Is(err, tailer.ErrTrimmed)
+	if snapshot {
+		records, end, err = a.store.Newest(ctx, t)
 	}
 	if err != nil {
 		return fmt.Errorf("catch up with %s: %w", topic, err)
 	}
-	return a.awaitRead(ctx, topic, end)
-}
-
-// awaitRead waits until a topic is read up to an offset.
-func (a *Assembler) awaitRead(ctx context.Context, topic string, end int64) error {
-	for {
-		next, ok, changed := a.registrar.Next(topic)
-		if ok && next >= end {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("wait for %s to be read up to %d: %w", topic, end, ctx.Err())
-		case <-changed:
-		}
+	if !snapshot {
+		end = min(end, next+int64(len(records)))
 	}
+	b := tailer.Batch{Records: records, Snapshot: snapshot, Next: end}
+	if topic == registrar.TopicJobs {
+		a.registrar.TakeJobs(b)
+	} else {
+		a.registrar.TakeProgress(b)
+	}
+	return nil
 }
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	readWait    = 10 * time.Second       // of a read that waits for a record; fewer calls than with a shorter one
-	leaderWait  = 2 * time.Second        // of a read for signs of the leader, who gives several in that time
-	workersWait = 2 * time.Second        // of a read for entries of workers
+	readWait    = time.Second            // of a read that waits for a record; the store may leave one without news
+	leaderWait  = time.Second            // of a read for signs of the leader, who gives one in that time
+	workersWait = time.Second            // of a read for entries of workers
 	workersRest = 350 * time.Millisecond // between two such reads: each executor writes every 1.5 s
 )
 
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -168,7 +168,7 @@
 		l.WithError(err).Info("leadership ended before it began")
 		return
 	}
-	old, _, _ := a.registrar.Next(registrar.TopicJobs)
+	old, _ := a.registrar.Next(registrar.TopicJobs)
 	s := &scheduler.Scheduler{
 		Settings: scheduler.Settings{Lease: a.Settings.Lease},
 		Epoch:    epoch, Began: a.Now(), Old: old - 1,
@@ -222,21 +222,23 @@
 // begin shuts out earlier leaders from the topic of progress, and reads all that
 // they and the callers have stored.
 func (w *writer) begin(ctx context.Context) error {
-	end, err := w.append(ctx, nil)
-	if err != nil {
-		return err
-	}
-	if err := w.assembler.awaitRead(ctx, registrar.TopicProgress, end); err != nil {
+	if _, err := w.append(ctx, nil); err != nil {
 		return err
 	}
-	for {
-		err := w.assembler.catchUp(ctx, registrar.TopicJobs)
-		if err == nil || ctx.Err() != nil {
-			return err
+	for _, t := range []string{registrar.TopicProgress, registrar.TopicJobs} {
+		for {
+			err := w.assembler.catchUp(ctx, t)
+			if err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return err
+			}
+			w.assembler.log("lead").WithError(err).Warn("what is stored can't be read yet")
+			_ = sleeper.Sleep(ctx, retryStore) // ends early with the context only
 		}
-		w.assembler.log("lead").WithError(err).Warn("jobs can't be read yet")
-		_ = sleeper.Sleep(ctx, retryStore) // ends early with the context only
 	}
+	return nil
 }
 
 // append appends records in the own epoch until the store has them. It returns
--- a/internal/node/assembler/listen.go
+++ b/internal/node/assembler/listen.go
@@ -75,7 +75,7 @@
 		return "no configuration is known"
 	}
 	for _, t := range []string{registrar.TopicJobs, registrar.TopicProgress} {
-		if _, ok, _ := a.registrar.Next(t); !ok {
+		if _, ok := a.registrar.Next(t); !ok {
 			return t + " was not read yet"
 		}
 	}
