Let the leases of a silent worker run out

Each hold that found no connection still put off the time at which its leases were taken to be over, so its tasks waited for good (LOST).

Change: a hold to a worker that does not answer extends nothing. A VM that finds a claim of its own earlier life claims at once, as that life is surely over.

Ruled out: the list of workers and the recovery, whose logs show them in order.

--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -13,7 +13,7 @@
 			continue
 		}
 		h := Hold{Worker: id, Address: w.Address, Epoch: s.Epoch, Ack: w.stored}
-		if len(w.runs) > 0 && w.clockMS != 0 {
+		if len(w.runs) > 0 && w.clockMS != 0 && w.silent.IsZero() { // a silent worker's leases must be able to run out
 			h.DeadlineMS = w.clock(now) + s.Settings.Lease.Milliseconds()
 			w.deadline = max(w.deadline, h.DeadlineMS)
 		}
@@ -58,7 +58,7 @@
 		return
 	default:
 		if w.silent.IsZero() {
-			s.log("worker does not answer", "", map[string]any{"worker": w.ID, "outcome": e.Outcome, "runs": len(w.runs)})
+			s.note(Noted{Message: "worker does not answer", Worker: w.ID, Details: Details{"outcome": e.Outcome, "runs": len(w.runs)}})
 		}
 		w.missed(now)
 		return
@@ -73,7 +73,7 @@
 		w.Born = e.Born
 	}
 	if !w.silent.IsZero() && w.fenced {
-		s.log("worker answers again", "", map[string]any{"worker": w.ID, "silent-ms": now.Sub(w.silent).Milliseconds()})
+		s.note(Noted{Message: "worker answers again", Worker: w.ID, Details: Details{"silent-ms": now.Sub(w.silent).Milliseconds()}})
 	}
 	s.passDue = s.passDue || !w.fenced || !w.silent.IsZero()
 	w.note(now, e.ClockMS)
@@ -104,12 +104,13 @@
 	if t == nil || j.state.Ended() {
 		return
 	}
-	fields := map[string]any{"task": e.Task, "run": e.Run, "worker": w.ID, "how": e.How, "end": e.Number}
+	n := Noted{Message: "run ended", Job: j.ID, Task: e.Task, Run: e.Run, Worker: w.ID, Details: Details{"how": e.How, "end": e.Number}}
 	if t.state == taskDone {
-		s.log("end of a run of a task that is done already", j.ID, fields)
+		n.Message = "end of a run of a task that is done already"
+		s.note(n)
 		return
 	}
-	s.log("run ended", j.ID, fields)
+	s.note(n)
 	lead := st.lead(e.Task.Index)
 	if e.Saved != "" && e.Run >= lead.run {
 		lead.saved = e.Saved
@@ -233,7 +234,7 @@
 	}
 	w.add(p)
 	if t == nil || j.state.Ended() || t.state != taskWaiting || !st.accepts(r.Run) {
-		s.log("run is not wanted", r.Task.Job, map[string]any{"task": r.Task, "run": r.Run, "worker": w.ID})
+		s.note(Noted{Message: "run is not wanted", Job: r.Task.Job, Task: r.Task, Run: r.Run, Worker: w.ID})
 		s.stop(now, w, p)
 		return
 	}
@@ -242,7 +243,7 @@
 		st.lead(r.Task.Index).saved = r.Saved
 	}
 	s.begin(j)
-	s.log("run taken over", j.ID, map[string]any{"task": r.Task, "run": r.Run, "worker": w.ID, "percent": r.Percent})
+	s.note(Noted{Message: "run taken over", Job: j.ID, Task: r.Task, Run: r.Run, Worker: w.ID, Details: Details{"percent": r.Percent}})
 }
 
 // accepts reports whether a run may be taken over: the members of a gang share
@@ -286,7 +287,7 @@
 		}
 		return
 	}
-	s.log("start failed", e.Start.Task.Job, map[string]any{"task": e.Start.Task, "run": e.Start.Run, "worker": w.ID, "outcome": e.Outcome})
+	s.note(Noted{Message: "start failed", Job: e.Start.Task.Job, Task: e.Start.Task, Run: e.Start.Run, Worker: w.ID, Details: Details{"outcome": e.Outcome}})
 	switch e.Outcome {
 	case OutcomeUnknown:
 		w.missed(now)
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -180,9 +180,15 @@
 type Noted struct {
 	Message string
 	Job     string
-	Fields  map[string]any
+	Worker  string
+	Task    TaskID // counts where Run does
+	Run     int64  // 0 where it is about no run
+	Details Details
 }
 
+// Details are the inputs of a decision, for the log.
+type Details map[string]any
+
 func (Hold) isEffect()   {}
 func (Start) isEffect()  {}
 func (Stop) isEffect()   {}
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -113,15 +113,14 @@
 // job is a job with what the leader knows of it.
 type job struct {
 	Job
-	queue     Queue
-	steps     []*step
-	state     State
-	accepted  time.Time
-	offset    int64 // of its submission
-	ended     time.Time
-	dirty     bool // differs from what is stored
-	cancelled bool
-	chain     time.Duration // longest chain of its steps
+	queue    Queue
+	steps    []*step
+	state    State
+	accepted time.Time
+	offset   int64 // of its submission
+	ended    time.Time
+	dirty    bool          // differs from what is stored
+	chain    time.Duration // longest chain of its steps
 }
 
 func newJob(j Job, offset int64) *job {
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -284,7 +284,7 @@
 		Worker: id, Address: w.Address, Epoch: s.Epoch, Task: task, Run: run,
 		Spec: u.job.Spec, DeadlineMS: until, Checkpoint: u.step.lead(index).saved,
 	})
-	s.log("task placed", u.job.ID, map[string]any{"task": task, "run": run, "worker": id, "waited-ms": p.now.Sub(u.job.accepted).Milliseconds()})
+	s.note(Noted{Message: "task placed", Job: u.job.ID, Task: task, Run: run, Worker: id, Details: Details{"waited-ms": p.now.Sub(u.job.accepted).Milliseconds()}})
 }
 
 // take reduces the room of a worker for the rest of the pass.
@@ -370,7 +370,7 @@
 	if t == nil {
 		return
 	}
-	p.s.log("run is stopped for an urgent job", j.ID, map[string]any{"task": id, "run": t.run, "for": u.job.ID, "core-seconds": int(v.Cost)})
+	p.s.note(Noted{Message: "run is stopped for an urgent job", Job: j.ID, Task: id, Run: t.run, Details: Details{"for": u.job.ID, "core-seconds": int(v.Cost)}})
 	if st.Gang {
 		p.s.breakGang(p.now, j, id.Step, t.run)
 		return
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -79,9 +77,7 @@
 
 func (s *Scheduler) emit(e Effect) { s.effects = append(s.effects, e) }
 
-func (s *Scheduler) log(message, job string, fields map[string]any) {
-	s.emit(Noted{Message: message, Job: job, Fields: fields})
-}
+func (s *Scheduler) note(n Noted) { s.emit(n) }
 
 // find returns a task that is known.
 func (s *Scheduler) find(id TaskID) (*job, *step, *task) {
@@ -141,7 +137,7 @@
 	s.mark(j)
 	s.hurry = true
 	s.active = slices.DeleteFunc(s.active, func(o *job) bool { return o == j })
-	s.log("job ended", j.ID, map[string]any{"state": state, "reason": why, "after-ms": now.Sub(j.accepted).Milliseconds()})
+	s.note(Noted{Message: "job ended", Job: j.ID, Details: Details{"state": state, "reason": why, "after-ms": now.Sub(j.accepted).Milliseconds()}})
 	for _, id := range s.order {
 		w := s.workers[id]
 		for _, p := range w.sorted() {
@@ -162,7 +158,7 @@
 	for _, id := range s.order {
 		w := s.workers[id]
 		if len(w.runs) > 0 && !w.silent.IsZero() && w.lapsed(now) {
-			s.log("leases on a silent worker have run out", "", map[string]any{"worker": id, "silent-ms": now.Sub(w.silent).Milliseconds()})
+			s.note(Noted{Message: "leases on a silent worker have run out", Worker: id, Details: Details{"silent-ms": now.Sub(w.silent).Milliseconds()}})
 			for _, p := range w.sorted() {
 				s.lose(now, w, p, "its lease ran out on a silent worker")
 			}
@@ -218,7 +214,7 @@
 	}
 	s.recovering = false
 	s.passDue = true
-	s.log("recovery ended", "", map[string]any{"epoch": s.Epoch, "after-ms": now.Sub(s.Began).Milliseconds(), "timed-out": over})
+	s.note(Noted{Message: "recovery ended", Details: Details{"epoch": s.Epoch, "after-ms": now.Sub(s.Began).Milliseconds(), "timed-out": over}})
 }
 
 // store stores the progress of changed jobs, one batch at a time.
@@ -270,10 +266,3 @@
 	}
 	return n
 }
-
-// byOffset returns the jobs in log order.
-func byOffset(jobs map[string]*job) []*job {
-	return slices.SortedFunc(maps.Values(jobs), func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.offset, b.offset), cmp.Compare(a.ID, b.ID))
-	})
-}
--- /dev/null
+++ b/internal/jobs/scheduler/script_test.go
@@ -0,0 +1,159 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// TestScripts runs the scripts of testdata: a scheduler, workers and a store in
+// virtual time. Every step of time checks that workers hold what fits and that no
+// task runs twice.
+func TestScripts(t *testing.T) {
+	scripter.Scripts(t, "testdata/*.txtar", func(t *testing.T, s scripter.Script) { s.Play(t, newWorld().commands(), nil) })
+}
+
+func (w *world) commands() scripter.Commands {
+	c := scripter.Commands{
+		"worker": func(id, rack string, gpus int) {
+			w.workers[id] = &fakeWorker{
+				listed: scheduler.Listed{
+					ID: id, Address: id, Service: "s", Rack: rack, Born: w.now.UnixMilli(), Labels: []string{"a", rack},
+					Capacity: placer.Resources{MilliCores: 128000, MemoryMB: 262144, Accelerators: gpus},
+				},
+				present: true, alive: true, started: w.now.Add(-time.Minute),
+				runs: map[scheduler.TaskID]*fakeRun{}, barred: map[scheduler.TaskID]int64{},
+			}
+			w.list()
+		},
+		"queue": func(name string, priority, attempts int) {
+			w.terms.Queues[name] = scheduler.Queue{Service: "s", Priority: priority, MaxAttempts: attempts, Stretch: 3, ObjectiveMS: 1000}
+			w.feed(scheduler.ConfigChanged{Terms: w.terms})
+		},
+		"guarantee":  func(org string, gpus int) { w.terms.Guaranteed[org] = gpus },
+		"job":        w.job,
+		"cancel":     func(id string) { w.feed(scheduler.Cancelled{Job: id}) },
+		"lead":       w.lead,
+		"cut":        func(id string) { w.cut[id] = true },
+		"heal":       func(id string) { delete(w.cut, id) },
+		"deafen":     func(id string) { w.deaf[id] = true },
+		"undeafen":   func(id string) { delete(w.deaf, id) },
+		"fail":       func(id string) { w.workers[id].failing = true },
+		"recover":    func(id string) { w.workers[id].failing = false },
+		"store-down": func() { w.storeUp = false },
+		"store-up":   func() { w.storeUp = true },
+		"drain": func(id string) {
+			w.workers[id].listed.Draining = true
+			w.list()
+		},
+		"delist": func(id string) {
+			w.workers[id].present = false
+			w.list()
+		},
+		"kill": func(id string) {
+			v := w.workers[id]
+			v.alive = false
+			for range v.holds {
+				w.later(worldStep, scheduler.Held{Worker: id, Sent: w.now, Outcome: scheduler.OutcomeUnknown})
+			}
+			v.holds = nil
+		},
+		"revive": func(id string) {
+			v := w.workers[id]
+			v.alive, v.present, v.listed.Born = true, true, w.now.UnixMilli()
+			v.started, v.deadline, v.epoch, v.number = w.now, time.Time{}, 0, 0
+			v.runs, v.ends, v.holds, v.barred = map[scheduler.TaskID]*fakeRun{}, nil, nil, map[scheduler.TaskID]int64{}
+			w.list()
+		},
+		"after": func(d time.Duration) error {
+			for end := w.now.Add(d); w.now.Before(end); {
+				if err := w.step(); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	w.expectations(c)
+	return c
+}
+
+func (w *world) expectations(c scripter.Commands) {
+	c["runs"] = func(job string, want int) error {
+		if n := w.running(job); n != want {
+			return fmt.Errorf("%d tasks run", n)
+		}
+		return nil
+	}
+	c["state"] = func(job, want string) error {
+		if got := w.stored[job].State; string(got) != want {
+			return fmt.Errorf("stored state is %q", got)
+		}
+		return nil
+	}
+	c["at"] = func(worker string, want int) error {
+		if n := len(w.workers[worker].runs); n != want {
+			return fmt.Errorf("%d tasks run there", n)
+		}
+		return nil
+	}
+	c["unacknowledged"] = func(worker string, want int) error {
+		if n := len(w.workers[worker].ends); n != want {
+			return fmt.Errorf("%d ends are kept there", n)
+		}
+		return nil
+	}
+}
+
+// job submits a job: "job ID QUEUE ORGANISATION TASKS GPUS SECONDS [option ...]".
+// A word "/" begins another step, which depends on the one before.
+func (w *world) job(id, queue, organisation string, words ...string) error {
+	e := scheduler.Submitted{
+		Job:    scheduler.Job{ID: id, Queue: queue, Organisation: organisation, AcceptedMS: w.now.UnixMilli(), Terms: w.terms.Queues[queue]},
+		Offset: int64(len(w.jobs)),
+	}
+	w.secs[id] = nil
+	for i, step := range strings.Split(strings.Join(words, " "), " / ") {
+		f := strings.Fields(step)
+		var n [3]int
+		for k := range n {
+			v, err := strconv.Atoi(f[k])
+			if err != nil {
+				return err
+			}
+			n[k] = v
+		}
+		s := scheduler.Step{
+			Tasks: n[0], Need: placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: n[1]},
+			EstimateMS: 1000 * n[2],
+		}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		for _, o := range f[3:] {
+			switch o {
+			case "gang":
+				s.Gang = true
+			case "rack":
+				s.SameRack = true
+			case "checkpoints":
+				s.Checkpoints = true
+			case "apart":
+				s.PerWorker = 1
+			default:
+				return fmt.Errorf("option %q is not known", o)
+			}
+		}
+		e.Job.Steps = append(e.Job.Steps, s)
+		w.secs[id] = append(w.secs[id], time.Duration(n[2])*time.Second)
+	}
+	w.jobs[id] = e
+	w.feed(e)
+	return nil
+}
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -153,7 +153,7 @@
 			s.reborn(now, w, l.Born)
 		}
 		if l.Draining && !w.Draining {
-			s.log("worker is draining", "", map[string]any{"worker": l.ID})
+			s.note(Noted{Message: "worker is draining", Worker: l.ID})
 		}
 		born := max(w.Born, l.Born)
 		w.Listed = l
@@ -164,7 +164,7 @@
 	for _, id := range s.order {
 		if w := s.workers[id]; w.listed && !named[id] {
 			w.listed = false
-			s.log("worker left the list", "", map[string]any{"worker": id, "runs": len(w.runs)})
+			s.note(Noted{Message: "worker left the list", Worker: id, Details: Details{"runs": len(w.runs)}})
 		}
 	}
 	s.passDue = true
@@ -172,7 +172,7 @@
 
 // reborn drops all that an earlier life of a worker held.
 func (s *Scheduler) reborn(now time.Time, w *worker, born int64) {
-	s.log("worker began a new life", "", map[string]any{"worker": w.ID, "born": born, "runs": len(w.runs)})
+	s.note(Noted{Message: "worker began a new life", Worker: w.ID, Details: Details{"born": born, "runs": len(w.runs)}})
 	for _, p := range w.sorted() {
 		s.lose(now, w, p, "the worker began a new life")
 	}
@@ -193,7 +193,7 @@
 		return
 	}
 	t.state = taskWaiting
-	s.log("run is lost", j.ID, map[string]any{"task": p.task, "run": p.run, "worker": w.ID, "reason": why})
+	s.note(Noted{Message: "run is lost", Job: j.ID, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"reason": why}})
 	if st.Gang {
 		s.breakGang(now, j, p.task.Step, p.run)
 	}
--- /dev/null
+++ b/internal/jobs/scheduler/world_test.go
@@ -0,0 +1,356 @@
+package scheduler_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+const (
+	worldStep = 10 * time.Millisecond
+	stopTime  = 100 * time.Millisecond
+	lease     = 10 * time.Second
+)
+
+// world is a leading VM, its workers and a store, in virtual time.
+type world struct {
+	now     time.Time
+	began   time.Time
+	s       *scheduler.Scheduler
+	epoch   int64
+	terms   scheduler.Terms
+	workers map[string]*fakeWorker
+	jobs    map[string]scheduler.Submitted
+	secs    map[string][]time.Duration // of the tasks, by job and step
+	stored  map[string]scheduler.Progress
+	queue   []delivery
+	storeUp bool
+	cut     map[string]bool
+	deaf    map[string]bool // orders are carried out, and answers lost
+	saved   int
+}
+
+type delivery struct {
+	at    time.Time
+	event scheduler.Event
+	do    func()
+}
+
+// fakeWorker obeys the protocol of the platform's workers.
+type fakeWorker struct {
+	listed   scheduler.Listed
+	present  bool // in the list
+	alive    bool
+	epoch    int64
+	deadline time.Time
+	started  time.Time
+	runs     map[scheduler.TaskID]*fakeRun
+	barred   map[scheduler.TaskID]int64 // highest run that was stopped or ended
+	ends     []scheduler.End
+	number   int64
+	holds    []*scheduler.Hold
+	failing  bool
+}
+
+type fakeRun struct {
+	run    int64
+	left   time.Duration
+	total  time.Duration
+	stopAt time.Time
+}
+
+func newWorld() *world {
+	w := &world{
+		now: time.Unix(1_000_000, 0), workers: map[string]*fakeWorker{}, jobs: map[string]scheduler.Submitted{},
+		secs: map[string][]time.Duration{}, stored: map[string]scheduler.Progress{}, storeUp: true,
+		cut: map[string]bool{}, deaf: map[string]bool{},
+		terms: scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Guarded: map[string]bool{}},
+	}
+	w.began = w.now
+	w.lead()
+	return w
+}
+
+// lead begins a new leadership with what is stored.
+func (w *world) lead() {
+	w.epoch++
+	w.queue = nil
+	for _, v := range w.workers {
+		v.holds = nil
+	}
+	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: w.epoch, Began: w.now, Old: int64(len(w.jobs)) - 1}
+	w.feed(scheduler.ConfigChanged{Terms: w.terms})
+	for _, e := range slices.SortedFunc(maps.Values(w.jobs), func(a, b scheduler.Submitted) int { return cmp.Compare(a.Offset, b.Offset) }) {
+		e.Progress = w.stored[e.Job.ID]
+		w.feed(e)
+	}
+	w.list()
+}
+
+func (w *world) list() {
+	var all []scheduler.Listed
+	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+		if v := w.workers[id]; v.present {
+			all = append(all, v.listed)
+		}
+	}
+	w.feed(scheduler.WorkersListed{Workers: all})
+}
+
+func (w *world) feed(e scheduler.Event) {
+	for _, f := range w.s.Reduce(w.now, e) {
+		w.carryOut(f)
+	}
+}
+
+func (w *world) later(d time.Duration, e scheduler.Event) {
+	w.queue = append(w.queue, delivery{at: w.now.Add(d), event: e})
+}
+
+func (w *world) carryOut(f scheduler.Effect) {
+	const latency = 2 * time.Millisecond
+	switch f := f.(type) {
+	case scheduler.Hold:
+		w.hold(f)
+	case scheduler.Start:
+		if o, ok := w.reach(f.Worker); !ok {
+			w.later(time.Second, scheduler.Started{Start: f, Outcome: o})
+			return
+		}
+		e := w.workers[f.Worker].start(w, f)
+		if w.deaf[f.Worker] {
+			e = scheduler.Started{Start: f, Outcome: scheduler.OutcomeUnknown}
+		}
+		w.later(latency, e)
+	case scheduler.Stop:
+		if o, ok := w.reach(f.Worker); !ok {
+			w.later(time.Second, scheduler.Stopped{Stop: f, Outcome: o})
+			return
+		}
+		w.later(latency, w.workers[f.Worker].stop(w, f))
+	case scheduler.Store:
+		w.store(f)
+	case scheduler.Noted, scheduler.Forget:
+	}
+}
+
+func (w *world) store(f scheduler.Store) {
+	if !w.storeUp {
+		epoch := w.epoch
+		w.queue = append(w.queue, delivery{at: w.now.Add(100 * time.Millisecond), do: func() {
+			if epoch == w.epoch {
+				w.store(f)
+			}
+		}})
+		return
+	}
+	maps.Copy(w.stored, f.Progress)
+	w.saved++
+	w.later(8*time.Millisecond, scheduler.Stored{})
+}
+
+// reach reports whether a call gets to a worker.
+func (w *world) reach(id string) (scheduler.Outcome, bool) {
+	if v := w.workers[id]; v == nil || !v.alive || w.cut[id] {
+		return scheduler.OutcomeUnsent, false
+	}
+	return "", true
+}
+
+func (w *world) hold(h scheduler.Hold) {
+	o, ok := w.reach(h.Worker)
+	if !ok {
+		w.later(time.Second, scheduler.Held{Worker: h.Worker, Sent: w.now, Outcome: o})
+		return
+	}
+	v := w.workers[h.Worker]
+	sent := w.now
+	v.epoch = max(v.epoch, h.Epoch)
+	if h.DeadlineMS > 0 {
+		v.extend(h.DeadlineMS)
+	}
+	v.ends = slices.DeleteFunc(v.ends, func(e scheduler.End) bool { return e.Number <= h.Ack })
+	v.holds = append(v.holds, &h)
+	w.queue = append(w.queue, delivery{at: w.now.Add(h.Wait), do: func() { w.answerHold(v, &h, sent) }})
+	if len(v.ends) > 0 {
+		w.answerHold(v, &h, sent)
+	}
+}
+
+// answerHold answers a hold that still waits.
+func (w *world) answerHold(v *fakeWorker, h *scheduler.Hold, sent time.Time) {
+	i := slices.Index(v.holds, h)
+	if i < 0 {
+		return
+	}
+	v.holds = slices.Delete(v.holds, i, i+1)
+	if o, ok := w.reach(h.Worker); !ok {
+		w.later(time.Second, scheduler.Held{Worker: h.Worker, Sent: sent, Outcome: o})
+		return
+	}
+	e := scheduler.Held{Worker: h.Worker, Sent: sent, Outcome: scheduler.OutcomeDone, ClockMS: v.clock(w.now), Born: v.listed.Born, Ends: slices.Clone(v.ends)}
+	for _, id := range slices.SortedFunc(maps.Keys(v.runs), compare) {
+		r := v.runs[id]
+		e.Running = append(e.Running, scheduler.Running{Task: id, Run: r.run, Percent: int(100 * (r.total - r.left) / r.total)})
+	}
+	w.later(2*time.Millisecond, e)
+}
+
+func compare(a, b scheduler.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
+func (v *fakeWorker) clock(now time.Time) int64 { return now.Sub(v.started).Milliseconds() }
+
+func (v *fakeWorker) extend(deadlineMS int64) {
+	at := v.started.Add(time.Duration(deadlineMS) * time.Millisecond)
+	if at.After(v.deadline) {
+		v.deadline = at
+	}
+}
+
+func (v *fakeWorker) start(w *world, f scheduler.Start) scheduler.Started {
+	e := scheduler.Started{Start: f, Outcome: scheduler.OutcomeDone, ClockMS: v.clock(w.now)}
+	v.extend(f.DeadlineMS)
+	switch {
+	case f.Epoch < v.epoch:
+		e.Outcome = scheduler.OutcomeFenced
+	case f.Run <= v.barred[f.Task]:
+		e.Outcome = scheduler.OutcomeObsolete
+	case f.DeadlineMS < v.clock(w.now):
+		e.Outcome = scheduler.OutcomeLate
+	default:
+		d := w.secs[f.Task.Job][f.Task.Step]
+		v.runs[f.Task] = &fakeRun{run: f.Run, left: d, total: d}
+	}
+	return e
+}
+
+func (v *fakeWorker) stop(w *world, f scheduler.Stop) scheduler.Stopped {
+	v.barred[f.Task] = max(v.barred[f.Task], f.Run)
+	if r, ok := v.runs[f.Task]; ok && r.run == f.Run && r.stopAt.IsZero() {
+		r.stopAt = w.now.Add(stopTime)
+	}
+	return scheduler.Stopped{Stop: f, Outcome: scheduler.OutcomeDone}
+}
+
+func (v *fakeWorker) end(id scheduler.TaskID, how scheduler.How) {
+	r := v.runs[id]
+	delete(v.runs, id)
+	v.number++
+	v.barred[id] = max(v.barred[id], r.run)
+	v.ends = append(v.ends, scheduler.End{Number: v.number, Task: id, Run: r.run, How: how})
+}
+
+// present reports whether all members of a gang's run are there, and whether one
+// has done its work.
+func (w *world) gang(id scheduler.TaskID, run int64) (bool, bool) {
+	n, done := 0, false
+	for _, v := range w.workers {
+		for k, r := range v.runs {
+			if k.Job == id.Job && k.Step == id.Step && r.run == run {
+				n++
+			}
+		}
+		for _, e := range v.ends {
+			done = done || (e.Task.Job == id.Job && e.Task.Step == id.Step && e.Run == run && e.How == scheduler.HowDone)
+		}
+	}
+	return n == w.jobs[id.Job].Job.Steps[id.Step].Tasks, done
+}
+
+// work lets the runs on a worker go on for one step of time.
+func (w *world) work(v *fakeWorker) {
+	for _, id := range slices.SortedFunc(maps.Keys(v.runs), compare) {
+		r := v.runs[id]
+		whole, done := true, false
+		if w.jobs[id.Job].Job.Steps[id.Step].Gang {
+			whole, done = w.gang(id, r.run)
+		}
+		if whole || done {
+			r.left -= worldStep
+		}
+		switch {
+		case w.now.After(v.deadline):
+			v.end(id, scheduler.HowLapsed)
+		case !r.stopAt.IsZero() && !w.now.Before(r.stopAt):
+			v.end(id, scheduler.HowStopped)
+		case v.failing:
+			v.end(id, scheduler.HowFailed)
+		case done || r.left <= 0:
+			v.end(id, scheduler.HowDone)
+		}
+	}
+}
+
+// step moves the time on.
+func (w *world) step() error {
+	w.now = w.now.Add(worldStep)
+	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+		v := w.workers[id]
+		if !v.alive {
+			continue
+		}
+		w.work(v)
+		if len(v.ends) > 0 {
+			for _, h := range slices.Clone(v.holds) {
+				w.answerHold(v, h, w.now.Add(-worldStep))
+			}
+		}
+	}
+	due := w.queue
+	w.queue = nil
+	for _, d := range due {
+		switch {
+		case d.at.After(w.now):
+			w.queue = append(w.queue, d)
+		case d.do != nil:
+			d.do()
+		default:
+			w.feed(d.event)
+		}
+	}
+	if w.now.Sub(w.began)%(100*time.Millisecond) == 0 {
+		w.feed(scheduler.Ticked{})
+	}
+	return w.check()
+}
+
+// check reports a broken promise: more than fits, or two runs of one task.
+func (w *world) check() error {
+	at := map[scheduler.TaskID]string{}
+	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+		v := w.workers[id]
+		var used placer.Resources
+		for k := range v.runs {
+			used = used.Plus(w.jobs[k.Job].Job.Steps[k.Step].Need)
+			if other, ok := at[k]; ok && v.alive {
+				return fmt.Errorf("at %v: task %v runs on %s and %s", w.now.Sub(w.began), k, other, id)
+			}
+			if v.alive {
+				at[k] = id
+			}
+		}
+		if !used.Fits(v.listed.Capacity) {
+			return fmt.Errorf("at %v: worker %s runs %+v of %+v", w.now.Sub(w.began), id, used, v.listed.Capacity)
+		}
+	}
+	return nil
+}
+
+func (w *world) running(job string) int {
+	n := 0
+	for _, v := range w.workers {
+		for k := range v.runs {
+			if k.Job == job && v.alive {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -80,7 +80,7 @@
 	a.log("stop").Info("entry VM leaves: not ready any more, the leadership is given up")
 	release()
 	<-led
-	a.drain(front)
+	a.drain(context.WithoutCancel(ctx), front)
 	stop()
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
@@ -133,7 +133,13 @@
 	if n.Job != "" {
 		e = e.WithField("job", n.Job)
 	}
-	e.WithFields(n.Fields).Info(n.Message)
+	if n.Worker != "" {
+		e = e.WithField("worker", n.Worker)
+	}
+	if n.Run != 0 {
+		e = e.WithFields(logrus.Fields{"task": fmt.Sprintf("%d.%d", n.Task.Step, n.Task.Index), "run": n.Run})
+	}
+	e.WithFields(logrus.Fields(n.Details)).Info(n.Message)
 }
 
 func (a *Assembler) callFailed(step, executor string, err error) {
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -14,28 +14,26 @@
 
 const (
 	readWait    = time.Second            // of a read that waits for a record; the store may leave one without news
-	leaderWait  = time.Second            // of a read for signs of the leader, who gives one in that time
-	workersWait = time.Second            // of a read for entries of workers
 	workersRest = 350 * time.Millisecond // between two such reads: each executor writes every 1.5 s
 )
 
 // follow starts to read all topics that every VM follows.
 func (a *Assembler) follow(ctx context.Context, g *errgroup.Group) {
-	a.tail(ctx, g, platform.TopicOperator, readWait, a.takeConfig)
-	a.tail(ctx, g, platform.OwnTopic(registrar.TopicJobs), readWait, a.registrar.TakeJobs)
-	a.tail(ctx, g, platform.OwnTopic(registrar.TopicProgress), readWait, a.registrar.TakeProgress)
-	a.tail(ctx, g, platform.OwnTopic(topicLeader), leaderWait, a.takeClaims)
+	a.tail(ctx, g, platform.TopicOperator, a.takeConfig)
+	a.tail(ctx, g, platform.OwnTopic(registrar.TopicJobs), a.registrar.TakeJobs)
+	a.tail(ctx, g, platform.OwnTopic(registrar.TopicProgress), a.registrar.TakeProgress)
+	a.tail(ctx, g, platform.OwnTopic(topicLeader), a.takeClaims)
 }
 
-func (a *Assembler) tail(ctx context.Context, g *errgroup.Group, t platform.Topic, wait time.Duration, take func(tailer.Batch)) {
-	x := a.tailer(t, wait, take)
+func (a *Assembler) tail(ctx context.Context, g *errgroup.Group, t platform.Topic, take func(tailer.Batch)) {
+	x := a.tailer(t, take)
 	g.Go(func() error {
 		x.Run(ctx)
 		return nil
 	})
 }
 
-func (a *Assembler) tailer(t platform.Topic, wait time.Duration, take func(tailer.Batch)) *tailer.Tailer {
+func (a *Assembler) tailer(t platform.Topic, take func(tailer.Batch)) *tailer.Tailer {
 	return &tailer.Tailer{
 		Newest: func(ctx context.Context) ([]tailer.Record, int64, error) { return a.store.Newest(ctx, t) },
 		Read: func(ctx context.Context, from int64, wait time.Duration) ([]tailer.Record, int64, error) {
@@ -43,7 +41,7 @@
 		},
 		Take:  take,
 		State: func(err error) { a.storeChanged(t, err) },
-		Wait:  wait,
+		Wait:  readWait,
 	}
 }
 
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -49,7 +49,7 @@
 		select {
 		case <-ctx.Done():
 			current.end()
-			a.release(e)
+			a.release(context.WithoutCancel(ctx), e)
 			return
 		case v := <-a.claims:
 			a.takeClaim(e, v)
@@ -147,11 +147,11 @@
 }
 
 // release tells the other VMs that the leadership is free.
-func (a *Assembler) release(e *elector.Elector) {
+func (a *Assembler) release(ctx context.Context, e *elector.Elector) {
 	if !e.Leading() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	c := elector.Claim{Holder: a.Settings.VM, Life: a.life, Epoch: e.Epoch(), Released: true}
 	_, err := a.appendClaim(ctx, c, e.Next())
@@ -199,7 +199,7 @@
 // followWorkers follows the list of workers for the scheduler.
 func (a *Assembler) followWorkers(ctx context.Context) {
 	w := &workers{}
-	t := a.tailer(platform.TopicExecutors, workersWait, func(b tailer.Batch) {
+	t := a.tailer(platform.TopicExecutors, func(b tailer.Batch) {
 		if !w.take(b, a.malformed) {
 			return
 		}
@@ -222,7 +222,7 @@
 // begin shuts out earlier leaders from the topic of progress, and reads all that
 // they and the callers have stored.
 func (w *writer) begin(ctx context.Context) error {
-	if _, err := w.append(ctx, nil); err != nil {
+	if err := w.append(ctx, nil); err != nil {
 		return err
 	}
 	for _, t := range []string{registrar.TopicProgress, registrar.TopicJobs} {
@@ -241,11 +241,10 @@
 	return nil
 }
 
-// append appends records in the own epoch until the store has them. It returns
-// the offset after the last record.
-func (w *writer) append(ctx context.Context, records []tailer.Record) (int64, error) {
+// append appends records in the own epoch until the store has them.
+func (w *writer) append(ctx context.Context, records []tailer.Record) error {
 	for {
-		r, err := w.assembler.store.Append(ctx, platform.OwnTopic(registrar.TopicProgress), records, platform.AppendOptions{
+		_, err := w.assembler.store.Append(ctx, platform.OwnTopic(registrar.TopicProgress), records, platform.AppendOptions{
 			At:     -1,
 			Writer: platform.Writer{Name: writerName, Epoch: w.epoch, Sequence: w.sequence},
 		})
@@ -255,14 +254,14 @@
 			if len(records) > 0 {
 				w.sequence++
 			}
-			return r.End, nil
+			return nil
 		case errors.Is(err, platform.ErrFenced):
-			return 0, errors.Join(commander.ErrOutranked, err)
+			return errors.Join(commander.ErrOutranked, err)
 		case errors.As(err, &s):
 			w.assembler.log("store").WithError(err).WithField("sequence", w.sequence).Warn("sequence number is taken over from the store")
 			w.sequence = s.Expected
 		case ctx.Err() != nil:
-			return 0, err
+			return err
 		default:
 			w.assembler.log("store").WithError(err).Warn("progress is not stored yet")
 		}
@@ -279,8 +278,7 @@
 		}
 		records = append(records, r)
 	}
-	_, err := w.append(ctx, records)
-	return err
+	return w.append(ctx, records)
 }
 
 // forget drops what is stored of jobs that ended long ago.
--- a/internal/node/assembler/listen.go
+++ b/internal/node/assembler/listen.go
@@ -109,9 +109,9 @@
 
 // drain goes on serving while the balancer turns away, then finishes what is
 // open.
-func (a *Assembler) drain(front *http.Server) {
+func (a *Assembler) drain(ctx context.Context, front *http.Server) {
 	time.Sleep(balancerDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), a.Settings.Grace-balancerDelay-closeMargin)
+	ctx, cancel := context.WithTimeout(ctx, a.Settings.Grace-balancerDelay-closeMargin)
 	defer cancel()
 	front.SetKeepAlivesEnabled(false)
 	if err := front.Shutdown(ctx); err != nil {
--- a/internal/node/elector/elector.go
+++ b/internal/node/elector/elector.go
@@ -147,9 +147,12 @@
 func (e *Elector) patience() time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(e.Self)) // a hash never fails
-	share := time.Duration(h.Sum32() % 1000)
+	share := int64(h.Sum32() % 1000)
+	if e.known.Holder == e.Self {
+		return 0 // an earlier life of this VM, which is surely over
+	}
 	if e.known.Holder == "" || e.known.Released {
-		return firstWait + share*firstSpread/1000
+		return firstWait + time.Duration(share*int64(firstSpread)/1000)
 	}
-	return silence + share*spread/1000
+	return silence + time.Duration(share*int64(spread)/1000)
 }
