Reach the store through other VMs while it turns this one away

Change: internal/store/relayer tries the direct way, then two other VMs; a route decides which, without network. VMs register their address in a topic. An append through another VM is safe to repeat. The outcome stays uncertain when one try was.

Ruled out: passing whole calls on, which needs a second path for status and configuration.

--- a/internal/jobs/registrar/registrar.go
+++ b/internal/jobs/registrar/registrar.go
@@ -11,6 +11,7 @@
 	"sync"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
 )
 
@@ -88,7 +89,7 @@
 	r.mu.Lock()
 	var submitted []Entry
 	var cancelled []string
-	slices.SortStableFunc(b.Records, func(a, b tailer.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortStableFunc(b.Records, func(a, b accessor.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	for _, v := range b.Records {
 		id, isJob := strings.CutPrefix(v.Key, jobPrefix)
 		if isJob {
@@ -111,7 +112,7 @@
 	}
 }
 
-func (r *Registrar) takeJob(id string, v tailer.Record) (Entry, bool) {
+func (r *Registrar) takeJob(id string, v accessor.Record) (Entry, bool) {
 	if len(v.Value) == 0 {
 		delete(r.jobs, id)
 		return Entry{}, false
@@ -132,7 +133,7 @@
 	return *e, true
 }
 
-func (r *Registrar) takeCancel(id string, v tailer.Record) bool {
+func (r *Registrar) takeCancel(id string, v accessor.Record) bool {
 	if len(v.Value) == 0 {
 		delete(r.cancelled, id)
 		return false
@@ -224,29 +225,29 @@
 }
 
 // JobRecord returns the record of a submission.
-func JobRecord(j scheduler.Job) (tailer.Record, error) {
+func JobRecord(j scheduler.Job) (accessor.Record, error) {
 	b, err := json.Marshal(j)
 	if err != nil {
-		return tailer.Record{}, fmt.Errorf("encode job %s: %w", j.ID, err)
+		return accessor.Record{}, fmt.Errorf("encode job %s: %w", j.ID, err)
 	}
-	return tailer.Record{Key: jobPrefix + j.ID, Value: b}, nil
+	return accessor.Record{Key: jobPrefix + j.ID, Value: b}, nil
 }
 
 // CancelRecord returns the record of a cancellation.
-func CancelRecord(id string) tailer.Record {
-	return tailer.Record{Key: cancelPrefix + id, Value: []byte("1")}
+func CancelRecord(id string) accessor.Record {
+	return accessor.Record{Key: cancelPrefix + id, Value: []byte("1")}
 }
 
 // ForgetRecords returns the records that drop all that TopicJobs holds of a job.
-func ForgetRecords(id string) []tailer.Record {
-	return []tailer.Record{{Key: jobPrefix + id}, {Key: cancelPrefix + id}}
+func ForgetRecords(id string) []accessor.Record {
+	return []accessor.Record{{Key: jobPrefix + id}, {Key: cancelPrefix + id}}
 }
 
 // ProgressRecord returns the record of the progress of a job.
-func ProgressRecord(id string, p scheduler.Progress) (tailer.Record, error) {
+func ProgressRecord(id string, p scheduler.Progress) (accessor.Record, error) {
 	b, err := json.Marshal(p)
 	if err != nil {
-		return tailer.Record{}, fmt.Errorf("encode progress of job %s: %w", id, err)
+		return accessor.Record{}, fmt.Errorf("encode progress of job %s: %w", id, err)
 	}
-	return tailer.Record{Key: id, Value: b}, nil
+	return accessor.Record{Key: id, Value: b}, nil
 }
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -17,6 +17,8 @@
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
 	"github.com/lacewingdoor/lacewingdoor/internal/node/commander"
 	"github.com/lacewingdoor/lacewingdoor/internal/node/gatekeeper"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/relayer"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
 	"github.com/lacewingdoor/lacewingdoor/platform"
 	"github.com/lacewingdoor/lacewingdoor/recorder"
@@ -37,7 +39,9 @@
 
 	life      string // of this process
 	client    *platform.Client
-	store     *platform.Store
+	store     accessor.Access
+	relayer   *relayer.Relayer
+	peers     *peers
 	executors *platform.Executors
 	registrar *registrar.Registrar
 	commander *commander.Commander
@@ -92,7 +96,15 @@
 func (a *Assembler) assemble() {
 	a.life = uuid.NewString()
 	a.client = &platform.Client{Store: a.Settings.Store}
-	a.store = &platform.Store{Client: a.client, Address: a.Settings.Store}
+	a.peers = &peers{self: a.Settings.Peers, seeds: a.Settings.Seeds}
+	a.relayer = &relayer.Relayer{
+		Direct:  (&platform.Store{Client: a.client, Address: a.Settings.Store}).Access(),
+		Peer:    a.peers.access,
+		Peers:   a.peers.list,
+		Changed: a.directChanged,
+		Now:     a.Now,
+	}
+	a.store = a.relayer.Access()
 	a.metrics = recorder.New()
 	a.executors = &platform.Executors{Client: a.client, Failed: a.callFailed}
 	a.registrar = registrar.New()
@@ -156,15 +168,15 @@
 
 // appendJobs appends records of jobs until the store has answered or the context
 // ends. The records may be appended twice, which changes nothing.
-func (a *Assembler) appendJobs(ctx context.Context, records []tailer.Record) error {
+func (a *Assembler) appendJobs(ctx context.Context, records []accessor.Record) error {
 	uncertain := false
 	for {
-		_, err := a.store.Append(ctx, platform.OwnTopic(registrar.TopicJobs), records, platform.AppendOptions{At: -1})
+		_, err := a.store.Append(ctx, accessor.Append{Topic: platform.OwnTopic(registrar.TopicJobs), Records: records, At: accessor.Anywhere})
 		if err == nil {
 			return nil
 		}
 		a.metrics.Count("appends-failed", 1)
-		if !errors.Is(err, platform.ErrNotDone) {
+		if !errors.Is(err, accessor.ErrNotDone) {
 			uncertain = true
 		}
 		if !uncertain {
@@ -184,11 +196,11 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", gatekeeper.ErrNotStored, err)
 	}
-	return a.appendJobs(ctx, []tailer.Record{r})
+	return a.appendJobs(ctx, []accessor.Record{r})
 }
 
 func (a *Assembler) storeCancel(ctx context.Context, id string) error {
-	return a.appendJobs(ctx, []tailer.Record{registrar.CancelRecord(id)})
+	return a.appendJobs(ctx, []accessor.Record{registrar.CancelRecord(id)})
 }
 
 // refresh returns once all jobs are read that were stored before the call.
@@ -202,7 +214,7 @@
 	t := platform.OwnTopic(topic)
 	next, _ := a.registrar.Next(topic)
 	records, end, err := a.store.Read(ctx, t, next, 0)
-	snapshot := errors.Is(err, tailer.ErrTrimmed)
+	snapshot := errors.Is(err, accessor.ErrTrimmed)
 	if snapshot {
 		records, end, err = a.store.Newest(ctx, t)
 	}
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/registrar"
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
 	"github.com/lacewingdoor/lacewingdoor/platform"
 )
@@ -23,9 +24,14 @@
 	a.tail(ctx, g, platform.OwnTopic(registrar.TopicJobs), a.registrar.TakeJobs)
 	a.tail(ctx, g, platform.OwnTopic(registrar.TopicProgress), a.registrar.TakeProgress)
 	a.tail(ctx, g, platform.OwnTopic(topicLeader), a.takeClaims)
+	a.tail(ctx, g, platform.OwnTopic(topicPeers), a.peers.take)
+	g.Go(func() error {
+		a.register(ctx)
+		return nil
+	})
 }
 
-func (a *Assembler) tail(ctx context.Context, g *errgroup.Group, t platform.Topic, take func(tailer.Batch)) {
+func (a *Assembler) tail(ctx context.Context, g *errgroup.Group, t string, take func(tailer.Batch)) {
 	x := a.tailer(t, take)
 	g.Go(func() error {
 		x.Run(ctx)
@@ -33,10 +39,10 @@
 	})
 }
 
-func (a *Assembler) tailer(t platform.Topic, take func(tailer.Batch)) *tailer.Tailer {
+func (a *Assembler) tailer(t string, take func(tailer.Batch)) *tailer.Tailer {
 	return &tailer.Tailer{
-		Newest: func(ctx context.Context) ([]tailer.Record, int64, error) { return a.store.Newest(ctx, t) },
-		Read: func(ctx context.Context, from int64, wait time.Duration) ([]tailer.Record, int64, error) {
+		Newest: func(ctx context.Context) ([]accessor.Record, int64, error) { return a.store.Newest(ctx, t) },
+		Read: func(ctx context.Context, from int64, wait time.Duration) ([]accessor.Record, int64, error) {
 			return a.store.Read(ctx, t, from, wait)
 		},
 		Take:  take,
@@ -46,7 +52,7 @@
 }
 
 // storeChanged logs that a topic can no longer be read, or can be read again.
-func (a *Assembler) storeChanged(t platform.Topic, err error) {
+func (a *Assembler) storeChanged(t string, err error) {
 	l := a.log("read").WithField("topic", t)
 	if err != nil {
 		l.WithError(err).Warn("store does not answer")
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingdoor/lacewingdoor/internal/node/commander"
 	"github.com/lacewingdoor/lacewingdoor/internal/node/elector"
 	"github.com/lacewingdoor/lacewingdoor/internal/sleeper"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
 	"github.com/lacewingdoor/lacewingdoor/platform"
 )
@@ -28,7 +29,7 @@
 
 // claimEvent is news for the elector.
 type claimEvent struct {
-	records      []tailer.Record
+	records      []accessor.Record
 	next         int64
 	storeChanged bool
 	up           bool
@@ -142,8 +143,9 @@
 	if err != nil {
 		return 0, err
 	}
-	r, err := a.store.Append(ctx, platform.OwnTopic(topicLeader), []tailer.Record{{Key: keyLeader, Value: b}}, platform.AppendOptions{At: at})
-	return r.Offset, err
+	return a.store.Append(ctx, accessor.Append{
+		Topic: platform.OwnTopic(topicLeader), At: at, Records: []accessor.Record{{Key: keyLeader, Value: b}},
+	})
 }
 
 // release tells the other VMs that the leadership is free.
@@ -242,20 +244,20 @@
 }
 
 // append appends records in the own epoch until the store has them.
-func (w *writer) append(ctx context.Context, records []tailer.Record) error {
+func (w *writer) append(ctx context.Context, records []accessor.Record) error {
 	for {
-		_, err := w.assembler.store.Append(ctx, platform.OwnTopic(registrar.TopicProgress), records, platform.AppendOptions{
-			At:     -1,
-			Writer: platform.Writer{Name: writerName, Epoch: w.epoch, Sequence: w.sequence},
+		_, err := w.assembler.store.Append(ctx, accessor.Append{
+			Topic: platform.OwnTopic(registrar.TopicProgress), Records: records, At: accessor.Anywhere,
+			Writer: accessor.Writer{Name: writerName, Epoch: w.epoch, Sequence: w.sequence},
 		})
-		var s *platform.SequenceError
+		var s *accessor.SequenceError
 		switch {
 		case err == nil:
 			if len(records) > 0 {
 				w.sequence++
 			}
 			return nil
-		case errors.Is(err, platform.ErrFenced):
+		case errors.Is(err, accessor.ErrFenced):
 			return errors.Join(commander.ErrOutranked, err)
 		case errors.As(err, &s):
 			w.assembler.log("store").WithError(err).WithField("sequence", w.sequence).Warn("sequence number is taken over from the store")
@@ -270,7 +272,7 @@
 }
 
 func (w *writer) store(ctx context.Context, all map[string]scheduler.Progress) error {
-	var records []tailer.Record
+	var records []accessor.Record
 	for _, id := range slices.Sorted(maps.Keys(all)) {
 		r, err := registrar.ProgressRecord(id, all[id])
 		if err != nil {
@@ -283,7 +285,7 @@
 
 // forget drops what is stored of jobs that ended long ago.
 func (w *writer) forget(ctx context.Context, jobs []string) {
-	var records []tailer.Record
+	var records []accessor.Record
 	for _, id := range jobs {
 		records = append(records, registrar.ForgetRecords(id)...)
 	}
--- a/internal/node/assembler/listen.go
+++ b/internal/node/assembler/listen.go
@@ -42,6 +42,7 @@
 	}{
 		{"callers", a.Settings.Callers, front},
 		{"readiness", a.Settings.Readiness, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
+		{"other VMs", a.Settings.Peers, &http.Server{Handler: a.relayer.Handler(), ReadHeaderTimeout: headerTimeout}},
 		{"metrics", a.Settings.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
 	} {
 		if v.address == "" {
--- /dev/null
+++ b/internal/store/relayer/relayer.go
@@ -0,0 +1,94 @@
+package relayer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
+)
+
+// Relayer is access to the store, directly or through other entry VMs. Its fields
+// are set before use; it is safe for concurrent use.
+type Relayer struct {
+	Direct  accessor.Access
+	Peer    func(address string) accessor.Access
+	Peers   func() []string   // addresses of other entry VMs
+	Changed func(direct bool) // told when the direct way is lost or regained
+	Now     func() time.Time
+
+	mu    sync.Mutex
+	route Route
+}
+
+// Access returns the relayer as access to the store.
+func (r *Relayer) Access() accessor.Access {
+	return accessor.Access{
+		Append: func(ctx context.Context, a accessor.Append) (int64, error) {
+			var offset int64
+			err := r.try(func(x accessor.Access) (err error) {
+				offset, err = x.Append(ctx, a)
+				return err
+			})
+			return offset, err
+		},
+		Read: func(ctx context.Context, topic string, from int64, wait time.Duration) ([]accessor.Record, int64, error) {
+			var records []accessor.Record
+			var end int64
+			err := r.try(func(x accessor.Access) (err error) {
+				records, end, err = x.Read(ctx, topic, from, wait)
+				return err
+			})
+			return records, end, err
+		},
+		Newest: func(ctx context.Context, topic string) ([]accessor.Record, int64, error) {
+			var records []accessor.Record
+			var end int64
+			err := r.try(func(x accessor.Access) (err error) {
+				records, end, err = x.Newest(ctx, topic)
+				return err
+			})
+			return records, end, err
+		},
+	}
+}
+
+// try tries one way after the other until the store has answered. Of several
+// failures it returns the one that leaves most open.
+func (r *Relayer) try(do func(accessor.Access) error) error {
+	r.mu.Lock()
+	ways := r.route.Order(r.Now(), r.Peers())
+	r.mu.Unlock()
+	var worst error
+	for _, w := range ways {
+		x := r.Direct
+		if w != Direct {
+			x = r.Peer(w)
+		}
+		err := do(x)
+		r.note(w, accessor.Answered(err))
+		if accessor.Answered(err) {
+			return err
+		}
+		worst = worse(worst, err)
+	}
+	return worst
+}
+
+func (r *Relayer) note(way string, worked bool) {
+	r.mu.Lock()
+	before := r.route.Suspect()
+	r.route.Note(r.Now(), way, worked)
+	after := r.route.Suspect()
+	r.mu.Unlock()
+	if before != after {
+		r.Changed(!after)
+	}
+}
+
+// DirectWorks reports whether the direct way worked last.
+func (r *Relayer) DirectWorks() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.route.Suspect()
+}
--- a/internal/store/tailer/tailer.go
+++ b/internal/store/tailer/tailer.go
@@ -8,22 +8,12 @@
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/sleeper"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
 )
 
-// Record is a record of a keyed topic. One without a value drops its key.
-type Record struct {
-	Offset int64
-	Key    string
-	Value  []byte
-}
-
-// ErrTrimmed says that the records at an offset are gone; a snapshot has what
-// matters of them.
-var ErrTrimmed = errors.New("the records are gone")
-
 // Batch is what a Tailer has read.
 type Batch struct {
-	Records  []Record
+	Records  []accessor.Record
 	Snapshot bool  // Records name every key; others are gone
 	Next     int64 // offset of the next record
 }
@@ -35,8 +25,8 @@
 
 // Tailer follows one topic. Its fields are set before Run.
 type Tailer struct {
-	Newest func(context.Context) ([]Record, int64, error)
-	Read   func(ctx context.Context, from int64, wait time.Duration) ([]Record, int64, error)
+	Newest func(context.Context) ([]accessor.Record, int64, error)
+	Read   func(ctx context.Context, from int64, wait time.Duration) ([]accessor.Record, int64, error)
 	Take   func(Batch)          // called in order, from one goroutine
 	State  func(err error)      // told when reads begin to fail and when they work again
 	Wait   time.Duration        // of one read
@@ -56,7 +46,7 @@
 		}
 		t.note(err)
 		if err != nil {
-			if errors.Is(err, ErrTrimmed) {
+			if errors.Is(err, accessor.ErrTrimmed) {
 				next = -1
 				continue
 			}
@@ -91,7 +81,7 @@
 }
 
 func (t *Tailer) note(err error) {
-	if errors.Is(err, ErrTrimmed) {
+	if errors.Is(err, accessor.ErrTrimmed) {
 		return
 	}
 	if (err != nil) == t.failing {
