Let events share a round of placements and larger VMs claim first

Change: Reduce takes all events that wait; a request that asks for no less than one that failed in the round is not tried; a round makes six searches for work to stop at most. Patience before a claim falls with the share of a core.

--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -11,6 +11,7 @@
 
 const (
 	lateFactor       = 3           // a job is worth nothing after this many objectives
+	maxSearches      = 6           // in one pass; each looks at all that runs
 	maxReserved      = 2           // gangs for which room is kept free at a time; more would idle the workers
 	spreadUrgent     = time.Second // an urgent gang that found no rack for so long takes any workers
 	acceleratorCores = 8           // cores that an accelerator counts for
@@ -31,6 +32,23 @@
 	views    map[string][]placer.Worker // by service
 	reserved int
 	held     map[string]int // accelerators that urgent jobs hold or claim, by organisation
+	failed   []failure      // requests for which there was no room in this pass
+	searches int            // for work to stop or to wait for
+}
+
+// failure is a request for which there was no room. Room only shrinks during a
+// pass, so whatever asks for as much or more need not be tried.
+type failure struct {
+	service string
+	request placer.Request
+}
+
+// hopeless reports whether a request asks for no less than one that failed.
+func (p *pass) hopeless(service string, r placer.Request) bool {
+	return slices.ContainsFunc(p.failed, func(f failure) bool {
+		return f.service == service && r.Tasks >= f.request.Tasks && f.request.PerTask.Fits(r.PerTask) &&
+			(r.Adjacency == f.request.Adjacency || f.request.Adjacency == placer.AdjacencyNone)
+	})
 }
 
 // place starts what there is room for, in order of urgency.
@@ -198,6 +216,12 @@
 // where it can.
 func (p *pass) trySpread(u unit, waiting []int, r placer.Request) {
 	r.Adjacency = placer.AdjacencyNone
+	one := r
+	one.Tasks = 1
+	if p.hopeless(u.job.queue.Service, one) {
+		p.short(u, r)
+		return
+	}
 	all := p.allowed(u)
 	if rack := u.step.DataRack; rack != "" {
 		if near := onRack(all, rack); fits(r, near) > 0 {
@@ -214,8 +238,18 @@
 			u.step.claim = nil
 		}
 	}
-	if left := len(waiting) - r.Tasks; left > 0 && u.job.urgent() {
+	if r.Tasks == 0 && u.step.Label == "" && u.step.PerWorker == 0 {
+		p.failed = append(p.failed, failure{u.job.queue.Service, one})
+	}
+	if left := len(waiting) - r.Tasks; left > 0 {
 		r.Tasks = left
+		p.short(u, r)
+	}
+}
+
+// short makes room for the tasks of an urgent step that did not fit.
+func (p *pass) short(u unit, r placer.Request) {
+	if u.job.urgent() {
 		p.makeRoom(u, r)
 	}
 }
@@ -231,11 +265,10 @@
 
 // tryGang starts a gang whole, or makes room for it.
 func (p *pass) tryGang(u unit, waiting []int, r placer.Request) {
-	all := p.allowed(u)
-	at, ok := placer.Place(r, all)
+	at, ok := p.find(u, r)
 	if !ok && r.Adjacency == placer.AdjacencyRack && p.spreads(u, r) {
 		r.Adjacency = placer.AdjacencyNone
-		at, ok = placer.Place(r, all)
+		at, ok = p.find(u, r)
 	}
 	if !ok {
 		if u.step.blocked.IsZero() {
@@ -252,6 +285,19 @@
 	}
 }
 
+// find places a request of a unit.
+func (p *pass) find(u unit, r placer.Request) (placer.Placement, bool) {
+	service := u.job.queue.Service
+	if p.hopeless(service, r) {
+		return nil, false
+	}
+	at, ok := placer.Place(r, p.allowed(u))
+	if !ok && u.step.Label == "" && u.step.PerWorker == 0 {
+		p.failed = append(p.failed, failure{service, r})
+	}
+	return at, ok
+}
+
 // spreads reports whether a gang that wants one rack gives that up: no rack is
 // large enough, or an urgent job has waited for one.
 func (p *pass) spreads(u unit, r placer.Request) bool {
@@ -309,6 +355,10 @@
 	}
 	p.reserved++
 	if !p.claimHolds(u) {
+		if p.searches >= maxSearches {
+			return
+		}
+		p.searches++
 		_, at, ok := placer.Victims(r, p.allowed(u), p.borrowers(u, remaining))
 		if !ok {
 			return
@@ -341,6 +391,10 @@
 // within the guarantee of its organisation, else only little.
 func (p *pass) preempt(u unit, r placer.Request) {
 	if !p.claimHolds(u) || len(u.step.claim) != r.Tasks {
+		if p.searches >= maxSearches {
+			return
+		}
+		p.searches++
 		victims, at, ok := placer.Victims(r, p.allowed(u), p.borrowers(u, waste))
 		if !ok {
 			return
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -28,9 +28,10 @@
 	effects    []Effect
 }
 
-// Reduce takes in an event and returns what is to be done. It is the only place
-// where control decisions are made.
-func (s *Scheduler) Reduce(now time.Time, e Event) []Effect {
+// Reduce takes in events and returns what is to be done. It is the only place
+// where control decisions are made. Events that come together share one round of
+// placements, so that a leader under load decides less often and not later.
+func (s *Scheduler) Reduce(now time.Time, events ...Event) []Effect {
 	if s.workers == nil {
 		s.workers = map[string]*worker{}
 		s.jobs = map[string]*job{}
@@ -38,9 +39,8 @@
 		s.run = s.Epoch * runsPerEpoch
 	}
 	s.effects = nil
-	s.take(now, e)
-	if _, ok := e.(Ticked); ok {
-		s.sweep(now)
+	for _, e := range events {
+		s.take(now, e)
 	}
 	s.recover(now)
 	if s.passDue {
@@ -56,6 +56,7 @@
 	switch e := e.(type) {
 	case Ticked:
 		s.passDue = true
+		s.sweep(now)
 	case Submitted:
 		s.submit(now, e)
 	case Cancelled:
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -41,7 +41,7 @@
 
 // elect claims the leadership when it is free, and leads while it holds it.
 func (a *Assembler) elect(ctx context.Context) {
-	e := &elector.Elector{Self: a.Settings.VM, Life: a.life}
+	e := &elector.Elector{Self: a.Settings.VM, Life: a.life, Cores: a.Settings.Cores}
 	t := time.NewTicker(electionTick)
 	defer t.Stop()
 	leader := ""
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -80,9 +80,7 @@
 	}()
 	pool := pond.NewPool(poolSize)
 	defer pool.Stop()
-	for _, e := range first() {
-		c.reduce(l, pool, s, e)
-	}
+	c.reduce(l, pool, s, first())
 	t := time.NewTicker(tick)
 	defer t.Stop()
 	for {
@@ -90,16 +88,29 @@
 		case <-x.Done():
 			return context.Cause(x)
 		case e := <-l.inbox:
-			c.reduce(l, pool, s, e)
+			c.reduce(l, pool, s, l.more(e))
 		case <-t.C:
-			c.reduce(l, pool, s, scheduler.Ticked{})
+			c.reduce(l, pool, s, l.more(scheduler.Ticked{}))
+		}
+	}
+}
+
+// more returns an event with those that wait in the inbox.
+func (l *lead) more(e scheduler.Event) []scheduler.Event {
+	all := []scheduler.Event{e}
+	for {
+		select {
+		case n := <-l.inbox:
+			all = append(all, n)
+		default:
+			return all
 		}
 	}
 }
 
-func (c *Commander) reduce(l *lead, pool pond.Pool, s *scheduler.Scheduler, e scheduler.Event) {
+func (c *Commander) reduce(l *lead, pool pond.Pool, s *scheduler.Scheduler, events []scheduler.Event) {
 	began := c.Now()
-	effects := s.Reduce(began, e)
+	effects := s.Reduce(began, events...)
 	c.Took("decision", c.Now().Sub(began))
 	for _, f := range effects {
 		if n, ok := f.(scheduler.Noted); ok {
--- a/internal/node/elector/elector.go
+++ b/internal/node/elector/elector.go
@@ -12,9 +12,10 @@
 const (
 	renewEvery  = 800 * time.Millisecond  // of a live leader
 	silence     = 2600 * time.Millisecond // three renewals missed, and one late
-	spread      = 600 * time.Millisecond  // between the first and the last VM that claims
+	spread      = 400 * time.Millisecond  // between the first and the last VM that claims
 	firstWait   = 150 * time.Millisecond  // nobody has led yet: only the spread keeps VMs apart
 	firstSpread = 300 * time.Millisecond
+	fullCores   = 0.8                    // share of a core of the largest VMs
 	claimPause  = 500 * time.Millisecond // between two claims of one VM
 )
 
@@ -60,8 +61,9 @@
 
 // Elector follows the leadership topic for one VM.
 type Elector struct {
-	Self string
-	Life string
+	Self  string
+	Life  string
+	Cores float64 // share of a core that the VM has; larger VMs claim first, 0 when it is not known
 
 	known   Claim
 	next    int64 // offset of the next record
@@ -148,6 +150,9 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(e.Self)) // a hash never fails
 	share := int64(h.Sum32() % 1000)
+	if e.Cores > 0 {
+		share += int64(1000 * max(0, 1-e.Cores/fullCores))
+	}
 	if e.known.Holder == e.Self {
 		return 0 // an earlier life of this VM, which is surely over
 	}
