Answer a change of a link once it is in force

Cause: the stand-in link answered 'up' before its socket listened again, so the next connection could be refused (standins.txtar line 75, seen beside load). A shutdown of the socket also ran in the background and could end the listening that came after it.

Change: the answer waits until the route takes or refuses connections as asked; the shutdown is awaited.

--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -44,6 +44,7 @@
 	listeners map[string]*net.TCPListener
 	bytes     map[string]*LinkBytes
 	control   control[LinkControl]
+	listening control[map[string]bool] // routes that take connections now
 	mux       *http.ServeMux
 }
 
@@ -56,6 +57,7 @@
 			return nil, fmt.Errorf("listen for route %s: %w", r, err)
 		}
 		l.listeners[r], l.bytes[r] = t, new(LinkBytes)
+		l.setListening(r, true)
 	}
 	l.mux.HandleFunc("POST /control", l.change)
 	l.mux.Handle("GET /control", &l.control)
@@ -125,6 +127,9 @@
 		}
 	}
 	l.control.update(func(c *LinkControl) { c.To, c.State = merged(c.To, q.To), merged(c.State, q.State) })
+	for n, s := range q.State {
+		l.awaitListening(r.Context(), n, s) // the answer says that the state is in force
+	}
 	answer(w, http.StatusOK, l.control.get())
 }
 
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -26,14 +26,19 @@
 			defer cancel()
 			l.await(up, route, LinkCut)
 		}()
-		stop := context.AfterFunc(up, func() { _ = onSocket(t, func(fd int) error { return syscall.Shutdown(fd, syscall.SHUT_RD) }) })
+		shut := make(chan struct{})
+		context.AfterFunc(up, func() {
+			defer close(shut)
+			_ = onSocket(t, func(fd int) error { return syscall.Shutdown(fd, syscall.SHUT_RD) })
+		})
 		for up.Err() == nil {
 			c, err := t.AcceptTCP()
 			if err == nil {
 				go l.pass(up, route, c)
 			}
 		}
-		stop()
+		<-shut // a later one would end the listening that comes next
+		l.setListening(route, false)
 		l.await(ctx, route, LinkUp, LinkSilent, LinkSilentAway, LinkSilentBack)
 		if ctx.Err() != nil {
 			break
@@ -41,10 +46,22 @@
 		if err := onSocket(t, func(fd int) error { return syscall.Listen(fd, linkBacklog) }); err != nil {
 			return err
 		}
+		l.setListening(route, true)
 	}
 	return nil
 }
 
+// setListening says whether a route takes connections.
+func (l *Link) setListening(route string, listening bool) {
+	l.listening.update(func(m *map[string]bool) { *m = merged(*m, map[string]bool{route: listening}) })
+}
+
+// awaitListening waits until a route takes connections or refuses them, as its
+// state says.
+func (l *Link) awaitListening(ctx context.Context, route string, s LinkState) {
+	l.listening.wait(ctx, func(m map[string]bool) bool { return m[route] == (s != LinkCut) })
+}
+
 // await waits until the route has one of the states, or ctx ends.
 func (l *Link) await(ctx context.Context, route string, states ...LinkState) {
 	l.control.wait(ctx, func(c LinkControl) bool {
