Wait for leases that an earlier leader extended; read and store less often

Cause 2: each store of progress was read at once by every VM, over a thousand reads a second on the grown sites; calls were the largest price there.

Change: the first list of a worker is taken to follow a full extension. Followers read jobs and progress every 0.2 s, ends are stored every 40 ms, VMs are read with a long wait. A job avoids workers on which it failed, as long as half of them are left.

--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 )
 
@@ -77,6 +78,9 @@
 	}
 	s.passDue = s.passDue || !w.fenced || !w.silent.IsZero()
 	w.note(now, e.ClockMS)
+	if !w.fenced { // an earlier leader may have extended the leases until now
+		w.deadline = max(w.deadline, e.ClockMS+s.Settings.Lease.Milliseconds())
+	}
 	w.fenced = true
 	w.acked = max(w.acked, w.acking)
 	s.takeEnds(now, w, e.Ends)
@@ -127,6 +131,9 @@
 	}
 	if e.How == HowFailed {
 		w.blame(now, j.ID)
+		if !slices.Contains(st.failedOn, w.ID) {
+			st.failedOn = append(st.failedOn, w.ID)
+		}
 		if n := st.fail(e.Task.Index, e.Run); n >= j.queue.MaxAttempts {
 			s.end(now, j, StateFailed, "a task failed as often as its queue allows")
 			return
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -104,10 +104,11 @@
 // and one count of failures for all its tasks, on the first.
 type step struct {
 	Step
-	tasks   []task
-	done    int
-	claim   []string  // workers on which room is being made for a gang or urgent tasks
-	blocked time.Time // since when it waits for room, zero when it does not
+	tasks    []task
+	done     int
+	failedOn []string  // workers on which a run of it failed
+	claim    []string  // workers on which room is being made for a gang or urgent tasks
+	blocked  time.Time // since when it waits for room, zero when it does not
 }
 
 // job is a job with what the leader knows of it.
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -10,12 +10,13 @@
 )
 
 const (
-	lateFactor       = 3           // a job is worth nothing after this many objectives
-	maxSearches      = 6           // in one pass; each looks at all that runs
-	maxReserved      = 2           // gangs for which room is kept free at a time; more would idle the workers
-	spreadUrgent     = time.Second // an urgent gang that found no rack for so long takes any workers
-	acceleratorCores = 8           // cores that an accelerator counts for
-	urgentWorth      = 3000.0      // core-seconds of work that an urgent job may cost others outside its guarantee
+	lateFactor       = 3               // a job is worth nothing after this many objectives
+	avoidTime        = 2 * time.Second // a gang that waits for longer takes workers again on which it failed
+	maxSearches      = 6               // in one pass; each looks at all that runs
+	maxReserved      = 2               // gangs for which room is kept free at a time; more would idle the workers
+	spreadUrgent     = time.Second     // an urgent gang that found no rack for so long takes any workers
+	acceleratorCores = 8               // cores that an accelerator counts for
+	urgentWorth      = 3000.0          // core-seconds of work that an urgent job may cost others outside its guarantee
 )
 
 // unit is what is placed at once: a gang, or the waiting tasks of a step.
@@ -171,9 +172,10 @@
 // its limits.
 func (p *pass) allowed(u unit) []placer.Worker {
 	all := p.views[u.job.queue.Service]
-	if u.step.Label == "" && u.step.PerWorker == 0 {
+	if u.step.plain() {
 		return all
 	}
+	avoid := len(u.step.failedOn)*2 <= len(all) && (u.step.blocked.IsZero() || p.now.Sub(u.step.blocked) < avoidTime)
 	on := map[string]int{}
 	for i := range u.step.tasks {
 		if t := &u.step.tasks[i]; t.state == taskPlaced {
@@ -185,6 +187,9 @@
 		if u.step.Label != "" && !slices.Contains(p.s.workers[v.ID].Labels, u.step.Label) {
 			continue
 		}
+		if avoid && slices.Contains(u.step.failedOn, v.ID) {
+			continue
+		}
 		if limit := u.step.PerWorker; limit > 0 {
 			v.Free = clip(v.Free, u.step.Need.Times(max(0, limit-on[v.ID])))
 		}
@@ -193,6 +198,9 @@
 	return out
 }
 
+// plain reports whether every worker of the service may run the step.
+func (s *step) plain() bool { return s.Label == "" && s.PerWorker == 0 && len(s.failedOn) == 0 }
+
 func clip(a, b placer.Resources) placer.Resources {
 	return placer.Resources{
 		MilliCores:   min(a.MilliCores, b.MilliCores),
@@ -238,7 +246,7 @@
 			u.step.claim = nil
 		}
 	}
-	if r.Tasks == 0 && u.step.Label == "" && u.step.PerWorker == 0 {
+	if r.Tasks == 0 && u.step.plain() {
 		p.failed = append(p.failed, failure{u.job.queue.Service, one})
 	}
 	if left := len(waiting) - r.Tasks; left > 0 {
@@ -292,7 +300,7 @@
 		return nil, false
 	}
 	at, ok := placer.Place(r, p.allowed(u))
-	if !ok && u.step.Label == "" && u.step.PerWorker == 0 {
+	if !ok && u.step.plain() {
 		p.failed = append(p.failed, failure{service, r})
 	}
 	return at, ok
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -220,7 +220,11 @@
 
 // store stores the progress of changed jobs, one batch at a time.
 func (s *Scheduler) store(now time.Time) {
-	if s.storing || (!s.hurry && now.Sub(s.storedAt) < progressPause) {
+	pause := progressPause
+	if s.hurry {
+		pause = hurryPause
+	}
+	if s.storing || now.Sub(s.storedAt) < pause {
 		return
 	}
 	s.hurry = false
--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -14,6 +14,7 @@
 	shunTime         = 4 * time.Second         // half of the shortest time that workers fail on bad days
 	retention        = 150 * time.Second       // states are asked for at least 120 s after the end
 	progressPause    = 300 * time.Millisecond  // between stores of progress that nobody waits for
+	hurryPause       = 40 * time.Millisecond   // between stores of ends; all VMs read each of them
 	runsPerEpoch     = 1_000_000               // run numbers of one leader; later leaders use higher ones
 )
 
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -51,6 +51,7 @@
 	config    atomic.Pointer[gatekeeper.Config]
 	storeDown atomic.Int64 // Unix time in milliseconds since when the store fails, 0 when it answers
 	leaving   atomic.Bool
+	leading   atomic.Bool
 	claims    chan claimEvent
 }
 
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -15,39 +15,48 @@
 
 const (
 	readWait    = time.Second            // of a read that waits for a record; the store may leave one without news
+	peersWait   = 15 * time.Second       // of a read for other VMs, which come and go rarely
+	followPause = 200 * time.Millisecond // between two reads of what many VMs write; a state is that much older
 	workersRest = 350 * time.Millisecond // between two such reads: each executor writes every 1.5 s
 )
 
 // follow starts to read all topics that every VM follows.
 func (a *Assembler) follow(ctx context.Context, g *errgroup.Group) {
-	a.tail(ctx, g, platform.TopicOperator, a.takeConfig)
-	a.tail(ctx, g, platform.OwnTopic(registrar.TopicJobs), a.registrar.TakeJobs)
-	a.tail(ctx, g, platform.OwnTopic(registrar.TopicProgress), a.registrar.TakeProgress)
-	a.tail(ctx, g, platform.OwnTopic(topicLeader), a.takeClaims)
-	a.tail(ctx, g, platform.OwnTopic(topicPeers), a.peers.take)
+	jobsPause := func() time.Duration {
+		if a.leading.Load() {
+			return 0 // jobs wait for the leader to read them
+		}
+		return followPause
+	}
+	progressPause := func() time.Duration { return followPause }
+	a.tail(ctx, g, a.tailer(platform.TopicOperator, readWait, nil, a.takeConfig))
+	a.tail(ctx, g, a.tailer(platform.OwnTopic(registrar.TopicJobs), readWait, jobsPause, a.registrar.TakeJobs))
+	a.tail(ctx, g, a.tailer(platform.OwnTopic(registrar.TopicProgress), readWait, progressPause, a.registrar.TakeProgress))
+	a.tail(ctx, g, a.tailer(platform.OwnTopic(topicLeader), readWait, nil, a.takeClaims))
+	a.tail(ctx, g, a.tailer(platform.OwnTopic(topicPeers), peersWait, nil, a.peers.take))
 	g.Go(func() error {
 		a.register(ctx)
 		return nil
 	})
 }
 
-func (a *Assembler) tail(ctx context.Context, g *errgroup.Group, t string, take func(tailer.Batch)) {
-	x := a.tailer(t, take)
+func (a *Assembler) tail(ctx context.Context, g *errgroup.Group, t *tailer.Tailer) {
 	g.Go(func() error {
-		x.Run(ctx)
+		t.Run(ctx)
 		return nil
 	})
 }
 
-func (a *Assembler) tailer(t string, take func(tailer.Batch)) *tailer.Tailer {
+func (a *Assembler) tailer(topic string, wait time.Duration, pause func() time.Duration, take func(tailer.Batch)) *tailer.Tailer {
 	return &tailer.Tailer{
-		Newest: func(ctx context.Context) ([]accessor.Record, int64, error) { return a.store.Newest(ctx, t) },
+		Newest: func(ctx context.Context) ([]accessor.Record, int64, error) { return a.store.Newest(ctx, topic) },
 		Read: func(ctx context.Context, from int64, wait time.Duration) ([]accessor.Record, int64, error) {
-			return a.store.Read(ctx, t, from, wait)
+			return a.store.Read(ctx, topic, from, wait)
 		},
 		Take:  take,
-		State: func(err error) { a.storeChanged(t, err) },
-		Wait:  readWait,
+		State: func(err error) { a.storeChanged(topic, err) },
+		Wait:  wait,
+		Pause: pause,
 	}
 }
 
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -165,6 +165,8 @@
 	began := a.Now()
 	l := a.log("lead").WithField("epoch", epoch)
 	l.Info("leadership begins")
+	a.leading.Store(true)
+	defer a.leading.Store(false)
 	w := &writer{assembler: a, epoch: epoch}
 	if err := w.begin(ctx); err != nil {
 		l.WithError(err).Info("leadership ended before it began")
@@ -201,14 +203,14 @@
 // followWorkers follows the list of workers for the scheduler.
 func (a *Assembler) followWorkers(ctx context.Context) {
 	w := &workers{}
-	t := a.tailer(platform.TopicExecutors, func(b tailer.Batch) {
+	rest := func() time.Duration { return workersRest }
+	t := a.tailer(platform.TopicExecutors, readWait, rest, func(b tailer.Batch) {
 		if !w.take(b, a.malformed) {
 			return
 		}
 		all := slices.SortedFunc(maps.Values(w.byID), func(x, y scheduler.Listed) int { return cmp.Compare(x.ID, y.ID) })
 		a.commander.Post(scheduler.WorkersListed{Workers: all})
 	})
-	t.Pause = func() time.Duration { return workersRest }
 	t.Run(ctx)
 }
 
