Lead on until another VM has claimed the released leadership

Change: SIGTERM releases the leadership in the store, and the VM leads on until a claim of another is read or its grace time is over. A call that its caller has cancelled says nothing of the way to the store.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -67,12 +67,8 @@
 		return err
 	}
 	a.follow(work, g)
-	lead, release := context.WithCancel(work)
-	defer release()
-	led := make(chan struct{})
 	g.Go(func() error {
-		defer close(led)
-		a.elect(lead)
+		a.elect(work, ctx.Done())
 		return nil
 	})
 	select {
@@ -82,9 +78,7 @@
 		return g.Wait()
 	}
 	a.leaving.Store(true)
-	a.log("stop").Info("entry VM leaves: not ready any more, the leadership is given up")
-	release()
-	<-led
+	a.log("stop").Info("entry VM leaves: it is not ready any more")
 	a.drain(context.WithoutCancel(ctx), front)
 	stop()
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -39,8 +39,10 @@
 	a.claims <- claimEvent{records: b.Records, next: b.Next}
 }
 
-// elect claims the leadership when it is free, and leads while it holds it.
-func (a *Assembler) elect(ctx context.Context) {
+// elect claims the leadership when it is free, and leads while it holds it. Once
+// leave is closed it releases the leadership, and leads on until another VM has
+// claimed it.
+func (a *Assembler) elect(ctx context.Context, leave <-chan struct{}) {
 	e := &elector.Elector{Self: a.Settings.VM, Life: a.life, Cores: a.Settings.Cores}
 	t := time.NewTicker(electionTick)
 	defer t.Stop()
@@ -50,8 +52,11 @@
 		select {
 		case <-ctx.Done():
 			current.end()
-			a.release(context.WithoutCancel(ctx), e)
 			return
+		case <-leave:
+			leave = nil
+			e.Leave()
+			a.release(ctx, e)
 		case v := <-a.claims:
 			a.takeClaim(e, v)
 		case <-t.C:
@@ -156,8 +161,13 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	c := elector.Claim{Holder: a.Settings.VM, Life: a.life, Epoch: e.Epoch(), Released: true}
-	_, err := a.appendClaim(ctx, c, e.Next())
-	a.log("elect").WithFields(logrus.Fields{"epoch": e.Epoch(), "error": err}).Info("leadership is given up")
+	offset, err := a.appendClaim(ctx, c, e.Next())
+	if err != nil {
+		a.log("elect").WithField("epoch", e.Epoch()).WithError(err).Warn("leadership could not be released")
+		return
+	}
+	e.Take(a.Now(), offset, c)
+	a.log("elect").WithField("epoch", e.Epoch()).Info("leadership is released")
 }
 
 // lead runs one leadership until the context ends or another VM leads.
--- a/internal/node/elector/elector.go
+++ b/internal/node/elector/elector.go
@@ -121,9 +121,10 @@
 	return e.known.Holder
 }
 
-// Leading reports whether this life of the VM leads.
+// Leading reports whether this life of the VM leads. One that has released the
+// leadership leads on until another VM has claimed it.
 func (e *Elector) Leading() bool {
-	return e.known.Holder == e.Self && e.known.Life == e.Life && !e.known.Released
+	return e.known.Holder == e.Self && e.known.Life == e.Life
 }
 
 // Decide returns what is to be done now.
@@ -132,7 +133,7 @@
 		return Nothing
 	}
 	if e.Leading() {
-		if now.Sub(e.acted) < renewEvery {
+		if e.known.Released || now.Sub(e.acted) < renewEvery {
 			return Nothing
 		}
 		e.acted = now
--- a/internal/node/elector/elector_test.go
+++ b/internal/node/elector/elector_test.go
@@ -97,3 +97,18 @@
 	e.Leave()
 	is.Equal(e.Decide(now.Add(long)), elector.Nothing)
 }
+
+func TestReleasedLeadershipGoesOnUntilItIsClaimed(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	e := elector.Elector{Self: "a", Life: "1"}
+	e.Reached(now, 1)
+	e.Take(now, 0, elector.Claim{Holder: "a", Life: "1", Epoch: 1})
+	e.Leave()
+	e.Take(now, 1, elector.Claim{Holder: "a", Life: "1", Epoch: 1, Released: true})
+	is.True(e.Leading())
+	is.Equal(e.Leader(), "")
+	is.Equal(e.Decide(now.Add(long)), elector.Nothing) // a renewal would look like a change of mind
+	e.Take(now, 2, elector.Claim{Holder: "b", Life: "1", Epoch: 3})
+	is.True(!e.Leading())
+}
--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -66,6 +67,9 @@
 			x = r.Peer(w)
 		}
 		err := do(x)
+		if errors.Is(err, context.Canceled) {
+			return err // the caller has left; it says nothing of the way
+		}
 		r.note(w, accessor.Answered(err))
 		if accessor.Answered(err) {
 			return err
