Test the path of several VMs against stand-ins for the platform

The tests run whole VMs on loopback: a job through three VMs, calls that can't be served, cancel, a leader that leaves while a task runs, a VM that the store turns away, a refusal that is true.

--- /dev/null
+++ b/internal/node/assembler/assembler_test.go
@@ -0,0 +1,255 @@
+package assembler_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/node/assembler"
+	"github.com/lacewingdoor/lacewingdoor/platform"
+	"github.com/lacewingdoor/lacewingdoor/platform/standin"
+)
+
+const (
+	patience = 30 * time.Second // wide: it only bounds a test that fails
+	pause    = 10 * time.Millisecond
+)
+
+const configuration = `{"version":%d,"routes":[
+	{"name":"q","host":"h.example","pathPrefix":"/q/","service":"s","priority":1,"maxAttempts":2,"stretch":3,"targetLatencyMs":1000}],
+	"services":[{"name":"s"}],"limits":{"maxBodyBytes":10000},
+	"tenants":[{"name":"o","apiKeys":["%s"],"guaranteed":{"gpu":4}}]}`
+
+// site is a store, some executors and some VMs.
+type site struct {
+	t         *testing.T
+	store     *standin.Store
+	executors []*standin.Executor
+	vms       []*vm
+}
+
+// vm is an entry VM that runs in this process.
+type vm struct {
+	door     *standin.Door
+	settings platform.Settings
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+func newSite(t *testing.T, executors, vms int) *site {
+	t.Helper()
+	s := &site{t: t, store: standin.NewStore()}
+	s.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, 1, "key"))
+	for i := range executors {
+		x := standin.NewExecutor()
+		server := httptest.NewServer(x)
+		t.Cleanup(server.Close)
+		s.executors = append(s.executors, x)
+		s.store.PutExecutor(fmt.Sprintf("x%d", i), "s", server.Listener.Addr().String(), "r1", 8, "ready")
+	}
+	for i := range vms {
+		s.start(fmt.Sprintf("vm%d", i))
+	}
+	return s
+}
+
+// free returns a free address of this machine.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start starts a VM.
+func (s *site) start(name string) {
+	s.t.Helper()
+	v := &vm{door: &standin.Door{Store: s.store}, done: make(chan struct{})}
+	server := httptest.NewServer(v.door)
+	s.t.Cleanup(server.Close)
+	v.settings = platform.Settings{
+		VM: name, Callers: free(s.t), Readiness: free(s.t), Peers: free(s.t),
+		Store: server.Listener.Addr().String(), Lease: 10 * time.Second, Grace: 6 * time.Second,
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a := &assembler.Assembler{Settings: v.settings, Logger: log, Dropped: func() int64 { return 0 }, Now: time.Now}
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	var once sync.Once
+	s.t.Cleanup(func() {
+		cancel()
+		once.Do(func() { <-v.done })
+	})
+	go func() {
+		defer close(v.done)
+		if err := a.Run(ctx); err != nil {
+			s.t.Errorf("VM %s: %v", name, err)
+		}
+	}()
+	s.vms = append(s.vms, v)
+	s.await("VM "+name+" is ready", func() bool { return get("http://"+v.settings.Readiness+"/ready") == http.StatusOK })
+}
+
+func get(url string) int {
+	a, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = a.Body.Close()
+	return a.StatusCode
+}
+
+// await waits until a condition holds.
+func (s *site) await(what string, holds func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(pause) {
+		if holds() {
+			return
+		}
+	}
+	s.t.Fatalf("waited %v until %s", patience, what)
+}
+
+// call calls a VM as a caller does.
+func (v *vm) call(method, path, key, body string) (int, string) {
+	q, err := http.NewRequest(method, "http://"+v.settings.Callers+path, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	q.Host = "h.example"
+	q.Header.Set("X-Lacewingdoor-Credential", key)
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, _ := io.ReadAll(a.Body)
+	return a.StatusCode, string(b)
+}
+
+// state returns the state of a job as a VM tells it.
+func (v *vm) state(id string) string {
+	_, b := v.call(http.MethodGet, "/q/"+id, "key", "")
+	var a struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal([]byte(b), &a)
+	return a.State
+}
+
+func job(spec string, tasks int) string {
+	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":1000,"memMb":100,"gpu":1,"estimateMs":100}]}`, spec, tasks)
+}
+
+const id = "00000000000000a1"
+
+func TestJobIsDoneAndShownByEveryVM(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2, 3)
+	status, _ := s.vms[0].call(http.MethodPost, "/q/"+id, "key", job("100ms", 3))
+	is.Equal(status, http.StatusOK)
+	for _, v := range s.vms {
+		s.await("the job is completed", func() bool { return v.state(id) == "completed" })
+	}
+	status, _ = s.vms[1].call(http.MethodPost, "/q/"+id, "key", job("100ms", 3)) // the same job
+	is.Equal(status, http.StatusOK)
+	is.Equal(len(s.executors[0].Starts())+len(s.executors[1].Starts()), 3)
+	status, body := s.vms[2].call(http.MethodGet, "/q/", "key", "")
+	is.Equal(status, http.StatusOK)
+	is.Equal(strings.TrimSpace(body), `{"pending":0}`)
+}
+
+func TestCallsThatCannotBeServed(t *testing.T) {
+	is := is.New(t)
+	v := newSite(t, 1, 1).vms[0]
+	for _, c := range []struct {
+		method, path, key, body string
+		status                  int
+	}{
+		{http.MethodPost, "/other/" + id, "key", job("1ms", 1), http.StatusNotFound},
+		{http.MethodPost, "/q/" + id, "wrong", job("1ms", 1), http.StatusUnauthorized},
+		{http.MethodPost, "/q/short", "key", job("1ms", 1), http.StatusBadRequest},
+		{http.MethodPost, "/q/" + id, "key", "{", http.StatusBadRequest},
+		{http.MethodPost, "/q/" + id, "key", `{"spec":"","steps":[]}`, http.StatusBadRequest},
+		{http.MethodPost, "/q/" + id, "key", `{"spec":"","steps":[{"count":1,"dependsOn":[0]}]}`, http.StatusBadRequest},
+		{http.MethodPost, "/q/" + id, "key", strings.Repeat("x", 20000), http.StatusRequestEntityTooLarge},
+		{http.MethodGet, "/q/" + id, "key", "", http.StatusGone},
+		{http.MethodDelete, "/q/" + id, "key", "", http.StatusGone},
+	} {
+		status, body := v.call(c.method, c.path, c.key, c.body)
+		if status != c.status {
+			t.Errorf("%s %s: %d %s, want %d", c.method, c.path, status, body, c.status)
+		}
+	}
+	is.Equal(v.state(id), "")
+}
+
+func TestCancelledJobStops(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1, 2)
+	status, _ := s.vms[0].call(http.MethodPost, "/q/"+id, "key", job("1h", 2))
+	is.Equal(status, http.StatusOK)
+	s.await("the job runs", func() bool { return s.vms[1].state(id) == "running" })
+	status, _ = s.vms[1].call(http.MethodDelete, "/q/"+id, "key", "")
+	is.Equal(status, http.StatusOK)
+	s.await("the job is cancelled", func() bool { return s.vms[0].state(id) == "cancelled" })
+}
+
+func TestAnotherVMLeadsOnAfterTheLeaderHasLeft(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1, 1)
+	status, _ := s.vms[0].call(http.MethodPost, "/q/"+id, "key", job("3s", 1))
+	is.Equal(status, http.StatusOK)
+	s.await("the job runs", func() bool { return s.vms[0].state(id) == "running" })
+	s.start("vm1")
+	s.vms[0].cancel()
+	<-s.vms[0].done
+	s.await("the job is completed", func() bool { return s.vms[1].state(id) == "completed" })
+	is.Equal(len(s.executors[0].Starts()), 1) // the run was taken over
+}
+
+func TestVMThatTheStoreTurnsAwayServesThroughAnother(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1, 2)
+	s.await("the VMs know each other", func() bool { return s.store.Get("keyed.vms", "vm1") != nil })
+	s.vms[1].door.Shut.Store(true)
+	status, body := s.vms[1].call(http.MethodPost, "/q/"+id, "key", job("50ms", 1))
+	is.Equal(status, http.StatusOK)
+	if status != http.StatusOK {
+		t.Log(body)
+	}
+	s.await("the job is completed", func() bool { return s.vms[1].state(id) == "completed" })
+	// A key that is taken away is refused there too.
+	s.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, 2, "other"))
+	s.await("the key is refused", func() bool {
+		status, _ := s.vms[1].call(http.MethodGet, "/q/"+id, "key", "")
+		return status == http.StatusUnauthorized
+	})
+}
+
+func TestSubmissionWithoutTheStoreIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1, 1)
+	s.vms[0].door.Shut.Store(true)
+	status, _ := s.vms[0].call(http.MethodPost, "/q/"+id, "key", job("50ms", 1))
+	is.Equal(status, http.StatusServiceUnavailable)
+	s.vms[0].door.Shut.Store(false)
+	s.await("the VM is ready", func() bool { return get("http://"+s.vms[0].settings.Readiness+"/ready") == http.StatusOK })
+	is.Equal(s.vms[0].state(id), "") // a refusal is true: it never runs
+	is.Equal(len(s.executors[0].Starts()), 0)
+}
