Schedule jobs with times, tasks that last, and keep fillers from tasks that serve

Change: occurrences of a scheduled job are jobs of their own that start when they are due; tasks that last begin again however they end, are never stopped for others and leave a draining worker as few at a time as their step allows; fillers and tasks that serve share no worker, so that none disturbs another. Progress of forgotten jobs is dropped too, under one lock with the other appends of the leader.

--- a/internal/jobs/registrar/registrar.go
+++ b/internal/jobs/registrar/registrar.go
@@ -33,6 +33,8 @@
 	Progress  scheduler.Progress
 	Cancelled bool
 
+	Occurrences map[int]scheduler.Progress // of a scheduled job, in an entry that is handed out
+
 	progressAt int64 // offset of the progress
 }
 
@@ -130,7 +132,23 @@
 	delete(r.early, id)
 	delete(r.cancelled, id)
 	r.jobs[id] = e
-	return *e, true
+	return r.full(e), true
+}
+
+// full returns an entry with what is stored of its occurrences.
+func (r *Registrar) full(e *Entry) Entry {
+	n := *e
+	for k := range e.Job.Times {
+		p, ok := r.early[scheduler.OccurrenceID(e.Job.ID, k)]
+		if !ok {
+			continue
+		}
+		if n.Occurrences == nil {
+			n.Occurrences = map[int]scheduler.Progress{}
+		}
+		n.Occurrences[k] = p.progress
+	}
+	return n
 }
 
 func (r *Registrar) takeCancel(id string, v accessor.Record) bool {
@@ -205,7 +223,7 @@
 	defer r.mu.Unlock()
 	all := make([]Entry, 0, len(r.jobs))
 	for _, e := range r.jobs {
-		all = append(all, *e)
+		all = append(all, r.full(e))
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Offset, b.Offset) })
 	return all
--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -92,6 +92,7 @@
 		if e.Number <= w.seen {
 			continue
 		}
+		e.Task = s.canonical(e.Task)
 		w.seen = e.Number
 		s.hurry = true
 		s.passDue = true
@@ -120,6 +121,10 @@
 		lead.saved = e.Saved
 	}
 	s.mark(j)
+	if st.Lasts {
+		s.restart(w, t, e)
+		return
+	}
 	if e.How == HowDone {
 		w.absolve()
 		s.succeed(now, j, st, e)
@@ -144,6 +149,16 @@
 	}
 }
 
+// restart lets a task that lasts wait for another worker, however it ended.
+func (*Scheduler) restart(w *worker, t *task, e End) {
+	if e.How == HowFailed {
+		w.blame(w.clockAt, e.Task.Job)
+	}
+	if t.state == taskPlaced && t.run == e.Run && t.worker == w.ID {
+		t.state = taskWaiting
+	}
+}
+
 // succeed notes that a task, or a gang, has done its work.
 func (s *Scheduler) succeed(now time.Time, j *job, st *step, e End) {
 	t := &st.tasks[e.Task.Index]
@@ -199,6 +214,7 @@
 func (s *Scheduler) takeRunning(now time.Time, w *worker, e Held) {
 	listed := make(map[placementKey]bool, len(e.Running))
 	for _, r := range e.Running {
+		r.Task = s.canonical(r.Task)
 		k := placementKey{r.Task, r.Run}
 		listed[k] = true
 		p, ok := w.runs[k]
@@ -237,7 +253,7 @@
 	p := &placement{task: r.Task, run: r.Run, confirmed: now, percent: r.Percent, moved: now}
 	j, st, t := s.find(r.Task)
 	if t != nil {
-		p.need = st.Need
+		p.need, p.serves, p.fills = st.Need, st.Serves, st.Fills
 	}
 	w.add(p)
 	if t == nil || j.state.Ended() || t.state != taskWaiting || !st.accepts(r.Run) {
@@ -273,6 +289,9 @@
 		j.state = StateRunning
 		s.mark(j)
 	}
+	if j.parent != nil {
+		s.begin(j.parent)
+	}
 }
 
 // started takes in the answer to a start.
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -19,6 +19,8 @@
 	Offset    int64
 	Progress  Progress
 	Cancelled bool
+
+	Occurrences map[int]Progress // of a scheduled job
 }
 
 // Cancelled says that a caller has cancelled a job.
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -26,6 +26,10 @@
 	Label       string           `json:"label,omitempty"`       // label that a worker must have
 	DataRack    string           `json:"data-rack,omitempty"`   // rack that holds the data
 	Speculative bool             `json:"speculative,omitempty"` // a second copy would be allowed
+	Lasts       bool             `json:"lasts,omitempty"`       // tasks run until the job is cancelled
+	Serves      bool             `json:"serves,omitempty"`      // tasks that last answer users of their own, in a bounded time
+	Fills       bool             `json:"fills,omitempty"`       // tasks use the processors that others leave idle
+	MayMiss     int              `json:"may-miss,omitempty"`    // most tasks that last and may be away through the system
 }
 
 // Job is a job as its caller submitted it.
@@ -35,8 +39,11 @@
 	Organisation string `json:"organisation"`
 	Spec         string `json:"spec"`
 	Steps        []Step `json:"steps"`
-	AcceptedMS   int64  `json:"accepted-ms"` // Unix time at which a VM took it
-	Terms        Queue  `json:"terms"`       // of its queue at that time
+	AcceptedMS   int64  `json:"accepted-ms"`           // Unix time at which a VM took it
+	Terms        Queue  `json:"terms"`                 // of its queue at that time
+	Times        int    `json:"times,omitempty"`       // occurrences of the steps, 0 for a job that runs once and now
+	FirstMS      int64  `json:"first-ms,omitempty"`    // Unix time at which the first occurrence is due
+	IntervalMS   int64  `json:"interval-ms,omitempty"` // between two of them
 }
 
 // Queue is what the configuration says of a queue of jobs.
@@ -122,11 +129,20 @@
 	ended    time.Time
 	dirty    bool          // differs from what is stored
 	chain    time.Duration // longest chain of its steps
+	due      time.Time     // no task starts earlier, zero for a job that runs now
+	parent   *job          // of an occurrence
+	children []*job        // occurrences of a scheduled job, nil for another
 }
 
 func newJob(j Job, offset int64) *job {
 	n := &job{Job: j, queue: j.Terms, state: StateQueued, accepted: time.UnixMilli(j.AcceptedMS), offset: offset}
 	for _, s := range j.Steps {
+		if j.Times > 0 {
+			break // its occurrences have the steps
+		}
+		if s.Fills {
+			s.Need.MilliCores = 0 // it uses what others leave
+		}
 		n.steps = append(n.steps, &step{Step: s, tasks: make([]task, s.Tasks)})
 	}
 	n.chain = n.longest()
@@ -155,6 +171,11 @@
 // urgent reports whether the job may preempt others.
 func (j *job) urgent() bool { return j.queue.Priority == 0 }
 
+// lasts reports whether the job runs until it is cancelled.
+func (j *job) lasts() bool {
+	return slices.ContainsFunc(j.steps, func(s *step) bool { return s.Lasts })
+}
+
 // open reports whether the steps before s have all succeeded.
 func (j *job) open(s *step) bool {
 	for _, a := range s.After {
--- /dev/null
+++ b/internal/jobs/scheduler/lasting.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import "time"
+
+const noFillTime = 3 * time.Second // a worker on which fillers were stopped gets no others for so long
+
+// leave moves tasks that last off workers that drain, as few at a time as their
+// steps allow: on the day such a worker leaves, its tasks end all the same.
+func (s *Scheduler) leave(now time.Time) {
+	for _, id := range s.order {
+		w := s.workers[id]
+		if !w.Draining {
+			continue
+		}
+		for _, p := range w.sorted() {
+			j, st, t := s.find(p.task)
+			if t == nil || !st.Lasts || p.stopping || s.away(j, p.task.Step) >= max(1, st.MayMiss) {
+				continue
+			}
+			s.note(Noted{Message: "task is moved off a draining worker", Job: p.task.Job, Task: p.task, Run: p.run, Worker: id})
+			s.stop(now, w, p)
+		}
+	}
+}
+
+// away returns how many tasks of a step are not at work, or are being stopped.
+func (s *Scheduler) away(j *job, step int) int {
+	n := 0
+	for i, t := range j.steps[step].tasks {
+		w, ok := s.workers[t.worker]
+		if t.state != taskPlaced || !ok {
+			n++
+			continue
+		}
+		p, ok := w.runs[placementKey{TaskID{j.ID, step, i}, t.run}]
+		if !ok || p.stopping || p.percent < fullPercent {
+			n++
+		}
+	}
+	return n
+}
+
+// mixes reports whether a worker may get a task of a step: fillers disturb the
+// tasks that serve, so the two are kept apart.
+func (s *Scheduler) mixes(now time.Time, st *step, w *worker) bool {
+	switch {
+	case st.Fills:
+		return w.serving == 0 && !now.Before(w.noFill)
+	case st.Serves:
+		return w.filling == 0
+	default:
+		return true
+	}
+}
+
+// clearFillers stops the fillers on one worker that a task which serves could run
+// on, if there is no worker without any.
+func (s *Scheduler) clearFillers(now time.Time, j *job, st *step) {
+	for _, id := range s.order {
+		w := s.workers[id]
+		if w.Service != j.queue.Service || !w.usable(now) || w.filling == 0 || !st.Need.Fits(w.Capacity.Minus(w.used)) {
+			continue
+		}
+		s.note(Noted{Message: "fillers make way for a task that serves", Job: j.ID, Worker: id})
+		w.noFill = now.Add(noFillTime)
+		for _, p := range w.sorted() {
+			if _, other, t := s.find(p.task); t != nil && other.Fills {
+				s.stop(now, w, p)
+			}
+		}
+		return
+	}
+}
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -76,7 +76,7 @@
 	}
 	var all []ranked
 	for _, j := range s.active {
-		if s.recovering && j.offset <= s.Old {
+		if (s.recovering && j.offset <= s.Old) || now.Before(j.due) {
 			continue
 		}
 		r := ranked{start: j.accepted.Add(j.objective() - j.chain), class: 1}
@@ -84,7 +84,7 @@
 		case j.urgent():
 			r.class = 0
 			r.start = j.accepted
-		case now.After(j.accepted.Add(lateFactor*j.objective() - j.chain)):
+		case !j.lasts() && now.After(j.accepted.Add(lateFactor*j.objective()-j.chain)):
 			r.class = 2
 		}
 		for i, st := range j.steps {
@@ -187,7 +187,7 @@
 		if u.step.Label != "" && !slices.Contains(p.s.workers[v.ID].Labels, u.step.Label) {
 			continue
 		}
-		if avoid && slices.Contains(u.step.failedOn, v.ID) {
+		if (avoid && slices.Contains(u.step.failedOn, v.ID)) || !p.s.mixes(p.now, u.step, p.s.workers[v.ID]) {
 			continue
 		}
 		if limit := u.step.PerWorker; limit > 0 {
@@ -199,7 +199,9 @@
 }
 
 // plain reports whether every worker of the service may run the step.
-func (s *step) plain() bool { return s.Label == "" && s.PerWorker == 0 && len(s.failedOn) == 0 }
+func (s *step) plain() bool {
+	return s.Label == "" && s.PerWorker == 0 && len(s.failedOn) == 0 && !s.Serves && !s.Fills
+}
 
 func clip(a, b placer.Resources) placer.Resources {
 	return placer.Resources{
@@ -257,6 +259,9 @@
 
 // short makes room for the tasks of an urgent step that did not fit.
 func (p *pass) short(u unit, r placer.Request) {
+	if u.step.Serves {
+		p.s.clearFillers(p.now, u.job, u.step)
+	}
 	if u.job.urgent() {
 		p.makeRoom(u, r)
 	}
@@ -327,7 +332,10 @@
 	t.state, t.worker, t.run = taskPlaced, id, run
 	task := TaskID{u.job.ID, u.index, index}
 	until := w.clock(p.now) + startWindow.Milliseconds()
-	w.add(&placement{task: task, run: run, need: u.step.Need, sent: p.now, untilMS: until, moved: p.now})
+	w.add(&placement{
+		task: task, run: run, need: u.step.Need, sent: p.now, untilMS: until, moved: p.now,
+		serves: u.step.Serves, fills: u.step.Fills,
+	})
 	w.deadline = max(w.deadline, until)
 	p.take(u.job.queue.Service, id, u.step.Need)
 	if u.job.urgent() {
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -113,7 +113,10 @@
 	}
 	j.restore(e.Progress)
 	s.jobs[j.ID] = j
-	if !j.state.Ended() {
+	switch {
+	case j.Times > 0:
+		s.spread(j, e)
+	case !j.state.Ended():
 		s.active = append(s.active, j)
 	}
 	if e.Cancelled {
@@ -150,6 +153,14 @@
 	for _, st := range j.steps {
 		st.claim = nil
 	}
+	for _, c := range j.children {
+		if !c.state.Ended() {
+			s.end(now, c, state, why)
+		}
+	}
+	if j.parent != nil {
+		s.childEnded(now, j.parent)
+	}
 }
 
 func (s *Scheduler) mark(j *job) { j.dirty = true }
@@ -179,6 +190,7 @@
 		delete(s.workers, id)
 		return true
 	})
+	s.leave(now)
 	s.forget(now)
 }
 
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -36,8 +36,17 @@
 			w.terms.Queues[name] = scheduler.Queue{Service: "s", Priority: priority, MaxAttempts: attempts, Stretch: 3, ObjectiveMS: 1000}
 			w.feed(scheduler.ConfigChanged{Terms: w.terms})
 		},
-		"guarantee":  func(org string, gpus int) { w.terms.Guaranteed[org] = gpus },
-		"job":        w.job,
+		"guarantee": func(org string, gpus int) { w.terms.Guaranteed[org] = gpus },
+		"job":       w.job,
+		"scheduled": func(times int, delay, interval time.Duration, id, queue, organisation string, words ...string) error {
+			w.schedule.times, w.schedule.delay, w.schedule.interval = times, delay, interval
+			return w.job(id, queue, organisation, words...)
+		},
+		"label": func(id, label string) {
+			v := w.workers[id]
+			v.listed.Labels = append(v.listed.Labels, label)
+			w.list()
+		},
 		"cancel":     func(id string) { w.feed(scheduler.Cancelled{Job: id}) },
 		"lead":       w.lead,
 		"cut":        func(id string) { w.cut[id] = true },
@@ -146,6 +155,16 @@
 				s.Checkpoints = true
 			case "apart":
 				s.PerWorker = 1
+			case "lasts":
+				s.Lasts = true
+			case "serves":
+				s.Lasts, s.Serves = true, true
+			case "fills":
+				s.Fills = true
+			case "labelled":
+				s.Label = "special"
+			case "data-r2":
+				s.DataRack = "r2"
 			default:
 				return fmt.Errorf("option %q is not known", o)
 			}
@@ -153,6 +172,11 @@
 		e.Job.Steps = append(e.Job.Steps, s)
 		w.secs[id] = append(w.secs[id], time.Duration(n[2])*time.Second)
 	}
+	if w.schedule.times > 0 {
+		e.Job.Times, e.Job.IntervalMS = w.schedule.times, w.schedule.interval.Milliseconds()
+		e.Job.FirstMS = w.now.Add(w.schedule.delay).UnixMilli()
+		w.schedule.times = 0
+	}
 	w.jobs[id] = e
 	w.feed(e)
 	return nil
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -17,6 +17,8 @@
 	confirmed time.Time // when the worker first answered that it has the run, zero before
 	settled   time.Time // a list asked for later names the run if it is there, zero before
 	stopping  bool
+	serves    bool
+	fills     bool
 	stopSent  time.Time // last attempt to stop it
 	inFlight  bool      // a stop is in flight
 	untilMS   int64     // a start that arrives later, by the worker's clock, is refused
@@ -45,11 +47,14 @@
 	deadline int64     // latest one sent, by its clock
 	runs     map[placementKey]*placement
 	used     placer.Resources
-	seen     int64 // last end that was taken in
-	stored   int64 // last end that is stored
-	acked    int64 // last end that was acknowledged
-	covered  int64 // last end that the store in flight covers
-	acking   int64 // end that the hold in flight acknowledges
+	serving  int       // runs that serve
+	filling  int       // runs that fill
+	noFill   time.Time // no fillers until then
+	seen     int64     // last end that was taken in
+	stored   int64     // last end that is stored
+	acked    int64     // last end that was acknowledged
+	covered  int64     // last end that the store in flight covers
+	acking   int64     // end that the hold in flight acknowledges
 
 	// Faults of the worker.
 	faults int       // failed runs of different jobs since one succeeded
@@ -88,6 +93,16 @@
 func (w *worker) add(p *placement) {
 	w.runs[placementKey{p.task, p.run}] = p
 	w.used = w.used.Plus(p.need)
+	w.count(p, 1)
+}
+
+func (w *worker) count(p *placement, n int) {
+	if p.serves {
+		w.serving += n
+	}
+	if p.fills {
+		w.filling += n
+	}
 }
 
 func (w *worker) remove(p *placement) {
@@ -95,6 +110,7 @@
 	if _, ok := w.runs[k]; ok {
 		delete(w.runs, k)
 		w.used = w.used.Minus(p.need)
+		w.count(p, -1)
 	}
 }
 
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -127,7 +127,9 @@
 }
 
 func submitted(e registrar.Entry) scheduler.Submitted {
-	return scheduler.Submitted{Job: e.Job, Offset: e.Offset, Progress: e.Progress, Cancelled: e.Cancelled}
+	return scheduler.Submitted{
+		Job: e.Job, Offset: e.Offset, Progress: e.Progress, Cancelled: e.Cancelled, Occurrences: e.Occurrences,
+	}
 }
 
 func (a *Assembler) log(step string) *logrus.Entry {
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -6,6 +6,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -228,7 +229,9 @@
 type writer struct {
 	assembler *Assembler
 	epoch     int64
-	sequence  int64
+
+	mu       sync.Mutex // one append at a time, as each takes the next sequence number
+	sequence int64
 }
 
 const writerName = "leader"
@@ -257,6 +260,8 @@
 
 // append appends records in the own epoch until the store has them.
 func (w *writer) append(ctx context.Context, records []accessor.Record) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for {
 		_, err := w.assembler.store.Append(ctx, accessor.Append{
 			Topic: platform.OwnTopic(registrar.TopicProgress), Records: records, At: accessor.Anywhere,
@@ -297,11 +302,12 @@
 
 // forget drops what is stored of jobs that ended long ago.
 func (w *writer) forget(ctx context.Context, jobs []string) {
-	var records []accessor.Record
+	var records, progress []accessor.Record
 	for _, id := range jobs {
 		records = append(records, registrar.ForgetRecords(id)...)
+		progress = append(progress, accessor.Record{Key: id})
 	}
-	if err := w.assembler.appendJobs(ctx, records); err != nil {
+	if err := errors.Join(w.assembler.appendJobs(ctx, records), w.append(ctx, progress)); err != nil {
 		w.assembler.log("store").WithError(err).Warn("old jobs stay in the store")
 	}
 }
