Ask for advice before steps of a queue that has it start

Cause: a start without a ticket is refused there, and was tried again at once.

Change: a step that finds too little room on workers that may run it asks about up to 30 others, one call at a time; tickets are kept by life of a worker until they run out, refusals for good. Scripts advice-is-asked-once-and-followed, ticket-that-ran-out-is-asked-for-again, step-that-no-worker-may-run-waits.

--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -325,7 +325,10 @@
 		w.missed(now)
 		s.lose(now, w, p, "its start was not sent")
 	default:
-		if e.Outcome == OutcomeFull || e.Outcome == OutcomeUnhealthy {
+		if _, st, _ := s.find(p.task); st != nil && e.Outcome == OutcomeTicket {
+			delete(st.tickets, w.ID)
+		}
+		if e.Outcome == OutcomeFull || e.Outcome == OutcomeUnhealthy || e.Outcome == OutcomeInvalid {
 			w.shun = now.Add(shunTime)
 		}
 		s.lose(now, w, p, "its start was refused")
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -64,6 +64,7 @@
 	OutcomeFull      Outcome = "full"      // no room
 	OutcomeUnhealthy Outcome = "unhealthy" // the worker does nothing at present
 	OutcomeInvalid   Outcome = "invalid"   // the worker can't read the call
+	OutcomeTicket    Outcome = "ticket"    // the ticket is missing or has run out
 	OutcomeReplaced  Outcome = "replaced"  // another life of the worker answered
 	OutcomeUnknown   Outcome = "unknown"   // no answer: it may have been carried out, or still be
 	OutcomeUnsent    Outcome = "unsent"    // no connection: it has not been carried out
@@ -161,6 +162,7 @@
 	Spec       string
 	DeadlineMS int64 // on the worker's clock
 	Checkpoint string
+	Ticket     string // of a queue with advice
 }
 
 // Stop stops a run, or keeps it from starting.
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -48,11 +48,12 @@
 
 // Queue is what the configuration says of a queue of jobs.
 type Queue struct {
-	Service     string  `json:"service"`      // whose workers run the tasks
-	Priority    int     `json:"priority"`     // 0 is urgent and may preempt others
-	MaxAttempts int     `json:"max-attempts"` // failures of a task or gang that fail the job
-	Stretch     float64 `json:"stretch"`      // objective as a multiple of the longest chain
-	ObjectiveMS int     `json:"objective-ms"` // added to the objective
+	Service     string  `json:"service"`          // whose workers run the tasks
+	Priority    int     `json:"priority"`         // 0 is urgent and may preempt others
+	MaxAttempts int     `json:"max-attempts"`     // failures of a task or gang that fail the job
+	Stretch     float64 `json:"stretch"`          // objective as a multiple of the longest chain
+	ObjectiveMS int     `json:"objective-ms"`     // added to the objective
+	Advice      *Advice `json:"advice,omitempty"` // nil where every worker may run the steps
 }
 
 // State is where a job stands.
@@ -113,9 +114,11 @@
 	Step
 	tasks    []task
 	done     int
-	failedOn []string  // workers on which a run of it failed
-	claim    []string  // workers on which room is being made for a gang or urgent tasks
-	blocked  time.Time // since when it waits for room, zero when it does not
+	failedOn []string          // workers on which a run of it failed
+	tickets  map[string]ticket // by worker, of a queue with advice
+	denied   map[string]bool   // workers that may not run it
+	claim    []string          // workers on which room is being made for a gang or urgent tasks
+	blocked  time.Time         // since when it waits for room, zero when it does not
 }
 
 // job is a job with what the leader knows of it.
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -44,6 +44,9 @@
 	request placer.Request
 }
 
+// unrestricted reports whether every worker of the service may run the unit.
+func (u unit) unrestricted() bool { return u.step.plain() && u.job.queue.Advice == nil }
+
 // hopeless reports whether a request asks for no less than one that failed.
 func (p *pass) hopeless(service string, r placer.Request) bool {
 	return slices.ContainsFunc(p.failed, func(f failure) bool {
@@ -172,7 +175,8 @@
 // its limits.
 func (p *pass) allowed(u unit) []placer.Worker {
 	all := p.views[u.job.queue.Service]
-	if u.step.plain() {
+	advised := u.job.queue.Advice != nil
+	if u.step.plain() && !advised {
 		return all
 	}
 	avoid := len(u.step.failedOn)*2 <= len(all) && (u.step.blocked.IsZero() || p.now.Sub(u.step.blocked) < avoidTime)
@@ -187,6 +191,9 @@
 		if u.step.Label != "" && !slices.Contains(p.s.workers[v.ID].Labels, u.step.Label) {
 			continue
 		}
+		if advised && !u.step.ticketed(p.now, p.s.workers[v.ID]) {
+			continue
+		}
 		if (avoid && slices.Contains(u.step.failedOn, v.ID)) || !p.s.mixes(p.now, u.step, p.s.workers[v.ID]) {
 			continue
 		}
@@ -248,7 +255,7 @@
 			u.step.claim = nil
 		}
 	}
-	if r.Tasks == 0 && u.step.plain() {
+	if r.Tasks == 0 && u.unrestricted() {
 		p.failed = append(p.failed, failure{u.job.queue.Service, one})
 	}
 	if left := len(waiting) - r.Tasks; left > 0 {
@@ -259,6 +266,9 @@
 
 // short makes room for the tasks of an urgent step that did not fit.
 func (p *pass) short(u unit, r placer.Request) {
+	if u.job.queue.Advice != nil {
+		p.ask(u, r)
+	}
 	if u.step.Serves {
 		p.s.clearFillers(p.now, u.job, u.step)
 	}
@@ -287,6 +297,9 @@
 		if u.step.blocked.IsZero() {
 			u.step.blocked = p.now
 		}
+		if u.job.queue.Advice != nil {
+			p.ask(u, r)
+		}
 		p.makeRoom(u, r)
 		return
 	}
@@ -305,7 +318,7 @@
 		return nil, false
 	}
 	at, ok := placer.Place(r, p.allowed(u))
-	if !ok && u.step.plain() {
+	if !ok && u.unrestricted() {
 		p.failed = append(p.failed, failure{service, r})
 	}
 	return at, ok
@@ -345,6 +358,7 @@
 	s.emit(Start{
 		Worker: id, Address: w.Address, Epoch: s.Epoch, Task: task, Run: run,
 		Spec: u.job.Spec, DeadlineMS: until, Checkpoint: u.step.lead(index).saved,
+		Ticket: u.step.tickets[id].value,
 	})
 	s.note(Noted{Message: "task placed", Job: u.job.ID, Task: task, Run: run, Worker: id, Details: Details{"waited-ms": p.now.Sub(u.job.accepted).Milliseconds()}})
 }
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -24,7 +24,9 @@
 	passDue    bool
 	storing    bool
 	storedAt   time.Time
-	hurry      bool // somebody waits for the next store
+	hurry      bool      // somebody waits for the next store
+	advising   bool      // a call for advice is in flight
+	adviseAt   time.Time // no call before
 	effects    []Effect
 }
 
@@ -71,6 +73,8 @@
 		s.started(now, e)
 	case Stopped:
 		s.stopped(now, e)
+	case Advised:
+		s.advised(now, e)
 	case Stored:
 		s.stored(now)
 	}
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -42,6 +42,18 @@
 			w.schedule.times, w.schedule.delay, w.schedule.interval = times, delay, interval
 			return w.job(id, queue, organisation, words...)
 		},
+		"advised-queue": func(name string, valid time.Duration) {
+			w.valid = valid
+			w.terms.Queues[name] = scheduler.Queue{
+				Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 3, ObjectiveMS: 1000, Advice: &scheduler.Advice{DecideMS: 50, PeriodMS: 2},
+			}
+			w.feed(scheduler.ConfigChanged{Terms: w.terms})
+		},
+		"allow": func(ids ...string) {
+			for _, id := range ids {
+				w.allowed[id] = true
+			}
+		},
 		"label": func(id, label string) {
 			v := w.workers[id]
 			v.listed.Labels = append(v.listed.Labels, label)
@@ -106,6 +118,12 @@
 		}
 		return nil
 	}
+	c["asked"] = func(want int) error {
+		if w.asked != want {
+			return fmt.Errorf("advice was asked %d times", w.asked)
+		}
+		return nil
+	}
 	c["at"] = func(worker string, want int) error {
 		if n := len(w.workers[worker].runs); n != want {
 			return fmt.Errorf("%d tasks run there", n)
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -33,6 +33,9 @@
 	cut     map[string]bool
 	deaf    map[string]bool // orders are carried out, and answers lost
 	saved   int
+	allowed map[string]bool // workers that advice allows
+	valid   time.Duration   // of tickets
+	asked   int
 
 	schedule struct { // of the next job
 		times           int
@@ -73,7 +76,7 @@
 	w := &world{
 		now: time.Unix(1_000_000, 0), workers: map[string]*fakeWorker{}, jobs: map[string]scheduler.Submitted{},
 		secs: map[string][]time.Duration{}, stored: map[string]scheduler.Progress{}, storeUp: true,
-		cut: map[string]bool{}, deaf: map[string]bool{},
+		allowed: map[string]bool{}, cut: map[string]bool{}, deaf: map[string]bool{},
 		terms: scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Guarded: map[string]bool{}},
 	}
 	w.began = w.now
@@ -144,6 +147,15 @@
 		w.later(latency, w.workers[f.Worker].stop(w, f))
 	case scheduler.Store:
 		w.store(f)
+	case scheduler.Advise:
+		e := scheduler.Advised{Advise: f, Sent: w.now, Outcome: scheduler.OutcomeDone, Tickets: map[string]string{}, Valid: w.valid}
+		for _, id := range f.Workers {
+			if w.allowed[id] {
+				e.Tickets[id] = w.now.Add(w.valid).Format(time.RFC3339Nano)
+			}
+		}
+		w.asked++
+		w.later(f.Limit, e)
 	case scheduler.Noted, scheduler.Forget:
 	}
 }
@@ -247,6 +259,8 @@
 		e.Outcome = scheduler.OutcomeObsolete
 	case f.DeadlineMS < v.clock(w.now):
 		e.Outcome = scheduler.OutcomeLate
+	case w.terms.Queues[w.jobs[base(f.Task.Job)].Job.Queue].Advice != nil && !w.ticketed(f):
+		e.Outcome = scheduler.OutcomeTicket
 	default:
 		d := w.secs[base(f.Task.Job)][f.Task.Step]
 		v.runs[f.Task] = &fakeRun{run: f.Run, left: d, total: d}
@@ -254,6 +268,11 @@
 	return e
 }
 
+func (w *world) ticketed(f scheduler.Start) bool {
+	until, err := time.Parse(time.RFC3339Nano, f.Ticket)
+	return err == nil && w.allowed[f.Worker] && w.now.Before(until)
+}
+
 func (v *fakeWorker) stop(w *world, f scheduler.Stop) scheduler.Stopped {
 	v.barred[f.Task] = max(v.barred[f.Task], f.Run)
 	if r, ok := v.runs[f.Task]; ok && r.run == f.Run && r.stopAt.IsZero() {
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -105,6 +105,9 @@
 	a.registrar = registrar.New()
 	a.registrar.Malformed = a.malformed
 	a.claims = make(chan claimEvent, claimEvents)
+	adviser := &platform.Adviser{Client: a.client, Address: a.Settings.Advice, Failed: func(step string, err error) {
+		a.log("advise").WithField("for", step).WithError(err).Warn("advice was not given")
+	}}
 	a.commander = &commander.Commander{
 		Lease: a.Settings.Lease,
 		Hold: func(ctx context.Context, h scheduler.Hold) scheduler.Held {
@@ -112,7 +115,10 @@
 		},
 		Start: a.executors.Start,
 		Stop:  a.executors.Stop,
-		Note:  a.note,
+		Advise: func(ctx context.Context, v scheduler.Advise) scheduler.Advised {
+			return adviser.Advise(ctx, v, a.Now)
+		},
+		Note: a.note,
 		Took: func(what string, d time.Duration) {
 			a.metrics.Observe(recorder.Series{Measure: what}, d)
 		},
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -29,6 +29,7 @@
 	Hold   func(context.Context, scheduler.Hold) scheduler.Held
 	Start  func(context.Context, scheduler.Start) scheduler.Started
 	Stop   func(context.Context, scheduler.Stop) scheduler.Stopped
+	Advise func(context.Context, scheduler.Advise) scheduler.Advised
 	Store  func(context.Context, map[string]scheduler.Progress) error // tries until it is done; wraps ErrOutranked
 	Forget func(ctx context.Context, jobs []string)
 	Note   func(scheduler.Noted)
@@ -135,6 +136,8 @@
 	case scheduler.Stop:
 		e := c.Stop(l.ctx, f)
 		l.answer(e, e.Outcome)
+	case scheduler.Advise:
+		l.post(c.Advise(l.ctx, f))
 	case scheduler.Store:
 		if err := c.Store(l.ctx, f.Progress); err != nil {
 			l.cancel(err)
