Carry out waves of upkeep

Change: the leader takes machines with least work first, at most the cap at a time; no new tasks there, what has checkpoints is stopped, tasks that last move as their step allows, others get 3 s. Orders carry the epoch and may be repeated. How far a wave is lies in the store for the next leader; the operator reads its state. Scripts wave-keeps-its-cap-and-the-work and wave-outlives-a-leader.

--- a/internal/jobs/scheduler/advice.go
+++ b/internal/jobs/scheduler/advice.go
@@ -71,6 +71,13 @@
 		with = append(with, v)
 		free[v.Rack] += n
 	}
+	if len(with) == 0 && u.job.urgent() { // room can be made for it
+		for _, v := range p.views[u.job.queue.Service] {
+			if !u.step.denied[v.ID] && !u.step.ticketed(p.now, s.workers[v.ID]) && r.PerTask.Fits(v.Capacity) {
+				with = append(with, v)
+			}
+		}
+	}
 	if len(with) == 0 {
 		return
 	}
@@ -92,7 +99,7 @@
 	s.advising = false
 	if e.Outcome != OutcomeDone {
 		s.adviseAt = now.Add(advicePause)
-		s.note(Noted{Message: "advice was not given", Job: e.Advise.Job, Details: Details{"step": e.Advise.Step, "outcome": e.Outcome}})
+		s.note(Noted{Message: "advice was not given", Job: e.Advise.Job, Details: Details{"step": e.Advise.Step, detailOutcome: e.Outcome}})
 		return
 	}
 	s.note(Noted{Message: "advice was given", Job: e.Advise.Job, Details: Details{"step": e.Advise.Step, "asked": len(e.Advise.Workers), "allowed": len(e.Tickets)}})
--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -59,7 +59,7 @@
 		return
 	default:
 		if w.silent.IsZero() {
-			s.note(Noted{Message: "worker does not answer", Worker: w.ID, Details: Details{"outcome": e.Outcome, "runs": len(w.runs)}})
+			s.note(Noted{Message: "worker does not answer", Worker: w.ID, Details: Details{detailOutcome: e.Outcome, "runs": len(w.runs)}})
 		}
 		w.missed(now)
 		return
@@ -313,7 +313,7 @@
 		}
 		return
 	}
-	s.note(Noted{Message: "start failed", Job: e.Start.Task.Job, Task: e.Start.Task, Run: e.Start.Run, Worker: w.ID, Details: Details{"outcome": e.Outcome}})
+	s.note(Noted{Message: "start failed", Job: e.Start.Task.Job, Task: e.Start.Task, Run: e.Start.Run, Worker: w.ID, Details: Details{detailOutcome: e.Outcome}})
 	switch e.Outcome {
 	case OutcomeUnknown:
 		w.missed(now)
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -193,6 +193,12 @@
 // Details are the inputs of a decision, for the log.
 type Details map[string]any
 
+// The details that several decisions have.
+const (
+	detailOutcome = "outcome"
+	detailWave    = "wave"
+)
+
 func (Hold) isEffect()   {}
 func (Start) isEffect()  {}
 func (Stop) isEffect()   {}
--- a/internal/jobs/scheduler/lasting.go
+++ b/internal/jobs/scheduler/lasting.go
@@ -9,7 +9,7 @@
 func (s *Scheduler) leave(now time.Time) {
 	for _, id := range s.order {
 		w := s.workers[id]
-		if !w.Draining {
+		if !w.Draining && !w.evacuated {
 			continue
 		}
 		for _, p := range w.sorted() {
@@ -17,7 +17,7 @@
 			if t == nil || !st.Lasts || p.stopping || s.away(j, p.task.Step) >= max(1, st.MayMiss) {
 				continue
 			}
-			s.note(Noted{Message: "task is moved off a draining worker", Job: p.task.Job, Task: p.task, Run: p.run, Worker: id})
+			s.note(Noted{Message: "task is moved off a worker that leaves", Job: p.task.Job, Task: p.task, Run: p.run, Worker: id})
 			s.stop(now, w, p)
 		}
 	}
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -24,9 +24,13 @@
 	passDue    bool
 	storing    bool
 	storedAt   time.Time
-	hurry      bool      // somebody waits for the next store
-	advising   bool      // a call for advice is in flight
-	adviseAt   time.Time // no call before
+	hurry      bool // somebody waits for the next store
+	waves      map[int]*wave
+	machines   map[string]Machine // as listed last, nil before
+	machinesAt time.Time          // when they were asked for last
+	listing    bool               // a look at them is in flight
+	advising   bool               // a call for advice is in flight
+	adviseAt   time.Time          // no call before
 	effects    []Effect
 }
 
@@ -75,6 +79,12 @@
 		s.stopped(now, e)
 	case Advised:
 		s.advised(now, e)
+	case WavesChanged:
+		s.setWaves(now, e.Waves)
+	case MachinesListed:
+		s.machinesListed(e)
+	case UpkeepEnded:
+		s.upkeepEnded(now, e)
 	case Stored:
 		s.stored(now)
 	}
@@ -195,6 +205,7 @@
 		return true
 	})
 	s.leave(now)
+	s.maintain(now)
 	s.forget(now)
 }
 
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -21,16 +21,10 @@
 
 func (w *world) commands() scripter.Commands {
 	c := scripter.Commands{
-		"worker": func(id, rack string, gpus int) {
-			w.workers[id] = &fakeWorker{
-				listed: scheduler.Listed{
-					ID: id, Address: id, Service: "s", Rack: rack, Born: w.now.UnixMilli(), Labels: []string{"a", rack},
-					Capacity: placer.Resources{MilliCores: 128000, MemoryMB: 262144, Accelerators: gpus},
-				},
-				present: true, alive: true, started: w.now.Add(-time.Minute),
-				runs: map[scheduler.TaskID]*fakeRun{}, barred: map[scheduler.TaskID]int64{},
-			}
-			w.list()
+		"worker": w.addWorker,
+		"wave": func(number, most int, machines ...string) {
+			w.ordered = append(w.ordered, scheduler.Wave{Number: number, Machines: machines, Cap: most, Duration: time.Minute})
+			w.feed(scheduler.WavesChanged{Waves: w.ordered})
 		},
 		"queue": func(name string, priority, attempts int) {
 			w.terms.Queues[name] = scheduler.Queue{Service: "s", Priority: priority, MaxAttempts: attempts, Stretch: 3, ObjectiveMS: 1000}
@@ -124,6 +118,24 @@
 		}
 		return nil
 	}
+	c["wave-over"] = func(number int) error {
+		if !w.waves[number].Over {
+			return fmt.Errorf("wave is %+v", w.waves[number])
+		}
+		return nil
+	}
+	c["most-down"] = func(want int) error {
+		if w.mostDown != want {
+			return fmt.Errorf("%d machines were down at once", w.mostDown)
+		}
+		return nil
+	}
+	c["cut-off"] = func(want int) error {
+		if w.wasted != want {
+			return fmt.Errorf("%d runs were cut off", w.wasted)
+		}
+		return nil
+	}
 	c["at"] = func(worker string, want int) error {
 		if n := len(w.workers[worker].runs); n != want {
 			return fmt.Errorf("%d tasks run there", n)
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -37,24 +37,25 @@
 	Listed
 	listed bool
 
-	fenced   bool      // its lists were read under the own epoch
-	holding  bool      // a hold is in flight
-	heldAt   time.Time // when the last hold was sent
-	failedAt time.Time // when a call last got no answer, zero since one did
-	silent   time.Time // since when calls get no answer
-	clockMS  int64     // of its steady clock
-	clockAt  time.Time // when clockMS was received
-	deadline int64     // latest one sent, by its clock
-	runs     map[placementKey]*placement
-	used     placer.Resources
-	serving  int       // runs that serve
-	filling  int       // runs that fill
-	noFill   time.Time // no fillers until then
-	seen     int64     // last end that was taken in
-	stored   int64     // last end that is stored
-	acked    int64     // last end that was acknowledged
-	covered  int64     // last end that the store in flight covers
-	acking   int64     // end that the hold in flight acknowledges
+	fenced    bool      // its lists were read under the own epoch
+	holding   bool      // a hold is in flight
+	heldAt    time.Time // when the last hold was sent
+	failedAt  time.Time // when a call last got no answer, zero since one did
+	silent    time.Time // since when calls get no answer
+	clockMS   int64     // of its steady clock
+	clockAt   time.Time // when clockMS was received
+	deadline  int64     // latest one sent, by its clock
+	runs      map[placementKey]*placement
+	used      placer.Resources
+	serving   int       // runs that serve
+	filling   int       // runs that fill
+	noFill    time.Time // no fillers until then
+	evacuated bool      // its machine goes down for upkeep
+	seen      int64     // last end that was taken in
+	stored    int64     // last end that is stored
+	acked     int64     // last end that was acknowledged
+	covered   int64     // last end that the store in flight covers
+	acking    int64     // end that the hold in flight acknowledges
 
 	// Faults of the worker.
 	faults int       // failed runs of different jobs since one succeeded
@@ -130,7 +131,7 @@
 
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.fenced && !w.Draining && w.silent.IsZero() && !now.Before(w.shun)
+	return w.listed && w.fenced && !w.Draining && !w.evacuated && w.silent.IsZero() && !now.Before(w.shun)
 }
 
 // blame counts a failed run against the worker. A job that fails everywhere
@@ -197,6 +198,7 @@
 	w.seen, w.stored, w.acked, w.deadline = 0, 0, 0, 0
 	w.clockMS, w.clockAt = 0, now
 	w.absolve()
+	w.evacuated = false
 }
 
 // lose takes a run off a worker that no longer has it, and lets its task wait
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
@@ -37,6 +38,11 @@
 	valid   time.Duration   // of tickets
 	asked   int
 
+	waves                  map[int]scheduler.StoreWave // as stored
+	ordered                []scheduler.Wave
+	kept                   []string // machines that had their upkeep
+	down, mostDown, wasted int
+
 	schedule struct { // of the next job
 		times           int
 		delay, interval time.Duration
@@ -76,7 +82,7 @@
 	w := &world{
 		now: time.Unix(1_000_000, 0), workers: map[string]*fakeWorker{}, jobs: map[string]scheduler.Submitted{},
 		secs: map[string][]time.Duration{}, stored: map[string]scheduler.Progress{}, storeUp: true,
-		allowed: map[string]bool{}, cut: map[string]bool{}, deaf: map[string]bool{},
+		allowed: map[string]bool{}, cut: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, deaf: map[string]bool{},
 		terms: scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Guarded: map[string]bool{}},
 	}
 	w.began = w.now
@@ -87,7 +93,7 @@
 // lead begins a new leadership with what is stored.
 func (w *world) lead() {
 	w.epoch++
-	w.queue = nil
+	w.queue = slices.DeleteFunc(w.queue, func(d delivery) bool { return d.do == nil })
 	for _, v := range w.workers {
 		v.holds = nil
 	}
@@ -102,6 +108,10 @@
 		w.feed(e)
 	}
 	w.list()
+	for i, v := range w.ordered {
+		w.ordered[i].Done, w.ordered[i].Over = w.waves[v.Number].Done, w.waves[v.Number].Over
+	}
+	w.feed(scheduler.WavesChanged{Waves: w.ordered})
 }
 
 func (w *world) list() {
@@ -156,6 +166,17 @@
 		}
 		w.asked++
 		w.later(f.Limit, e)
+	case scheduler.ListMachines:
+		e := scheduler.MachinesListed{OK: true}
+		for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+			v := w.workers[id]
+			e.Machines = append(e.Machines, scheduler.Machine{ID: "m-" + machineOf(id), Up: v.alive, Worker: id})
+		}
+		w.later(5*time.Millisecond, e)
+	case scheduler.BeginUpkeep:
+		w.later(5*time.Millisecond, scheduler.UpkeepEnded{Begin: f, Outcome: w.upkeep(f)})
+	case scheduler.StoreWave:
+		w.waves[f.Number] = f
 	case scheduler.Noted, scheduler.Forget:
 	}
 }
@@ -175,6 +196,48 @@
 	w.later(8*time.Millisecond, scheduler.Stored{})
 }
 
+// machineOf returns the machine of a worker, which keeps it over its lives.
+func machineOf(worker string) string {
+	m, _, _ := strings.Cut(worker, "'")
+	return m
+}
+
+// upkeep takes a machine down; it comes back as another worker after two seconds.
+func (w *world) upkeep(f scheduler.BeginUpkeep) scheduler.Outcome {
+	if slices.Contains(w.kept, f.Machine) {
+		return scheduler.OutcomeDone
+	}
+	for id, v := range w.workers {
+		if "m-"+machineOf(id) != f.Machine || !v.alive {
+			continue
+		}
+		w.kept = append(w.kept, f.Machine)
+		w.down++
+		w.mostDown = max(w.mostDown, w.down)
+		w.wasted += len(v.runs)
+		v.alive, v.present = false, false
+		w.queue = append(w.queue, delivery{at: w.now.Add(2 * time.Second), do: func() {
+			w.down--
+			delete(w.workers, id)
+			w.addWorker(id+"'", v.listed.Rack, v.listed.Capacity.Accelerators)
+		}})
+		return scheduler.OutcomeDone
+	}
+	return scheduler.OutcomeUnhealthy
+}
+
+func (w *world) addWorker(id, rack string, gpus int) {
+	w.workers[id] = &fakeWorker{
+		listed: scheduler.Listed{
+			ID: id, Address: id, Service: "s", Rack: rack, Born: w.now.UnixMilli(), Labels: []string{"a", rack},
+			Capacity: placer.Resources{MilliCores: 128000, MemoryMB: 262144, Accelerators: gpus},
+		},
+		present: true, alive: true, started: w.now.Add(-time.Minute),
+		runs: map[scheduler.TaskID]*fakeRun{}, barred: map[scheduler.TaskID]int64{},
+	}
+	w.list()
+}
+
 // reach reports whether a call gets to a worker.
 func (w *world) reach(id string) (scheduler.Outcome, bool) {
 	if v := w.workers[id]; v == nil || !v.alive || w.cut[id] {
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -42,6 +42,7 @@
 	store     accessor.Access
 	relayer   *relayer.Relayer
 	peers     *peers
+	waves     waves
 	executors *platform.Executors
 	registrar *registrar.Registrar
 	commander *commander.Commander
@@ -108,6 +109,9 @@
 	adviser := &platform.Adviser{Client: a.client, Address: a.Settings.Advice, Failed: func(step string, err error) {
 		a.log("advise").WithField("for", step).WithError(err).Warn("advice was not given")
 	}}
+	cloud := &platform.Cloud{Client: a.client, Address: a.Settings.Cloud, VM: a.Settings.VM, Failed: func(step string, err error) {
+		a.log("cloud").WithField("call", step).WithError(err).Warn("call about machines failed")
+	}}
 	a.commander = &commander.Commander{
 		Lease: a.Settings.Lease,
 		Hold: func(ctx context.Context, h scheduler.Hold) scheduler.Held {
@@ -118,7 +122,10 @@
 		Advise: func(ctx context.Context, v scheduler.Advise) scheduler.Advised {
 			return adviser.Advise(ctx, v, a.Now)
 		},
-		Note: a.note,
+		List:   cloud.List,
+		Upkeep: cloud.Upkeep,
+		Wave:   a.storeWave,
+		Note:   a.note,
 		Took: func(what string, d time.Duration) {
 			a.metrics.Observe(recorder.Series{Measure: what}, d)
 		},
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -84,6 +84,14 @@
 	for _, r := range b.Records {
 		if r.Key == platform.KeyConfiguration && len(r.Value) > 0 {
 			a.applyConfig(r.Value, r.Offset)
+			continue
+		}
+		fresh, err := a.waves.take(r)
+		if err != nil {
+			a.malformed(r.Key, r.Offset, err)
+		}
+		if fresh {
+			a.commander.Post(scheduler.WavesChanged{Waves: a.waves.list()})
 		}
 	}
 }
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -30,6 +30,9 @@
 	Start  func(context.Context, scheduler.Start) scheduler.Started
 	Stop   func(context.Context, scheduler.Stop) scheduler.Stopped
 	Advise func(context.Context, scheduler.Advise) scheduler.Advised
+	List   func(context.Context) scheduler.MachinesListed
+	Upkeep func(context.Context, scheduler.BeginUpkeep) scheduler.UpkeepEnded
+	Wave   func(context.Context, scheduler.StoreWave)
 	Store  func(context.Context, map[string]scheduler.Progress) error // tries until it is done; wraps ErrOutranked
 	Forget func(ctx context.Context, jobs []string)
 	Note   func(scheduler.Noted)
@@ -138,6 +141,13 @@
 		l.answer(e, e.Outcome)
 	case scheduler.Advise:
 		l.post(c.Advise(l.ctx, f))
+	case scheduler.ListMachines:
+		l.post(c.List(l.ctx))
+	case scheduler.BeginUpkeep:
+		e := c.Upkeep(l.ctx, f)
+		l.answer(e, e.Outcome)
+	case scheduler.StoreWave:
+		c.Wave(l.ctx, f)
 	case scheduler.Store:
 		if err := c.Store(l.ctx, f.Progress); err != nil {
 			l.cancel(err)
