Let an urgent job stop work in proportion to its worth; probe a suspect store

Cause 2: while the store was silent to the leader, every 0.6 s a call that mattered tried it again and hung for 2 s.

Change: the limit grows with the size of the job against its queue's mean; the direct way comes last while it is suspect, and a small read of its own finds out.

--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -16,7 +16,7 @@
 	maxReserved      = 2               // gangs for which room is kept free at a time; more would idle the workers
 	spreadUrgent     = time.Second     // an urgent gang that found no rack for so long takes any workers
 	acceleratorCores = 8               // cores that an accelerator counts for
-	urgentWorth      = 3000.0          // core-seconds of work that an urgent job may cost others outside its guarantee
+	urgentWorth      = 3000.0          // core-seconds of work that an urgent job of mean size may cost others outside its guarantee
 )
 
 // unit is what is placed at once: a gang, or the waiting tasks of a step.
@@ -435,7 +435,7 @@
 		for _, v := range victims {
 			cost += v.Cost
 		}
-		if !sure && cost > urgentWorth {
+		if !sure && cost > urgentWorth*p.s.worth(u.job) {
 			return
 		}
 		u.step.claim = at
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -29,6 +29,7 @@
 	machines   map[string]Machine // as listed last, nil before
 	machinesAt time.Time          // when they were asked for last
 	listing    bool               // a look at them is in flight
+	meanWork   map[string]float64 // core-seconds of a job, by queue
 	advising   bool               // a call for advice is in flight
 	adviseAt   time.Time          // no call before
 	effects    []Effect
@@ -127,6 +128,7 @@
 	}
 	j.restore(e.Progress)
 	s.jobs[j.ID] = j
+	s.learn(j)
 	switch {
 	case j.Times > 0:
 		s.spread(j, e)
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -38,6 +38,10 @@
 		a.register(ctx)
 		return nil
 	})
+	g.Go(func() error {
+		a.relayer.Probe(ctx, platform.OwnTopic(topicPeers))
+		return nil
+	})
 }
 
 func (a *Assembler) tail(ctx context.Context, g *errgroup.Group, t *tailer.Tailer) {
--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lacewingdoor/lacewingdoor/internal/sleeper"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
 )
 
@@ -90,6 +91,23 @@
 	}
 }
 
+// Probe tries the direct way with a small read of a topic until the context ends,
+// while it is suspect. Calls that matter do not wait for it meanwhile.
+func (r *Relayer) Probe(ctx context.Context, topic string) {
+	for sleeper.Sleep(ctx, probePause) == nil {
+		r.mu.Lock()
+		due := r.route.Probe(r.Now())
+		r.mu.Unlock()
+		if !due {
+			continue
+		}
+		_, _, err := r.Direct.Read(ctx, topic, 0, 0)
+		if ctx.Err() == nil {
+			r.note(Direct, accessor.Answered(err))
+		}
+	}
+}
+
 // DirectWorks reports whether the direct way worked last.
 func (r *Relayer) DirectWorks() bool {
 	r.mu.Lock()
--- a/internal/store/relayer/relayer_test.go
+++ b/internal/store/relayer/relayer_test.go
@@ -134,13 +134,16 @@
 	peers := []string{"a", "b", "c"}
 	is.Equal(r.Order(now, peers)[0], relayer.Direct)
 	r.Note(now, relayer.Direct, false)
-	is.Equal(len(r.Order(now, peers)), 2) // two peers, and not the direct way
+	order := r.Order(now, peers)
+	is.Equal(len(order), 3) // two peers, and only then the direct way
+	is.Equal(order[2], relayer.Direct)
+	is.True(!r.Probe(now))
 	for _, p := range peers {
 		r.Note(now, p, false)
 	}
 	is.Equal(r.Order(now, peers), []string{relayer.Direct}) // nobody can help
 	later := now.Add(time.Second)
-	is.Equal(r.Order(later, peers)[0], relayer.Direct) // it is time to try again
+	is.True(r.Probe(later))
 	r.Note(later, relayer.Direct, true)
 	is.True(!r.Suspect())
 }
--- a/internal/store/relayer/route.go
+++ b/internal/store/relayer/route.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	suspicion = 600 * time.Millisecond  // without direct calls after one failed; then one tries again
-	rest      = 1500 * time.Millisecond // before a peer that could not help is asked again
-	maxPeers  = 2                       // asked for one call
+	probePause = 500 * time.Millisecond  // between two probes of the direct way
+	rest       = 1500 * time.Millisecond // before a peer that could not help is asked again
+	maxPeers   = 2                       // asked for one call
 )
 
 // Direct is the address of the direct way.
@@ -20,13 +20,14 @@
 // turns some VMs away, by an answer or by silence, and serves the others; when it
 // serves nobody, each call costs few tries.
 type Route struct {
-	suspectUntil time.Time
-	suspect      bool
-	resting      map[string]time.Time // by peer, until when
-	turn         int                  // spreads the calls over the peers
+	suspect bool // the direct way failed last
+	probeAt time.Time
+	resting map[string]time.Time // by peer, until when
+	turn    int                  // spreads the calls over the peers
 }
 
-// Order returns the ways to try, in this order.
+// Order returns the ways to try, in this order. While the direct way is suspect it
+// comes last; Probe says when to find out whether it works again.
 func (r *Route) Order(now time.Time, peers []string) []string {
 	var usable []string
 	for i := range peers {
@@ -37,17 +38,20 @@
 	}
 	r.turn++
 	usable = usable[:min(len(usable), maxPeers)]
-	if r.suspect && now.Before(r.suspectUntil) && len(usable) > 0 {
-		return usable
+	if r.suspect {
+		return append(usable, Direct)
 	}
 	return slices.Insert(usable, 0, Direct)
 }
 
+// Probe reports whether the direct way is to be tried apart from any call.
+func (r *Route) Probe(now time.Time) bool { return r.suspect && !now.Before(r.probeAt) }
+
 // Note takes in how a try went.
 func (r *Route) Note(now time.Time, way string, worked bool) {
 	if way == Direct {
 		r.suspect = !worked
-		r.suspectUntil = now.Add(suspicion)
+		r.probeAt = now.Add(probePause)
 		return
 	}
 	if r.resting == nil {
