--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -54,8 +54,7 @@
 	switch e.Outcome {
 	case OutcomeDone:
 	case OutcomeReplaced:
-		s.reborn(now, w, w.Born)
-		w.missed(now)
+		s.replaced(now, w)
 		return
 	default:
 		if w.silent.IsZero() {
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -80,12 +80,11 @@
 			v.holds = nil
 		},
 		"revive": func(id string) {
-			v := w.workers[id]
-			v.alive, v.present, v.listed.Born = true, true, w.now.UnixMilli()
-			v.started, v.deadline, v.epoch, v.number = w.now, time.Time{}, 0, 0
-			v.runs, v.ends, v.holds, v.barred = map[scheduler.TaskID]*fakeRun{}, nil, nil, map[scheduler.TaskID]int64{}
+			w.revive(id)
 			w.list()
 		},
+		"revive-unseen": w.revive,
+		"list":          w.list,
 		"after": func(d time.Duration) error {
 			for end := w.now.Add(d); w.now.Before(end); {
 				if err := w.step(); err != nil {
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -187,20 +187,31 @@
 	s.passDue = true
 }
 
-// reborn drops all that an earlier life of a worker held.
+// reborn notes a new life of a worker. Whatever was started before the leader knew
+// may run in either life, so the runs stay until the new life has listed them.
 func (s *Scheduler) reborn(now time.Time, w *worker, born int64) {
 	s.note(Noted{Message: "worker began a new life", Worker: w.ID, Details: Details{"born": born, "runs": len(w.runs)}})
-	for _, p := range w.sorted() {
-		s.lose(now, w, p, "the worker began a new life")
-	}
 	w.Born = born
 	w.fenced = false
-	w.seen, w.stored, w.acked, w.deadline = 0, 0, 0, 0
+	w.seen, w.covered, w.stored, w.acked, w.acking = 0, 0, 0, 0, 0
 	w.clockMS, w.clockAt = 0, now
+	w.deadline = s.Settings.Lease.Milliseconds() // a start of before may have begun a lease just now
+	for _, p := range w.runs {
+		p.untilMS = 0 // it was on the clock of the life before
+	}
 	w.absolve()
 	w.evacuated = false
 }
 
+// replaced drops all that a worker held whose address another one has now.
+func (s *Scheduler) replaced(now time.Time, w *worker) {
+	for _, p := range w.sorted() {
+		s.lose(now, w, p, "another worker has its address")
+	}
+	s.reborn(now, w, w.Born)
+	w.missed(now)
+}
+
 // lose takes a run off a worker that no longer has it, and lets its task wait
 // for another. The other members of a gang are stopped.
 func (s *Scheduler) lose(now time.Time, w *worker, p *placement, why string) {
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -238,6 +238,14 @@
 	w.list()
 }
 
+// revive begins a new life of a worker, which the list does not show yet.
+func (w *world) revive(id string) {
+	v := w.workers[id]
+	v.alive, v.present, v.listed.Born = true, true, w.now.UnixMilli()
+	v.started, v.deadline, v.epoch, v.number = w.now, time.Time{}, 0, 0
+	v.runs, v.ends, v.holds, v.barred = map[scheduler.TaskID]*fakeRun{}, nil, nil, map[scheduler.TaskID]int64{}
+}
+
 // reach reports whether a call gets to a worker.
 func (w *world) reach(id string) (scheduler.Outcome, bool) {
 	if v := w.workers[id]; v == nil || !v.alive || w.cut[id] {
--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -56,7 +56,7 @@
 		server := httptest.NewServer(x)
 		t.Cleanup(server.Close)
 		s.executors = append(s.executors, x)
-		s.store.PutExecutor(fmt.Sprintf("x%d", i), "s", server.Listener.Addr().String(), "r1", 8, "ready")
+		s.store.PutExecutor(fmt.Sprintf("x%d", i), "s", server.Listener.Addr().String(), "r1", 8, "ready", x.Born())
 	}
 	for i := range vms {
 		s.start(fmt.Sprintf("vm%d", i))
