Acknowledge ends once, and only to a worker that has just answered

Ends are numbered anew in each life of a worker; every hold repeated the last number, so one that reached a new life acknowledged ends there that nobody had read.

Change: a number goes out with one hold after it is stored, and not to a worker whose last call got no answer.

--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -13,7 +13,12 @@
 		if w.holding || !w.wantsHold(now) {
 			continue
 		}
-		h := Hold{Worker: id, Address: w.Address, Epoch: s.Epoch, Ack: w.stored}
+		h := Hold{Worker: id, Address: w.Address, Epoch: s.Epoch}
+		// Ends are numbered anew in each life: a number goes out once, and only to
+		// a worker that has just answered.
+		if w.stored > w.acked && w.silent.IsZero() {
+			h.Ack = w.stored
+		}
 		if len(w.runs) > 0 && w.clockMS != 0 && w.silent.IsZero() { // a silent worker's leases must be able to run out
 			h.DeadlineMS = w.clock(now) + s.Settings.Lease.Milliseconds()
 			w.deadline = max(w.deadline, h.DeadlineMS)
@@ -23,7 +28,7 @@
 		}
 		w.holding = true
 		w.heldAt = now
-		w.acking = w.stored
+		w.acking = h.Ack
 		s.emit(h)
 	}
 }
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -37,6 +37,8 @@
 	allowed map[string]bool // workers that advice allows
 	valid   time.Duration   // of tickets
 	asked   int
+	acked   map[scheduler.TaskID]bool // tasks whose success was acknowledged
+	broken  string                    // a promise that was
 
 	waves                  map[int]scheduler.StoreWave // as stored
 	ordered                []scheduler.Wave
@@ -82,7 +84,7 @@
 	w := &world{
 		now: time.Unix(1_000_000, 0), workers: map[string]*fakeWorker{}, jobs: map[string]scheduler.Submitted{},
 		secs: map[string][]time.Duration{}, stored: map[string]scheduler.Progress{}, storeUp: true,
-		allowed: map[string]bool{}, cut: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, deaf: map[string]bool{},
+		allowed: map[string]bool{}, acked: map[scheduler.TaskID]bool{}, cut: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, deaf: map[string]bool{},
 		terms: scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Guarded: map[string]bool{}},
 	}
 	w.began = w.now
@@ -241,6 +243,9 @@
 // revive begins a new life of a worker, which the list does not show yet.
 func (w *world) revive(id string) {
 	v := w.workers[id]
+	for range v.holds {
+		w.later(worldStep, scheduler.Held{Worker: id, Sent: w.now, Outcome: scheduler.OutcomeUnknown})
+	}
 	v.alive, v.present, v.listed.Born = true, true, w.now.UnixMilli()
 	v.started, v.deadline, v.epoch, v.number = w.now, time.Time{}, 0, 0
 	v.runs, v.ends, v.holds, v.barred = map[scheduler.TaskID]*fakeRun{}, nil, nil, map[scheduler.TaskID]int64{}
@@ -266,7 +271,12 @@
 	if h.DeadlineMS > 0 {
 		v.extend(h.DeadlineMS)
 	}
-	v.ends = slices.DeleteFunc(v.ends, func(e scheduler.End) bool { return e.Number <= h.Ack })
+	v.ends = slices.DeleteFunc(v.ends, func(e scheduler.End) bool {
+		if e.Number <= h.Ack && e.How == scheduler.HowDone && !w.taskStep(e.Task).Lasts {
+			w.acked[e.Task] = true
+		}
+		return e.Number <= h.Ack
+	})
 	v.holds = append(v.holds, &h)
 	w.queue = append(w.queue, delivery{at: w.now.Add(h.Wait), do: func() { w.answerHold(v, &h, sent) }})
 	if len(v.ends) > 0 {
@@ -333,6 +343,9 @@
 	case w.terms.Queues[w.jobs[base(f.Task.Job)].Job.Queue].Advice != nil && !w.ticketed(f):
 		e.Outcome = scheduler.OutcomeTicket
 	default:
+		if w.acked[f.Task] {
+			w.broken = fmt.Sprintf("task %v starts after its success was acknowledged", f.Task)
+		}
 		d := w.secs[base(f.Task.Job)][f.Task.Step]
 		v.runs[f.Task] = &fakeRun{run: f.Run, left: d, total: d}
 	}
@@ -436,6 +449,9 @@
 
 // check reports a broken promise: more than fits, or two runs of one task.
 func (w *world) check() error {
+	if w.broken != "" {
+		return fmt.Errorf("at %v: %s", w.now.Sub(w.began), w.broken)
+	}
 	at := map[scheduler.TaskID]string{}
 	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
 		v := w.workers[id]
