Refuse for certain while no way to the store works

Change: while the direct way is suspect, only a probe tries it; without another VM that can help the call is surely not made. A VM that is not reached has done nothing.

--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -55,12 +56,17 @@
 	}
 }
 
+var errNoWay = fmt.Errorf("%w: it answers neither this VM nor others", accessor.ErrNotDone)
+
 // try tries one way after the other until the store has answered. Of several
 // failures it returns the one that leaves most open.
 func (r *Relayer) try(do func(accessor.Access) error) error {
 	r.mu.Lock()
 	ways := r.route.Order(r.Now(), r.Peers())
 	r.mu.Unlock()
+	if len(ways) == 0 {
+		return errNoWay
+	}
 	var worst error
 	for _, w := range ways {
 		x := r.Direct
--- a/internal/store/relayer/route.go
+++ b/internal/store/relayer/route.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	probePause = 500 * time.Millisecond  // between two probes of the direct way
+	probePause = 300 * time.Millisecond  // between two probes of the direct way
 	rest       = 1500 * time.Millisecond // before a peer that could not help is asked again
 	maxPeers   = 2                       // asked for one call
 )
@@ -27,7 +27,8 @@
 }
 
 // Order returns the ways to try, in this order. While the direct way is suspect it
-// comes last; Probe says when to find out whether it works again.
+// is left out, so that a call which cannot be made is surely not made; Probe says
+// when to find out whether it works again.
 func (r *Route) Order(now time.Time, peers []string) []string {
 	var usable []string
 	for i := range peers {
@@ -39,7 +40,7 @@
 	r.turn++
 	usable = usable[:min(len(usable), maxPeers)]
 	if r.suspect {
-		return append(usable, Direct)
+		return usable
 	}
 	return slices.Insert(usable, 0, Direct)
 }
--- a/internal/store/relayer/wire.go
+++ b/internal/store/relayer/wire.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -182,6 +183,10 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
 	r, err := c.CallUnary(ctx, connect.NewRequest(&q))
+	var o *net.OpError
+	if errors.As(err, &o) && o.Op == "dial" {
+		return answer{}, fmt.Errorf("ask VM at %s: %w: %w", address, accessor.ErrNotDone, err)
+	}
 	if err != nil {
 		return answer{}, fmt.Errorf("ask VM at %s: %w", address, err)
 	}
