Move work at once that a leaving worker would cut off

Change: what cannot end in the time that a draining worker says it stays (1.5 s more for work that saves nothing) is stopped and starts elsewhere. The time that is left is taken from when a percentage was reported, not from now. Script work-that-a-leaving-worker-would-cut-off-moves-at-once fails before.

--- a/internal/jobs/scheduler/borrowers.go
+++ b/internal/jobs/scheduler/borrowers.go
@@ -84,8 +84,8 @@
 	}
 	ran := now.Sub(began)
 	left := time.Duration(st.EstimateMS)*time.Millisecond - ran
-	if p.percent > 0 {
-		left = ran * time.Duration(fullPercent-p.percent) / time.Duration(p.percent)
+	if p.percent > 0 { // as of when it was reported
+		left = p.moved.Sub(began)*time.Duration(fullPercent-p.percent)/time.Duration(p.percent) - now.Sub(p.moved)
 	}
 	return max(left, minRemaining).Seconds()
 }
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -36,7 +36,8 @@
 	Labels   []string
 	Capacity placer.Resources
 	Draining bool
-	Born     int64 // Unix time in milliseconds at which this life of it began
+	Left     time.Duration // that a draining worker stays at least
+	Born     int64         // Unix time in milliseconds at which this life of it began
 }
 
 // WorkersListed brings the platform's list of workers, sorted by id.
--- a/internal/jobs/scheduler/lasting.go
+++ b/internal/jobs/scheduler/lasting.go
@@ -2,10 +2,15 @@
 
 import "time"
 
-const noFillTime = 3 * time.Second // a worker on which fillers were stopped gets no others for so long
+const (
+	noFillTime = 3 * time.Second         // a worker on which fillers were stopped gets no others for so long
+	leaveDoubt = 1500 * time.Millisecond // a draining worker often stays that much longer than it says
+)
 
-// leave moves tasks that last off workers that drain, as few at a time as their
-// steps allow: on the day such a worker leaves, its tasks end all the same.
+// leave moves work off workers that drain or whose machine goes down. Tasks that
+// last go as few at a time as their steps allow. Others go at once if they would be
+// cut off: they start elsewhere seconds earlier than if their leases had to be waited
+// for, which answers for days on which many workers are taken away.
 func (s *Scheduler) leave(now time.Time) {
 	for _, id := range s.order {
 		w := s.workers[id]
@@ -13,16 +18,42 @@
 			continue
 		}
 		for _, p := range w.sorted() {
-			j, st, t := s.find(p.task)
-			if t == nil || !st.Lasts || p.stopping || s.away(j, p.task.Step) >= max(1, st.MayMiss) {
-				continue
-			}
-			s.note(Noted{Message: "task is moved off a worker that leaves", Job: p.task.Job, Task: p.task, Run: p.run, Worker: id})
-			s.stop(now, w, p)
+			s.leaveWith(now, w, p)
 		}
 	}
 }
 
+// leaveWith moves one run off a worker that leaves, if it is to go now.
+func (s *Scheduler) leaveWith(now time.Time, w *worker, p *placement) {
+	j, st, t := s.find(p.task)
+	if t == nil || p.stopping || t.run != p.run || t.worker != w.ID {
+		return
+	}
+	if st.Lasts && s.away(j, p.task.Step) >= max(1, st.MayMiss) {
+		return
+	}
+	if !st.Lasts && (!w.Draining || !s.cutOff(now, w, j, st, p)) {
+		return
+	}
+	s.note(Noted{Message: "task is moved off a worker that leaves", Job: p.task.Job, Task: p.task, Run: p.run, Worker: w.ID})
+	if st.Gang {
+		s.breakGang(now, j, p.task.Step, p.run)
+		return
+	}
+	s.stop(now, w, p)
+}
+
+// cutOff reports whether a run does not end before its worker leaves. One that
+// saves nothing gets the benefit of the doubt, as workers may stay for longer.
+func (*Scheduler) cutOff(now time.Time, w *worker, j *job, st *step, p *placement) bool {
+	stays := w.leaves.Sub(now)
+	if !st.Checkpoints {
+		stays += leaveDoubt
+	}
+	left := time.Duration(remaining(now, j, st, p) * float64(time.Second))
+	return left > stays
+}
+
 // away returns how many tasks of a step are not at work, or are being stopped.
 func (s *Scheduler) away(j *job, step int) int {
 	n := 0
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -67,6 +67,10 @@
 			w.workers[id].listed.Draining = true
 			w.list()
 		},
+		"drain-for": func(id string, left time.Duration) {
+			w.workers[id].listed.Draining, w.workers[id].listed.Left = true, left
+			w.list()
+		},
 		"delist": func(id string) {
 			w.workers[id].present = false
 			w.list()
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -52,6 +52,7 @@
 	filling   int       // runs that fill
 	noFill    time.Time // no fillers until then
 	evacuated bool      // its machine goes down for upkeep
+	leaves    time.Time // a draining worker stays until then at least
 	seen      int64     // last end that was taken in
 	stored    int64     // last end that is stored
 	acked     int64     // last end that was acknowledged
@@ -170,6 +171,9 @@
 		if ok && l.Born > w.Born && w.Born != 0 {
 			s.reborn(now, w, l.Born)
 		}
+		if l.Draining && (l.Left > 0 || !w.Draining) {
+			w.leaves = now.Add(max(l.Left, 0))
+		}
 		if l.Draining && !w.Draining {
 			s.note(Noted{Message: "worker is draining", Worker: l.ID})
 		}
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -157,5 +157,5 @@
 
 func same(a, b scheduler.Listed) bool {
 	return a.Address == b.Address && a.Service == b.Service && a.Rack == b.Rack &&
-		a.Capacity == b.Capacity && a.Draining == b.Draining && a.Born == b.Born
+		a.Capacity == b.Capacity && a.Draining == b.Draining && a.Left == b.Left && a.Born == b.Born
 }
