--- a/internal/jobs/scheduler/borrowers.go
+++ b/internal/jobs/scheduler/borrowers.go
@@ -91,7 +91,8 @@
 }
 
 const (
-	fullPercent  = 100
-	minRemaining = 200 * time.Millisecond // of a run that has outlasted its estimate
-	savedLoss    = 300 * time.Millisecond // restoring a checkpoint takes up to 250 ms
+	acceleratorCores = 8 // cores that an accelerator counts for
+	fullPercent      = 100
+	minRemaining     = 200 * time.Millisecond // of a run that has outlasted its estimate
+	savedLoss        = 300 * time.Millisecond // restoring a checkpoint takes up to 250 ms
 )
