Keep wire names of tests in the adapter's folder; try another port for a link

Cause: six soak runs side by side failed to listen in 3 of 7 series: between choosing a port and listening there by its number another run took it. The link tries again.

--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -127,7 +127,7 @@
 	if e.Saved != "" && e.Run >= lead.run {
 		lead.saved = e.Saved
 	}
-	s.mark(j)
+	j.dirty = true
 	if st.Lasts {
 		s.restart(w, t, e)
 		return
@@ -294,7 +294,7 @@
 func (s *Scheduler) begin(j *job) {
 	if j.state == StateQueued {
 		j.state = StateRunning
-		s.mark(j)
+		j.dirty = true
 	}
 	if j.parent != nil {
 		s.begin(j.parent)
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -46,8 +46,7 @@
 // Terms is the part of the configuration that scheduling depends on.
 type Terms struct {
 	Queues     map[string]Queue
-	Guaranteed map[string]int  // accelerators of an organisation for urgent jobs
-	Guarded    map[string]bool // services whose workers refuse what does not fit
+	Guaranteed map[string]int // accelerators of an organisation for urgent jobs
 }
 
 // ConfigChanged brings a configuration into force.
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -341,7 +341,7 @@
 	task := TaskID{u.job.ID, u.index, index}
 	until := w.clock(p.now) + startWindow.Milliseconds()
 	w.add(&placement{
-		task: task, run: run, need: u.step.Need, sent: p.now, untilMS: until, moved: p.now,
+		task: task, run: run, need: u.step.Need, untilMS: until, moved: p.now,
 		serves: u.step.Serves, fills: u.step.Fills,
 	})
 	w.deadline = max(w.deadline, until)
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -154,7 +154,7 @@
 func (s *Scheduler) end(now time.Time, j *job, state State, why string) {
 	j.state = state
 	j.ended = now
-	s.mark(j)
+	j.dirty = true
 	s.hurry = true
 	s.active = slices.DeleteFunc(s.active, func(o *job) bool { return o == j })
 	s.note(Noted{Message: "job ended", Job: j.ID, Details: Details{"state": state, "reason": why, "after-ms": now.Sub(j.accepted).Milliseconds()}})
@@ -179,8 +179,6 @@
 	}
 }
 
-func (s *Scheduler) mark(j *job) { j.dirty = true }
-
 // sweep does what is due by time alone.
 func (s *Scheduler) sweep(now time.Time) {
 	for _, id := range s.order {
@@ -289,14 +287,3 @@
 		w.stored = max(w.stored, w.covered)
 	}
 }
-
-// Waiting returns the number of jobs that have not begun, by queue.
-func (s *Scheduler) Waiting() map[string]int {
-	n := map[string]int{}
-	for _, j := range s.active {
-		if j.state == StateQueued {
-			n[j.Queue]++
-		}
-	}
-	return n
-}
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -13,7 +13,6 @@
 	task      TaskID
 	run       int64
 	need      placer.Resources
-	sent      time.Time // when its start was sent, zero for one that an inventory showed
 	confirmed time.Time // when the worker first answered that it has the run, zero before
 	settled   time.Time // a list asked for later names the run if it is there, zero before
 	stopping  bool
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -85,7 +85,7 @@
 		now: time.Unix(1_000_000, 0), workers: map[string]*fakeWorker{}, jobs: map[string]scheduler.Submitted{},
 		secs: map[string][]time.Duration{}, stored: map[string]scheduler.Progress{}, storeUp: true,
 		allowed: map[string]bool{}, acked: map[scheduler.TaskID]bool{}, cut: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, deaf: map[string]bool{},
-		terms: scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Guarded: map[string]bool{}},
+		terms: scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}},
 	}
 	w.began = w.now
 	w.lead()
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -113,7 +113,6 @@
 		a.log("cloud").WithField("call", step).WithError(err).Warn("call about machines failed")
 	}}
 	a.commander = &commander.Commander{
-		Lease: a.Settings.Lease,
 		Hold: func(ctx context.Context, h scheduler.Hold) scheduler.Held {
 			return a.executors.Hold(ctx, h, a.Now)
 		},
--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -25,11 +25,6 @@
 	pause    = 10 * time.Millisecond
 )
 
-const configuration = `{"version":%d,"routes":[
-	{"name":"q","host":"h.example","pathPrefix":"/q/","service":"s","priority":1,"maxAttempts":2,"stretch":3,"targetLatencyMs":1000}],
-	"services":[{"name":"s"}],"limits":{"maxBodyBytes":10000},
-	"tenants":[{"name":"o","apiKeys":["%s"],"guaranteed":{"gpu":4}}]}`
-
 // site is a store, some executors and some VMs.
 type site struct {
 	t         *testing.T
@@ -49,7 +44,7 @@
 func newSite(t *testing.T, executors, vms int) *site {
 	t.Helper()
 	s := &site{t: t, store: standin.NewStore()}
-	s.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, 1, "key"))
+	s.store.Configure(1, standin.Key)
 	for i := range executors {
 		x := standin.NewExecutor()
 		server := httptest.NewServer(x)
@@ -125,24 +120,12 @@
 
 // call calls a VM as a caller does.
 func (v *vm) call(method, path, key, body string) (int, string) {
-	q, err := http.NewRequest(method, "http://"+v.settings.Callers+path, strings.NewReader(body))
-	if err != nil {
-		return 0, err.Error()
-	}
-	q.Host = "h.example"
-	q.Header.Set("X-Lacewingdoor-Credential", key)
-	a, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer func() { _ = a.Body.Close() }()
-	b, _ := io.ReadAll(a.Body)
-	return a.StatusCode, string(b)
+	return standin.Call(http.DefaultClient, method, v.settings.Callers, path, key, body)
 }
 
 // state returns the state of a job as a VM tells it.
 func (v *vm) state(id string) string {
-	_, b := v.call(http.MethodGet, "/q/"+id, "key", "")
+	_, b := v.call(http.MethodGet, "/slow/"+id, "key", "")
 	var a struct {
 		State string `json:"state"`
 	}
@@ -150,24 +133,22 @@
 	return a.State
 }
 
-func job(spec string, tasks int) string {
-	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":1000,"memMb":100,"gpu":1,"estimateMs":100}]}`, spec, tasks)
-}
+func job(spec string, tasks int) string { return standin.Job(spec, tasks, false) }
 
 const id = "00000000000000a1"
 
 func TestJobIsDoneAndShownByEveryVM(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 2, 3)
-	status, _ := s.vms[0].call(http.MethodPost, "/q/"+id, "key", job("100ms", 3))
+	status, _ := s.vms[0].call(http.MethodPost, "/slow/"+id, "key", job("100ms", 3))
 	is.Equal(status, http.StatusOK)
 	for _, v := range s.vms {
 		s.await("the job is completed", func() bool { return v.state(id) == "completed" })
 	}
-	status, _ = s.vms[1].call(http.MethodPost, "/q/"+id, "key", job("100ms", 3)) // the same job
+	status, _ = s.vms[1].call(http.MethodPost, "/slow/"+id, "key", job("100ms", 3)) // the same job
 	is.Equal(status, http.StatusOK)
 	is.Equal(len(s.executors[0].Starts())+len(s.executors[1].Starts()), 3)
-	status, body := s.vms[2].call(http.MethodGet, "/q/", "key", "")
+	status, body := s.vms[2].call(http.MethodGet, "/slow/", "key", "")
 	is.Equal(status, http.StatusOK)
 	is.Equal(strings.TrimSpace(body), `{"pending":0}`)
 }
@@ -180,14 +161,14 @@
 		status                  int
 	}{
 		{http.MethodPost, "/other/" + id, "key", job("1ms", 1), http.StatusNotFound},
-		{http.MethodPost, "/q/" + id, "wrong", job("1ms", 1), http.StatusUnauthorized},
-		{http.MethodPost, "/q/short", "key", job("1ms", 1), http.StatusBadRequest},
-		{http.MethodPost, "/q/" + id, "key", "{", http.StatusBadRequest},
-		{http.MethodPost, "/q/" + id, "key", `{"spec":"","steps":[]}`, http.StatusBadRequest},
-		{http.MethodPost, "/q/" + id, "key", `{"spec":"","steps":[{"count":1,"dependsOn":[0]}]}`, http.StatusBadRequest},
-		{http.MethodPost, "/q/" + id, "key", strings.Repeat("x", 20000), http.StatusRequestEntityTooLarge},
-		{http.MethodGet, "/q/" + id, "key", "", http.StatusGone},
-		{http.MethodDelete, "/q/" + id, "key", "", http.StatusGone},
+		{http.MethodPost, "/slow/" + id, "wrong", job("1ms", 1), http.StatusUnauthorized},
+		{http.MethodPost, "/slow/short", "key", job("1ms", 1), http.StatusBadRequest},
+		{http.MethodPost, "/slow/" + id, "key", "{", http.StatusBadRequest},
+		{http.MethodPost, "/slow/" + id, "key", `{"spec":"","steps":[]}`, http.StatusBadRequest},
+		{http.MethodPost, "/slow/" + id, "key", `{"spec":"","steps":[{"count":1,"dependsOn":[0]}]}`, http.StatusBadRequest},
+		{http.MethodPost, "/slow/" + id, "key", strings.Repeat("x", 20000), http.StatusRequestEntityTooLarge},
+		{http.MethodGet, "/slow/" + id, "key", "", http.StatusGone},
+		{http.MethodDelete, "/slow/" + id, "key", "", http.StatusGone},
 	} {
 		status, body := v.call(c.method, c.path, c.key, c.body)
 		if status != c.status {
@@ -200,10 +181,10 @@
 func TestCancelledJobStops(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1, 2)
-	status, _ := s.vms[0].call(http.MethodPost, "/q/"+id, "key", job("1h", 2))
+	status, _ := s.vms[0].call(http.MethodPost, "/slow/"+id, "key", job("1h", 2))
 	is.Equal(status, http.StatusOK)
 	s.await("the job runs", func() bool { return s.vms[1].state(id) == "running" })
-	status, _ = s.vms[1].call(http.MethodDelete, "/q/"+id, "key", "")
+	status, _ = s.vms[1].call(http.MethodDelete, "/slow/"+id, "key", "")
 	is.Equal(status, http.StatusOK)
 	s.await("the job is cancelled", func() bool { return s.vms[0].state(id) == "cancelled" })
 }
@@ -211,7 +192,7 @@
 func TestAnotherVMLeadsOnAfterTheLeaderHasLeft(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1, 1)
-	status, _ := s.vms[0].call(http.MethodPost, "/q/"+id, "key", job("3s", 1))
+	status, _ := s.vms[0].call(http.MethodPost, "/slow/"+id, "key", job("3s", 1))
 	is.Equal(status, http.StatusOK)
 	s.await("the job runs", func() bool { return s.vms[0].state(id) == "running" })
 	s.start("vm1")
@@ -226,16 +207,16 @@
 	s := newSite(t, 1, 2)
 	s.await("the VMs know each other", func() bool { return s.store.Get("keyed.vms", "vm1") != nil })
 	s.vms[1].door.Shut.Store(true)
-	status, body := s.vms[1].call(http.MethodPost, "/q/"+id, "key", job("50ms", 1))
+	status, body := s.vms[1].call(http.MethodPost, "/slow/"+id, "key", job("50ms", 1))
 	is.Equal(status, http.StatusOK)
 	if status != http.StatusOK {
 		t.Log(body)
 	}
 	s.await("the job is completed", func() bool { return s.vms[1].state(id) == "completed" })
 	// A key that is taken away is refused there too.
-	s.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, 2, "other"))
+	s.store.Configure(2, "other")
 	s.await("the key is refused", func() bool {
-		status, _ := s.vms[1].call(http.MethodGet, "/q/"+id, "key", "")
+		status, _ := s.vms[1].call(http.MethodGet, "/slow/"+id, "key", "")
 		return status == http.StatusUnauthorized
 	})
 }
@@ -244,7 +225,7 @@
 	is := is.New(t)
 	s := newSite(t, 1, 1)
 	s.vms[0].door.Shut.Store(true)
-	status, _ := s.vms[0].call(http.MethodPost, "/q/"+id, "key", job("50ms", 1))
+	status, _ := s.vms[0].call(http.MethodPost, "/slow/"+id, "key", job("50ms", 1))
 	is.Equal(status, http.StatusServiceUnavailable)
 	s.vms[0].door.Shut.Store(false)
 	s.await("the VM is ready", func() bool { return get("http://"+s.vms[0].settings.Readiness+"/ready") == http.StatusOK })
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -25,7 +25,6 @@
 // Commander carries out the effects of the scheduler. Its fields are set before
 // Lead.
 type Commander struct {
-	Lease  time.Duration
 	Hold   func(context.Context, scheduler.Hold) scheduler.Held
 	Start  func(context.Context, scheduler.Start) scheduler.Started
 	Stop   func(context.Context, scheduler.Stop) scheduler.Stopped
--- a/internal/node/gatekeeper/config.go
+++ b/internal/node/gatekeeper/config.go
@@ -25,9 +25,7 @@
 	Routes     []Route
 	Keys       map[string]string // organisation by key
 	Guaranteed map[string]int    // accelerators by organisation
-	Guarded    map[string]bool   // services whose workers refuse what does not fit
 	MaxBody    int64             // bytes
-	Raw        []byte            // as the operator wrote it, to be passed on
 }
 
 // Match returns the route with the longest prefix of a path on a host.
@@ -52,7 +50,7 @@
 
 // Terms returns what scheduling needs of the configuration.
 func (c *Config) Terms() scheduler.Terms {
-	t := scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: c.Guaranteed, Guarded: c.Guarded}
+	t := scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: c.Guaranteed}
 	for _, r := range c.Routes {
 		t.Queues[r.Name] = r.Queue
 	}
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -65,9 +65,23 @@
 	return l, nil
 }
 
+const holdTries = 20 // somebody else may get the port between two sockets
+
 // hold listens at a free port. It asks for the port by its number, for the system
 // takes back one that it has chosen as soon as the socket does not listen.
 func hold(ctx context.Context, host string) (*net.TCPListener, error) {
+	var failure error
+	for range holdTries {
+		t, err := holdOnce(ctx, host)
+		if err == nil {
+			return t, nil
+		}
+		failure = err
+	}
+	return nil, failure
+}
+
+func holdOnce(ctx context.Context, host string) (*net.TCPListener, error) {
 	var c net.ListenConfig
 	free, err := c.Listen(ctx, "tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
--- a/soak_test.go
+++ b/soak_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -136,12 +134,10 @@
 		s.doors = append(s.doors, d)
 		v := &soakVM{name: fmt.Sprintf("vm%d", i), callers: soakAddress(t), readiness: soakAddress(t), peers: soakAddress(t)}
 		v.settings = filepath.Join(s.dir, v.name+".json")
-		store := s.link(ctx, d)
-		b, _ := json.Marshal(map[string]any{
-			"nodeName": v.name, "zone": "z", "platform": map[string]any{"address": store},
-			"listenAddrs": map[string]any{"frontend": v.callers, "readiness": v.readiness, "control": v.peers},
-			"bounds":      map[string]any{"holdMaxMs": 4000, "graceS": 6},
-		})
+		b, err := platformstandin.SettingsFile(v.name, s.link(ctx, d), v.callers, v.readiness, v.peers, 4*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
 		if err := os.WriteFile(v.settings, b, 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -185,10 +181,7 @@
 
 func (s *soak) configure() {
 	s.version++
-	s.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[
-		{"name":"slow","host":"h","pathPrefix":"/slow/","service":"s","priority":1,"maxAttempts":9,"stretch":3,"targetLatencyMs":1000},
-		{"name":"fast","host":"h","pathPrefix":"/fast/","service":"s","priority":0,"maxAttempts":9,"stretch":3,"targetLatencyMs":250}],
-		"services":[{"name":"s"}],"tenants":[{"name":"o","apiKeys":["key","key-%d"],"guaranteed":{"gpu":8}}]}`, s.version, s.version))
+	s.store.Configure(s.version, platformstandin.Key)
 }
 
 func (s *soak) list(i int, state string) {
@@ -361,22 +354,8 @@
 var soakClient = &http.Client{Timeout: 3 * time.Second}
 
 func soakCall(method, address, path, body string) soakAnswer {
-	q, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
-	if err != nil {
-		return soakAnswer{}
-	}
-	q.Host = "h"
-	q.Header.Set("X-Lacewingdoor-Credential", "key")
-	a, err := soakClient.Do(q)
-	if err != nil {
-		return soakAnswer{}
-	}
-	defer func() { _ = a.Body.Close() }()
-	b, err := io.ReadAll(a.Body)
-	if err != nil {
-		return soakAnswer{}
-	}
-	return soakAnswer{a.StatusCode, string(b)}
+	status, answer := platformstandin.Call(soakClient, method, address, path, platformstandin.Key, body)
+	return soakAnswer{status, answer}
 }
 
 // caller submits a job until it is accepted, and may cancel it.
@@ -387,7 +366,7 @@
 	s.mu.Lock()
 	s.jobs[id] = j
 	s.mu.Unlock()
-	body := fmt.Sprintf(`{"spec":"%dms","steps":[{"count":%d,"cpu":1000,"memMb":100,"gpu":1,"estimateMs":500},{"count":1,"gpu":1,"estimateMs":500,"dependsOn":[0]}]}`, 100+r.IntN(1500), j.tasks)
+	body := platformstandin.Job(fmt.Sprintf("%dms", 100+r.IntN(1500)), j.tasks, true)
 	for range 6 {
 		a := soakCall(http.MethodPost, s.vms[r.IntN(len(s.vms))].callers, queue+id, body)
 		s.mu.Lock()
