--- a/soak_test.go
+++ b/soak_test.go
@@ -163,7 +163,11 @@
 
 // link serves a handler behind a proxy and returns the proxy's address.
 func (s *soak) link(ctx context.Context, h http.Handler) string {
-	server := httptest.NewServer(h)
+	server := httptest.NewUnstartedServer(h)
+	if x, ok := h.(*platformstandin.Executor); ok {
+		server.Config.ConnContext = x.ConnContext
+	}
+	server.Start()
 	s.t.Cleanup(server.Close)
 	l, err := standin.NewLink(ctx, "127.0.0.1", []string{"x"})
 	if err != nil {
@@ -303,8 +307,9 @@
 			return "kill and start " + s.vms[v].name
 		},
 		func() string {
-			s.vms[v].signal(syscall.SIGSTOP)
-			time.AfterFunc(time.Duration(s.random.IntN(5000))*time.Millisecond, func() { s.vms[v].signal(syscall.SIGCONT) })
+			p := s.vms[v].process.Process // the VM may have another by the time that this one goes on
+			_ = p.Signal(syscall.SIGSTOP)
+			time.AfterFunc(time.Duration(s.random.IntN(5000))*time.Millisecond, func() { _ = p.Signal(syscall.SIGCONT) })
 			return "pause " + s.vms[v].name
 		},
 		func() string { s.vms[v].signal(syscall.SIGHUP); return "hang up " + s.vms[v].name },
