Keep runs of jobs that were not read yet, and start nothing in doubt

Cause: a leader that was replaced a moment ago may still read a new job and start it. Its successor, which had not read the job yet, took the listed run for unwanted, or passed over its end and acknowledged it, and then started the task again. Likewise a worker's new life obeys a leader that is no longer one.

Change: ends of jobs that were not read yet are neither concluded from nor acknowledged, and runs of them are left alone, until the job is read or 3 s have passed; the worker gets no tasks meanwhile. What a leader learns when its last confirmed renewal is over 2.4 s old (a job, a life of a worker) waits for a renewal that succeeds; others claim after 2.6 s at the earliest. A renewal that is refused, since the topic has moved on, makes the VM read the topic at once. Catching up reads page by page: one page of 1 MB left a restarted leader with part of the progress.

Ruled out: a claim record in the topic of jobs, whose order would prove the same; it would have made every renewal compete with submissions for the end of the topic.

--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -103,9 +103,16 @@
 		w.seen = e.Number
 		s.hurry = true
 		s.passDue = true
-		if p, ok := w.runs[placementKey{e.Task, e.Run}]; ok {
+		p, ok := w.runs[placementKey{e.Task, e.Run}]
+		if ok {
 			w.remove(p)
 		}
+		if _, known := s.jobs[e.Task.Job]; !known {
+			if !ok || !p.stopping {
+				s.keepStray(now, w, e)
+			}
+			continue
+		}
 		s.takeEnd(now, w, e)
 	}
 }
@@ -263,6 +270,10 @@
 		p.need, p.serves, p.fills = st.Need, st.Serves, st.Fills
 	}
 	w.add(p)
+	if _, known := s.jobs[r.Task.Job]; !known {
+		s.adoptStray(now, w, p)
+		return
+	}
 	if t == nil || j.state.Ended() || t.state != taskWaiting || !st.accepts(r.Run) {
 		s.note(Noted{Message: "run is not wanted", Job: r.Task.Job, Task: r.Task, Run: r.Run, Worker: w.ID})
 		s.stop(now, w, p)
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -131,6 +131,7 @@
 	offset   int64 // of its submission
 	ended    time.Time
 	dirty    bool          // differs from what is stored
+	doubt    time.Time     // when it was read, if another VM may have led by then; else zero
 	chain    time.Duration // longest chain of its steps
 	due      time.Time     // no task starts earlier, zero for a job that runs now
 	parent   *job          // of an occurrence
--- a/internal/jobs/scheduler/occurrence.go
+++ b/internal/jobs/scheduler/occurrence.go
@@ -48,6 +48,7 @@
 		n.queue = parent.queue
 		n.due = time.UnixMilli(c.AcceptedMS)
 		n.parent = parent
+		n.doubt = parent.doubt
 		n.restore(e.Occurrences[k])
 		parent.children = append(parent.children, n)
 		s.jobs[n.ID] = n
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -74,7 +74,7 @@
 	}
 	var all []ranked
 	for _, j := range s.active {
-		if (s.recovering && j.offset <= s.Old) || now.Before(j.due) {
+		if (s.recovering && j.offset <= s.Old) || now.Before(j.due) || !j.doubt.IsZero() {
 			continue
 		}
 		r := ranked{start: j.accepted.Add(j.objective() - j.chain), class: 1}
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -13,6 +13,10 @@
 	Began    time.Time
 	Old      int64 // offset of the last job that earlier leaders may have started
 
+	// Confirmed is when the last claim or renewal was sent that the store has taken;
+	// Began when it is not set.
+	Confirmed time.Time
+
 	terms   Terms
 	workers map[string]*worker
 	order   []string // ids of workers, sorted
@@ -43,6 +47,9 @@
 		s.workers = map[string]*worker{}
 		s.jobs = map[string]*job{}
 		s.recovering = true
+		if s.Confirmed.IsZero() {
+			s.Confirmed = s.Began
+		}
 		s.run = s.Epoch * runsPerEpoch
 	}
 	s.effects = nil
@@ -88,6 +95,8 @@
 		s.upkeepEnded(now, e)
 	case Stored:
 		s.stored(now)
+	case Confirmed:
+		s.confirm(e)
 	}
 }
 
@@ -123,6 +132,7 @@
 		return
 	}
 	j := newJob(e.Job, e.Offset)
+	j.doubt = s.doubt(now)
 	if q, ok := s.terms.Queues[j.Queue]; ok {
 		j.queue = q
 	}
@@ -135,6 +145,7 @@
 	case !j.state.Ended():
 		s.active = append(s.active, j)
 	}
+	s.claimStrays(now, j.ID)
 	if e.Cancelled {
 		s.cancel(now, j.ID)
 	}
@@ -195,6 +206,7 @@
 				s.sendStop(now, w, p)
 			}
 		}
+		s.dropStrays(now, w)
 	}
 	s.order = slices.DeleteFunc(s.order, func(id string) bool {
 		w := s.workers[id]
@@ -256,7 +268,7 @@
 	}
 	s.hurry = false
 	for _, w := range s.workers {
-		w.covered = w.seen
+		w.covered = w.settled()
 	}
 	p := map[string]Progress{}
 	for id, j := range s.jobs {
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -53,8 +53,20 @@
 			v.listed.Labels = append(v.listed.Labels, label)
 			w.list()
 		},
-		"cancel":     func(id string) { w.feed(scheduler.Cancelled{Job: id}) },
-		"lead":       w.lead,
+		"cancel": func(id string) { w.feed(scheduler.Cancelled{Job: id}) },
+		"lead":   w.lead,
+		"lead-without": func(id string) {
+			w.late = id
+			w.lead()
+		},
+		"read-late": func() {
+			e := w.jobs[w.late]
+			e.Progress = w.stored[w.late]
+			w.late = ""
+			w.feed(e)
+		},
+		"unsure":     func() { w.unsure = true },
+		"sure":       func() { w.unsure = false },
 		"cut":        func(id string) { w.cut[id] = true },
 		"heal":       func(id string) { delete(w.cut, id) },
 		"deafen":     func(id string) { w.deaf[id] = true },
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -14,6 +14,7 @@
 	run       int64
 	need      placer.Resources
 	confirmed time.Time // when the worker first answered that it has the run, zero before
+	stray     time.Time // when it was listed, while its job was not read yet; else zero
 	settled   time.Time // a list asked for later names the run if it is there, zero before
 	stopping  bool
 	serves    bool
@@ -45,7 +46,10 @@
 	clockMS   int64     // of its steady clock
 	clockAt   time.Time // when clockMS was received
 	deadline  int64     // latest one sent, by its clock
+	doubt     time.Time // when this life was learnt of, if another VM may have led by then; else zero
 	runs      map[placementKey]*placement
+	strays    []stray // ends of runs of jobs that were not read yet, by number
+	strayRuns int     // runs of such jobs
 	used      placer.Resources
 	serving   int       // runs that serve
 	filling   int       // runs that fill
@@ -113,6 +117,9 @@
 		delete(w.runs, k)
 		w.used = w.used.Minus(p.need)
 		w.count(p, -1)
+		if !p.stray.IsZero() {
+			w.strayRuns--
+		}
 	}
 }
 
@@ -132,7 +139,8 @@
 
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.fenced && !w.Draining && !w.evacuated && w.silent.IsZero() && !now.Before(w.shun)
+	return w.listed && w.fenced && w.doubt.IsZero() && w.strayRuns == 0 &&
+		!w.Draining && !w.evacuated && w.silent.IsZero() && !now.Before(w.shun)
 }
 
 // blame counts a failed run against the worker. A job that fails everywhere
@@ -163,7 +171,7 @@
 		named[l.ID] = true
 		w, ok := s.workers[l.ID]
 		if !ok {
-			w = &worker{runs: map[placementKey]*placement{}}
+			w = &worker{runs: map[placementKey]*placement{}, doubt: s.doubt(now)}
 			s.workers[l.ID] = w
 			s.order = append(s.order, l.ID)
 		}
@@ -197,6 +205,8 @@
 	s.note(Noted{Message: "worker began a new life", Worker: w.ID, Details: Details{"born": born, "runs": len(w.runs)}})
 	w.Born = born
 	w.fenced = false
+	w.doubt = s.doubt(now)
+	w.strays = nil
 	w.seen, w.covered, w.stored, w.acked, w.acking = 0, 0, 0, 0, 0
 	w.clockMS, w.clockAt = 0, now
 	w.deadline = s.Settings.Lease.Milliseconds() // a start of before may have begun a lease just now
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -22,6 +22,8 @@
 type world struct {
 	now     time.Time
 	began   time.Time
+	unsure  bool   // renewals do not reach the store
+	late    string // job that a new leader does not know yet
 	s       *scheduler.Scheduler
 	epoch   int64
 	terms   scheduler.Terms
@@ -107,6 +109,10 @@
 		for k := range e.Job.Times {
 			e.Occurrences[k] = w.stored[scheduler.OccurrenceID(e.Job.ID, k)]
 		}
+		if e.Job.ID == w.late {
+			w.s.Old = e.Offset - 1
+			continue
+		}
 		w.feed(e)
 	}
 	w.list()
@@ -441,6 +447,9 @@
 			w.feed(d.event)
 		}
 	}
+	if w.now.Sub(w.began)%(800*time.Millisecond) == 0 && !w.unsure {
+		w.feed(scheduler.Confirmed{Sent: w.now})
+	}
 	if w.now.Sub(w.began)%(100*time.Millisecond) == 0 {
 		w.feed(scheduler.Ticked{})
 	}
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -54,6 +54,9 @@
 	leaving   atomic.Bool
 	leading   atomic.Bool
 	claims    chan claimEvent
+	claimed   int64                     // claims and renewals made
+	sent      map[int64]time.Time       // when those were sent that the store has not taken yet, by number
+	confirmed atomic.Pointer[time.Time] // when the last one was sent that the store has taken
 }
 
 // Run serves until the context ends, and then shuts down gracefully.
@@ -220,24 +223,13 @@
 // catchUp reads a topic to its present end. It does not rely on the read that
 // waits for records: the store may leave such a read without an answer.
 func (a *Assembler) catchUp(ctx context.Context, topic string) error {
-	t := platform.OwnTopic(topic)
-	next, _ := a.registrar.Next(topic)
-	records, end, err := a.store.Read(ctx, t, next, 0)
-	snapshot := errors.Is(err, accessor.ErrTrimmed)
-	if snapshot {
-		records, end, err = a.store.Newest(ctx, t)
+	take := a.registrar.TakeProgress
+	if topic == registrar.TopicJobs {
+		take = a.registrar.TakeJobs
 	}
-	if err != nil {
+	next, _ := a.registrar.Next(topic)
+	if err := tailer.CatchUp(ctx, a.store, platform.OwnTopic(topic), next, take); err != nil {
 		return fmt.Errorf("catch up with %s: %w", topic, err)
 	}
-	if !snapshot {
-		end = min(end, next+int64(len(records)))
-	}
-	b := tailer.Batch{Records: records, Snapshot: snapshot, Next: end}
-	if topic == registrar.TopicJobs {
-		a.registrar.TakeJobs(b)
-	} else {
-		a.registrar.TakeProgress(b)
-	}
 	return nil
 }
--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -1,10 +1,10 @@
 package assembler_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -68,6 +68,24 @@
 	return a
 }
 
+// buffer keeps what a VM logs, for a test that fails.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
 // start starts a VM.
 func (s *site) start(name string) {
 	s.t.Helper()
@@ -78,8 +96,9 @@
 		VM: name, Callers: free(s.t), Readiness: free(s.t), Peers: free(s.t),
 		Store: server.Listener.Addr().String(), Lease: 10 * time.Second, Grace: 6 * time.Second,
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log, lines := logrus.New(), &buffer{}
+	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: "05.000", DisableColors: true})
+	log.SetOutput(lines)
 	a := &assembler.Assembler{Settings: v.settings, Logger: log, Dropped: func() int64 { return 0 }, Now: time.Now}
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
@@ -87,6 +106,9 @@
 	s.t.Cleanup(func() {
 		cancel()
 		once.Do(func() { <-v.done })
+		if s.t.Failed() {
+			s.t.Logf("[log of %s]\n%s", name, lines.String())
+		}
 	})
 	go func() {
 		defer close(v.done)
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -49,6 +49,7 @@
 	defer t.Stop()
 	leader := ""
 	current := leadership{}
+	a.sent = map[int64]time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -122,16 +123,38 @@
 			continue
 		}
 		e.Take(now, r.Offset, c)
+		a.confirm(c)
 	}
 	e.Reached(now, v.next)
 }
 
+// confirm tells the scheduler when a claim or renewal was sent that the store has
+// taken, also if its answer was lost.
+func (a *Assembler) confirm(c elector.Claim) {
+	sent, ok := a.sent[c.Number]
+	if c.Life != a.life || !ok {
+		return
+	}
+	for n := range a.sent {
+		if n <= c.Number {
+			delete(a.sent, n)
+		}
+	}
+	a.confirmed.Store(&sent)
+	a.commander.Post(scheduler.Confirmed{Sent: sent})
+}
+
 // claim appends a claim, or a renewal of one.
 func (a *Assembler) claim(ctx context.Context, e *elector.Elector, epoch int64) {
-	c := elector.Claim{Holder: a.Settings.VM, Life: a.life, Epoch: epoch}
+	a.claimed++
+	c := elector.Claim{Holder: a.Settings.VM, Life: a.life, Epoch: epoch, Number: a.claimed}
 	x, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	a.sent[c.Number] = a.Now()
 	offset, err := a.appendClaim(x, c, e.Next())
+	if errors.Is(err, accessor.ErrMoved) {
+		a.readClaims(x, e)
+	}
 	if err != nil {
 		if epoch == 0 {
 			a.log("elect").WithField("at", e.Next()).WithError(err).Info("claim was not taken")
@@ -142,6 +165,17 @@
 		c.Epoch = offset + 1
 	}
 	e.Take(a.Now(), offset, c)
+	a.confirm(c)
+}
+
+// readClaims reads at once what other VMs have claimed meanwhile.
+func (a *Assembler) readClaims(ctx context.Context, e *elector.Elector) {
+	records, _, err := a.store.Read(ctx, platform.OwnTopic(topicLeader), e.Next(), 0)
+	if err != nil {
+		a.log("elect").WithField("from", e.Next()).WithError(err).Info("claims of others can't be read")
+		return
+	}
+	a.takeClaim(e, claimEvent{records: records, next: e.Next() + int64(len(records))})
 }
 
 func (a *Assembler) appendClaim(ctx context.Context, c elector.Claim, at int64) (int64, error) {
@@ -187,7 +221,10 @@
 	old, _ := a.registrar.Next(registrar.TopicJobs)
 	s := &scheduler.Scheduler{
 		Settings: scheduler.Settings{Lease: a.Settings.Lease},
-		Epoch:    epoch, Began: a.Now(), Old: old - 1,
+		Epoch:    epoch, Began: a.Now(), Old: old - 1, Confirmed: a.Now(),
+	}
+	if sent := a.confirmed.Load(); sent != nil {
+		s.Confirmed = *sent
 	}
 	a.commander.Store = w.store
 	a.commander.Forget = w.forget
--- a/internal/node/elector/elector.go
+++ b/internal/node/elector/elector.go
@@ -25,6 +25,7 @@
 	Holder   string `json:"holder"`
 	Life     string `json:"life"`               // of the holder's process
 	Epoch    int64  `json:"epoch,omitempty"`    // 0 in the record that begins it
+	Number   int64  `json:"number,omitempty"`   // of the claims and renewals of the holder's process
 	Released bool   `json:"released,omitempty"` // the holder leaves
 }
 
--- /dev/null
+++ b/internal/store/tailer/catchup.go
@@ -0,0 +1,38 @@
+package tailer
+
+import (
+	"context"
+	"errors"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
+)
+
+// CatchUp takes in a topic from an offset up to where it ends now. It reads page by
+// page, as the store limits the size of an answer, and begins with a snapshot if the
+// records at the offset are gone.
+func CatchUp(ctx context.Context, a accessor.Access, topic string, next int64, take func(Batch)) error {
+	end := int64(-1)
+	for end < 0 || next < end {
+		records, e, err := a.Read(ctx, topic, next, 0)
+		if errors.Is(err, accessor.ErrTrimmed) {
+			records, e, err = a.Newest(ctx, topic)
+			if err != nil {
+				return err
+			}
+			take(Batch{Records: records, Snapshot: true, Next: e})
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if end < 0 {
+			end = e
+		}
+		if len(records) == 0 {
+			return nil
+		}
+		next += int64(len(records))
+		take(Batch{Records: records, Next: next})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/store/tailer/catchup_test.go
@@ -0,0 +1,71 @@
+package tailer_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
+)
+
+var errDown = errors.New("down")
+
+// paged is a topic whose answers have two records at most; those before first are
+// gone.
+func paged(first, end int64, fail error) accessor.Access {
+	return accessor.Access{
+		Read: func(_ context.Context, _ string, from int64, _ time.Duration) ([]accessor.Record, int64, error) {
+			if fail != nil {
+				return nil, 0, fail
+			}
+			if from < first {
+				return nil, 0, accessor.ErrTrimmed
+			}
+			var records []accessor.Record
+			for o := from; o < min(from+2, end); o++ {
+				records = append(records, accessor.Record{Offset: o})
+			}
+			return records, end, nil
+		},
+		Newest: func(context.Context, string) ([]accessor.Record, int64, error) {
+			return []accessor.Record{{Offset: end - 1}}, end, nil
+		},
+	}
+}
+
+func TestCatchUp(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		first, from, end int64
+		fail             error
+		want             []int64 // offsets
+		snapshot         bool
+	}{
+		{name: "several pages", from: 3, end: 8, want: []int64{3, 4, 5, 6, 7}},
+		{name: "nothing new", from: 8, end: 8},
+		{name: "records are gone", first: 5, from: 3, end: 8, want: []int64{7}, snapshot: true},
+		{name: "store is down", from: 3, end: 8, fail: errDown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var offsets []int64
+			next, snapshot := c.from, false
+			err := tailer.CatchUp(t.Context(), paged(c.first, c.end, c.fail), "t", c.from, func(b tailer.Batch) {
+				for _, r := range b.Records {
+					offsets = append(offsets, r.Offset)
+				}
+				next, snapshot = b.Next, b.Snapshot
+			})
+			is.Equal(err, c.fail)
+			is.Equal(offsets, c.want)
+			is.Equal(snapshot, c.snapshot)
+			if c.fail == nil {
+				is.Equal(next, c.end)
+			}
+		})
+	}
+}
