Let second attempts give way to first ones that wait

Cause: an owner with five guaranteed slots and five requests waited for over a second: its slow first request had a second attempt, which was begun while slots were free and kept a sixth one; borrowers are stopped only as far as the owner's share reaches.

Change: when first attempts of an organisation wait, its second attempts are stopped, the newest first. The first attempt that they back up goes on.

Ruled out: counting second attempts against borrowed slots, which would not free the slot any sooner.

--- a/router/dispatcher.go
+++ b/router/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,11 +25,12 @@
 	usage     limiter.Usage
 	queue     queuer.Queue
 	budget    retrier.Budget
-	running   tickets // short work in slots, the oldest first
-	overdue   tickets // borrowers that ran too long and can be stopped, the oldest first
-	stopping  int     // borrowers told to stop that still have their slots
-	timed     bool    // a call of tick is due
-	extra     bool    // this VM owns no slot, and may use a single one
+	running   tickets   // short work in slots, the oldest first
+	overdue   tickets   // borrowers that ran too long and can be stopped, the oldest first
+	stopping  int       // borrowers and second attempts told to stop that still have their slots
+	seconds   []*ticket // second attempts in slots, the oldest first
+	timed     bool      // a call of tick is due
+	extra     bool      // this VM owns no slot, and may use a single one
 }
 
 func (d *dispatcher) refresh() {
@@ -145,6 +147,7 @@
 	d.shares.Correct(i.Organisation, i.Weight, i.Estimate, now.Sub(t.started))
 	d.queue.Learn(i.Long, i.Estimate, now.Sub(t.started))
 	t.unlist()
+	d.seconds = slices.DeleteFunc(d.seconds, func(o *ticket) bool { return o == t })
 	if t.stopped {
 		d.stopping--
 	}
@@ -174,6 +177,7 @@
 	d.pool.Refresh(now)
 	slots := d.slots()
 	d.grantAll(now, slots)
+	d.yield()
 	d.reclaim(now, slots)
 }
 
--- a/router/hedge.go
+++ b/router/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -154,5 +155,23 @@
 	if t.refusal != nil {
 		return nil
 	}
+	d.seconds = append(d.seconds, t)
 	return t
 }
+
+// yield stops second attempts whose organisation has first ones waiting, the newest
+// first: a slot that was free when they began is not free any more.
+func (d *dispatcher) yield() {
+	given := map[string]int{}
+	for _, t := range slices.Backward(d.seconds) {
+		organisation := t.item.Organisation
+		waiting, _ := d.queue.Waiting(organisation)
+		if given[organisation] >= waiting {
+			continue
+		}
+		given[organisation]++
+		if !t.stopped {
+			d.stop(t)
+		}
+	}
+}
--- a/router/reclaim_test.go
+++ b/router/reclaim_test.go
@@ -80,17 +80,38 @@
 	return seen
 }
 
-// Whatever borrowers run, and for however long, an owner with no more requests
-// than its guaranteed share has slots waits for none longer than short work runs.
-// Its requests are never stopped, and what is not idempotent is sent once.
-func TestGuaranteedShareComesBack(t *testing.T) {
-	const slots, guaranteed = 10, 5
+const slots, guaranteed = 10, 5 // of the service
+
+func guaranteedService() decoder.Service {
 	s := service(
 		decoder.Route{Path: "/proof", Class: "short", Deadline: time.Minute, DeclaredRun: short},
 		decoder.Route{Path: "/print", Class: "short", Deadline: time.Minute, DeclaredRun: short, NonIdempotent: true},
 		decoder.Route{Path: "/rebuild", Class: "long", Deadline: time.Minute, DeclaredRun: 10 * time.Second},
 	)
 	s.Share = 100 * guaranteed / slots
+	return s
+}
+
+// The owner's slow request has a second attempt by the time that its others need
+// the rest of its share.
+func TestSecondAttemptGivesWayToFirstOnes(t *testing.T) {
+	is := is.New(t)
+	s := guaranteedService()
+	s.RetryPercent = 100
+	for _, o := range observe(t, snapshot(s, executors(1, slots)), []arrival{
+		{count: 1, organisation: "etiquetar", path: "/proof", run: 3 * time.Second},
+		{pause: 300 * time.Millisecond, count: 20, organisation: "morfa", path: "/proof", run: 3 * time.Second},
+		{pause: time.Millisecond, count: 4, organisation: "etiquetar", path: "/print", run: 3 * time.Second},
+	}) {
+		is.True(o.Organisation == "morfa" || (o.Code == "" && o.Wait <= time.Second))
+	}
+}
+
+// Whatever borrowers run, and for however long, an owner with no more requests
+// than its guaranteed share has slots waits for none longer than short work runs.
+// Its requests are never stopped, and what is not idempotent is sent once.
+func TestGuaranteedShareComesBack(t *testing.T) {
+	s := guaranteedService()
 	stopped := 0
 	rapid.Check(t, func(r *rapid.T) {
 		is := is.New(r)
