Hear workers whose entries have lapsed before old jobs go on; wait less for lost answers

A worker's heartbeats had not reached the store, so its entry had lapsed when a new leader read the list. The leader ended its recovery without having heard the worker, and started its tasks elsewhere. The change of leader itself came from lost answers: each cost 2 s, in renewals, in the first append of the new leader (nobody led for 2.8 s) and for callers, who got 504.

Change: a new leader also reads the entries of the last 8.5 s, and hears or waits out the workers that are not on the list any more. If such a worker is silent it looks at the machines: one that is no machine any more is not waited for. Appends are given up after 0.8 s, renewals after 0.5 s; a way to the store on which other calls are answered meanwhile is not suspect. A submission or cancellation that this VM has read counts as stored without its answer.

Tests: three scripts, two of which broke a promise before (a task on two workers).

--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -10,7 +10,7 @@
 func (s *Scheduler) hold(now time.Time) {
 	for _, id := range s.order {
 		w := s.workers[id]
-		if w.holding || !w.wantsHold(now) {
+		if w.holding || !w.wantsHold(now, s.recovering) {
 			continue
 		}
 		h := Hold{Worker: id, Address: w.Address, Epoch: s.Epoch}
@@ -35,11 +35,11 @@
 	}
 }
 
-func (w *worker) wantsHold(now time.Time) bool {
+func (w *worker) wantsHold(now time.Time, recovering bool) bool {
 	if !w.failedAt.IsZero() && now.Sub(w.failedAt) < holdPause {
 		return false
 	}
-	if !w.listed && len(w.runs) == 0 {
+	if !w.listed && len(w.runs) == 0 && (w.fenced || !recovering) {
 		return false
 	}
 	if !w.fenced || !w.silent.IsZero() {
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -38,6 +38,7 @@
 	Draining bool
 	Left     time.Duration // that a draining worker stays at least
 	Born     int64         // Unix time in milliseconds at which this life of it began
+	Lapsed   bool          // it was on the list a moment ago: nothing is started there, but it may run what an earlier leader started
 }
 
 // WorkersListed brings the platform's list of workers, sorted by id.
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -239,24 +239,6 @@
 	s.emit(Forget{Jobs: old})
 }
 
-// recover ends the recovery once every worker that an earlier leader may have
-// used was heard, or its leases must have run out.
-func (s *Scheduler) recover(now time.Time) {
-	if !s.recovering || len(s.order) == 0 {
-		return
-	}
-	limit := s.Settings.Lease*100/slowClockPercent + lapseSlack
-	over := now.Sub(s.Began) > limit
-	for _, id := range s.order {
-		if !s.workers[id].fenced && !over {
-			return
-		}
-	}
-	s.recovering = false
-	s.passDue = true
-	s.note(Noted{Message: "recovery ended", Details: Details{"epoch": s.Epoch, "after-ms": now.Sub(s.Began).Milliseconds(), "timed-out": over}})
-}
-
 // store stores the progress of changed jobs, one batch at a time.
 func (s *Scheduler) store(now time.Time) {
 	pause := progressPause
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -95,6 +95,10 @@
 			}
 			v.holds = nil
 		},
+		"relist": func(id string) {
+			w.workers[id].present = true
+			w.list()
+		},
 		"revive": func(id string) {
 			w.revive(id)
 			w.list()
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -124,11 +124,7 @@
 		if v.Over {
 			continue
 		}
-		if !s.listing && now.Sub(s.machinesAt) >= listPause {
-			s.listing = true
-			s.machinesAt = now
-			s.emit(ListMachines{})
-		}
+		s.lookAtMachines(now)
 		if s.machines == nil || s.recovering {
 			return
 		}
@@ -261,6 +257,7 @@
 	for _, m := range e.Machines {
 		s.machines[m.ID] = m
 	}
+	s.dropGone()
 	for _, v := range s.waves {
 		for id, u := range v.machines {
 			m, ok := s.machines[id]
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -187,7 +187,7 @@
 		born := max(w.Born, l.Born)
 		w.Listed = l
 		w.Born = born
-		w.listed = true
+		w.listed = !l.Lapsed
 	}
 	slices.Sort(s.order)
 	for _, id := range s.order {
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -115,18 +115,25 @@
 		}
 		w.feed(e)
 	}
-	w.list()
+	w.listWith(true)
 	for i, v := range w.ordered {
 		w.ordered[i].Done, w.ordered[i].Over = w.waves[v.Number].Done, w.waves[v.Number].Over
 	}
 	w.feed(scheduler.WavesChanged{Waves: w.ordered})
 }
 
-func (w *world) list() {
+func (w *world) list() { w.listWith(false) }
+
+// listWith feeds the list, as a new leader sees it with the workers that have just
+// lapsed.
+func (w *world) listWith(lapsed bool) {
 	var all []scheduler.Listed
 	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
-		if v := w.workers[id]; v.present {
-			all = append(all, v.listed)
+		v := w.workers[id]
+		l := v.listed
+		l.Lapsed = !v.present
+		if v.present || lapsed {
+			all = append(all, l)
 		}
 	}
 	w.feed(scheduler.WorkersListed{Workers: all})
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -178,6 +178,28 @@
 	a.log("read").WithFields(logrus.Fields{"key": key, "offset": offset}).WithError(err).Warn("record is skipped")
 }
 
+// storeOrSee appends records of jobs. It also ends once this VM has read them: the
+// store has them then, though its answer was lost.
+func (a *Assembler) storeOrSee(ctx context.Context, records []accessor.Record, seen func() bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- a.appendJobs(ctx, records) }()
+	t := time.NewTicker(seenPause)
+	defer t.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-t.C:
+			if seen() {
+				a.metrics.Count("appends-seen", 1)
+				return nil
+			}
+		}
+	}
+}
+
 // appendJobs appends records of jobs until the store has answered or the context
 // ends. The records may be appended twice, which changes nothing.
 func (a *Assembler) appendJobs(ctx context.Context, records []accessor.Record) error {
@@ -201,18 +223,27 @@
 	}
 }
 
-const appendPause = 50 * time.Millisecond // between two tries of an append
+const (
+	appendPause = 50 * time.Millisecond  // between two tries of an append
+	seenPause   = 100 * time.Millisecond // between two looks at what was read, half the pause between reads
+)
 
 func (a *Assembler) storeJob(ctx context.Context, j scheduler.Job) error {
 	r, err := registrar.JobRecord(j)
 	if err != nil {
 		return fmt.Errorf("%w: %w", gatekeeper.ErrNotStored, err)
 	}
-	return a.appendJobs(ctx, []accessor.Record{r})
+	return a.storeOrSee(ctx, []accessor.Record{r}, func() bool {
+		_, ok := a.registrar.Get(j.ID)
+		return ok
+	})
 }
 
 func (a *Assembler) storeCancel(ctx context.Context, id string) error {
-	return a.appendJobs(ctx, []accessor.Record{registrar.CancelRecord(id)})
+	return a.storeOrSee(ctx, []accessor.Record{registrar.CancelRecord(id)}, func() bool {
+		e, ok := a.registrar.Get(id)
+		return ok && e.Cancelled
+	})
 }
 
 // refresh returns once all jobs are read that were stored before the call.
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -24,7 +24,8 @@
 const (
 	claimEvents  = 64
 	electionTick = 200 * time.Millisecond // a quarter of the time between renewals
-	claimTimeout = time.Second            // of a claim or renewal; a later one would not help
+	claimTimeout = time.Second            // of a claim; a later one would not help
+	renewTimeout = 500 * time.Millisecond // of a renewal; one without an answer is known from the topic, if it was made
 	retryStore   = 100 * time.Millisecond // between two tries to store progress
 )
 
@@ -148,7 +149,11 @@
 func (a *Assembler) claim(ctx context.Context, e *elector.Elector, epoch int64) {
 	a.claimed++
 	c := elector.Claim{Holder: a.Settings.VM, Life: a.life, Epoch: epoch, Number: a.claimed}
-	x, cancel := context.WithTimeout(ctx, claimTimeout)
+	limit := claimTimeout
+	if epoch != 0 {
+		limit = renewTimeout
+	}
+	x, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	a.sent[c.Number] = a.Now()
 	offset, err := a.appendClaim(x, c, e.Next())
@@ -252,6 +257,7 @@
 // followWorkers follows the list of workers for the scheduler.
 func (a *Assembler) followWorkers(ctx context.Context) {
 	w := &workers{}
+	a.listLapsed(ctx)
 	rest := func() time.Duration { return workersRest }
 	t := a.tailer(platform.TopicExecutors, readWait, rest, func(b tailer.Batch) {
 		if !w.take(b, a.malformed) {
--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -20,8 +20,9 @@
 	Changed func(direct bool) // told when the direct way is lost or regained
 	Now     func() time.Time
 
-	mu    sync.Mutex
-	route Route
+	mu       sync.Mutex
+	route    Route
+	answered map[string]time.Time // by way, when a call was answered last
 }
 
 // Access returns the relayer as access to the store.
@@ -73,21 +74,39 @@
 		if w != Direct {
 			x = r.Peer(w)
 		}
+		sent := r.Now()
 		err := do(x)
 		if errors.Is(err, context.Canceled) {
 			return err // the caller has left; it says nothing of the way
 		}
-		r.note(w, accessor.Answered(err))
 		if accessor.Answered(err) {
+			r.note(w, true)
 			return err
 		}
+		if r.answeredSince(w, sent) {
+			return err // the way works: this answer was lost
+		}
+		r.note(w, false)
 		worst = worse(worst, err)
 	}
 	return worst
 }
 
+// answeredSince reports whether another call on a way was answered after a time.
+func (r *Relayer) answeredSince(way string, sent time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answered[way].After(sent)
+}
+
 func (r *Relayer) note(way string, worked bool) {
 	r.mu.Lock()
+	if worked {
+		if r.answered == nil {
+			r.answered = map[string]time.Time{}
+		}
+		r.answered[way] = r.Now()
+	}
 	before := r.route.Suspect()
 	r.route.Note(r.Now(), way, worked)
 	after := r.route.Suspect()
--- a/internal/store/relayer/wire.go
+++ b/internal/store/relayer/wire.go
@@ -21,7 +21,7 @@
 	procedureNewest = "/store/newest"
 )
 
-const callSlack = 800 * time.Millisecond // of a call to another VM, over the wait of a read
+const callSlack = time.Second // of a call to another VM, over the wait of a read; it may wait 800 ms for an append
 
 // outcome says how the other VM's call to the store went.
 type outcome string
