Acknowledge ends only after an answer that was asked for just now

Change: an answer counts as given when it was asked for, and an acknowledgement that was decided over 100 ms before it is sent is left out; both by the clock that shows more.

Tests: seen failing first.

--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -13,11 +13,11 @@
 		if w.holding || !w.wantsHold(now, s.recovering) {
 			continue
 		}
-		h := Hold{Worker: id, Address: w.Address, Epoch: s.Epoch}
+		h := Hold{Worker: id, Address: w.Address, Epoch: s.Epoch, Decided: now}
 		// Ends are numbered anew in each life: a number goes out once, and only to
 		// a worker that has just answered. Others are asked first.
 		due := w.stored > w.acked && w.silent.IsZero()
-		fresh := now.Sub(w.heardAt) <= ackFresh
+		fresh := elapsed(now, w.heardAt) <= ackFresh
 		if due && fresh {
 			h.Ack = w.stored
 		}
@@ -30,7 +30,6 @@
 		}
 		w.holding = true
 		w.heldAt = now
-		w.acking = h.Ack
 		s.emit(h)
 	}
 }
@@ -88,8 +87,8 @@
 		w.deadline = max(w.deadline, e.ClockMS+s.Settings.Lease.Milliseconds())
 	}
 	w.fenced = true
-	w.acked = max(w.acked, w.acking)
-	w.heardAt = now
+	w.acked = max(w.acked, e.Ack)
+	w.heardAt = e.Sent // when it answered is not known: this VM may have been paused before it read the answer
 	s.takeEnds(now, w, e.Ends)
 	s.takeRunning(now, w, e)
 }
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -108,6 +108,7 @@
 	Outcome Outcome
 	ClockMS int64 // the worker's steady clock
 	Born    int64
+	Ack     int64 // that was sent
 	Running []Running
 	Ends    []End
 }
@@ -151,6 +152,17 @@
 	DeadlineMS int64 // on the worker's clock, 0 for none
 	Ack        int64 // ends up to this number are stored
 	Wait       time.Duration
+	Decided    time.Time
+}
+
+// At returns the hold as it is to be sent now. An acknowledgement that was decided
+// too long ago is left out, as this VM may have been paused: the worker may have begun
+// a new life, in which the number stands for another end.
+func (h Hold) At(now time.Time) Hold {
+	if elapsed(now, h.Decided) > ackFresh {
+		h.Ack = 0
+	}
+	return h
 }
 
 // Start starts a run.
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -95,6 +95,7 @@
 			}
 			v.holds = nil
 		},
+		"pause": func(d time.Duration) { w.paused = w.now.Add(d) },
 		"relist": func(id string) {
 			w.workers[id].present = true
 			w.list()
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -40,7 +40,7 @@
 	fenced    bool      // its lists were read under the own epoch
 	holding   bool      // a hold is in flight
 	heldAt    time.Time // when the last hold was sent
-	heardAt   time.Time // when a hold was answered last
+	heardAt   time.Time // since when a hold was answered last: it may have answered right then
 	failedAt  time.Time // when a call last got no answer, zero since one did
 	silent    time.Time // since when calls get no answer
 	clockMS   int64     // of its steady clock
@@ -60,7 +60,6 @@
 	stored    int64     // last end that is stored
 	acked     int64     // last end that was acknowledged
 	covered   int64     // last end that the store in flight covers
-	acking    int64     // end that the hold in flight acknowledges
 
 	// Faults of the worker.
 	faults int       // failed runs of different jobs since one succeeded
@@ -207,7 +206,7 @@
 	w.fenced = false
 	w.doubt = s.doubt(now)
 	w.strays = nil
-	w.seen, w.covered, w.stored, w.acked, w.acking = 0, 0, 0, 0, 0
+	w.seen, w.covered, w.stored, w.acked = 0, 0, 0, 0
 	w.clockMS, w.clockAt = 0, now
 	w.deadline = s.Settings.Lease.Milliseconds() // a start of before may have begun a lease just now
 	for _, p := range w.runs {
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -128,7 +128,7 @@
 func (c *Commander) carryOut(l *lead, f scheduler.Effect) {
 	switch f := f.(type) {
 	case scheduler.Hold:
-		e := c.Hold(l.ctx, f)
+		e := c.Hold(l.ctx, f.At(c.Now()))
 		l.answer(e, e.Outcome)
 	case scheduler.Start:
 		began := c.Now()
