--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -35,7 +35,11 @@
 }
 
 func (w *worker) wantsHold(now time.Time, recovering bool) bool {
-	if !w.failedAt.IsZero() && now.Sub(w.failedAt) < holdPause {
+	pause := holdPause
+	if !w.fenced {
+		pause = recoveryPause
+	}
+	if !w.failedAt.IsZero() && now.Sub(w.failedAt) < pause {
 		return false
 	}
 	if !w.listed && len(w.runs) == 0 && (w.fenced || !recovering) {
--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -8,6 +8,7 @@
 	startWindow      = 2500 * time.Millisecond // a start that arrives later is refused; under the gang timeout of 3 s
 	holdWait         = 1900 * time.Millisecond // the platform answers a look within 2 s
 	holdPause        = 400 * time.Millisecond  // before the next hold of a worker that did not answer
+	recoveryPause    = 100 * time.Millisecond  // the same while old jobs wait for its answer
 	storePause       = 800 * time.Millisecond  // before a look at a worker whose ends wait to be stored
 	ackFresh         = 100 * time.Millisecond  // since the last answer; a worker needs longer to start anew and end a task
 	stopPause        = 600 * time.Millisecond  // before a stop without an answer is sent again
