Move urgent runs off workers that stand still

Cause: workers that accept tasks, report good health and get nothing done (srv_grey hang) held urgent jobs for 5 to 6 s; nothing but failures and silence was noticed.

Change: a run that gains nothing between looks, though by its own pace or its declared duration it should have gained 3 % or more, says that its worker stands still. Urgent tasks are not placed there for 4 s; those that are there move, as a whole gang, if at most 3 s of work are lost and there is room elsewhere. Looks without news last 1 s instead of 1.9 s.

Tests: scripts of a run, a gang, one that has worked for long, and a gang that has not come together; seen failing without the moves.

--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -68,7 +68,7 @@
 		return
 	default:
 		if w.silent.IsZero() {
-			s.note(Noted{Message: "worker does not answer", Worker: w.ID, Details: Details{detailOutcome: e.Outcome, "runs": len(w.runs)}})
+			s.note(Noted{Message: "worker does not answer", Worker: w.ID, Details: Details{detailOutcome: e.Outcome, detailRuns: len(w.runs)}})
 		}
 		w.missed(now)
 		return
@@ -240,8 +240,9 @@
 			continue
 		}
 		if p.confirmed.IsZero() {
-			p.confirmed = now
+			p.confirmed, p.moved = now, now
 		}
+		p.looked = now
 		if r.Percent != p.percent {
 			p.percent, p.moved = r.Percent, now
 		}
@@ -254,6 +255,7 @@
 			s.lose(now, w, p, "its worker lists it no more")
 		}
 	}
+	s.judge(now, w)
 }
 
 // over reports whether a run that a list lacks is not on the worker and never
@@ -330,7 +332,7 @@
 	}
 	if e.Outcome == OutcomeDone {
 		if p.confirmed.IsZero() {
-			p.confirmed = now
+			p.confirmed, p.moved = now, now
 		}
 		return
 	}
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -209,6 +209,7 @@
 // The details that several decisions have.
 const (
 	detailOutcome = "outcome"
+	detailRuns    = "runs"
 	detailWave    = "wave"
 )
 
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -53,10 +53,11 @@
 // place starts what there is room for, in order of urgency.
 func (s *Scheduler) place(now time.Time) {
 	units := s.units(now)
-	if len(units) == 0 {
+	if len(units) == 0 && !s.stalled(now) {
 		return
 	}
 	p := &pass{s: s, now: now, views: s.views(now), held: s.urgentHeld()}
+	p.moveStalled()
 	for _, u := range units {
 		p.tryUnit(u)
 	}
@@ -170,11 +171,11 @@
 // its limits.
 func (p *pass) allowed(u unit) []placer.Worker {
 	all := p.views[u.job.queue.Service]
-	advised := u.job.queue.Advice != nil
-	if u.step.plain() && !advised {
+	avoidStill := u.job.urgent() && p.s.stalled(p.now)
+	if u.unrestricted() && !avoidStill {
 		return all
 	}
-	avoid := len(u.step.failedOn)*2 <= len(all) && (u.step.blocked.IsZero() || p.now.Sub(u.step.blocked) < avoidTime)
+	avoidFailed := len(u.step.failedOn)*2 <= len(all) && (u.step.blocked.IsZero() || p.now.Sub(u.step.blocked) < avoidTime)
 	on := map[string]int{}
 	for i := range u.step.tasks {
 		if t := &u.step.tasks[i]; t.state == taskPlaced {
@@ -183,13 +184,8 @@
 	}
 	var out []placer.Worker
 	for _, v := range all {
-		if u.step.Label != "" && !slices.Contains(p.s.workers[v.ID].Labels, u.step.Label) {
-			continue
-		}
-		if advised && !u.step.ticketed(p.now, p.s.workers[v.ID]) {
-			continue
-		}
-		if (avoid && slices.Contains(u.step.failedOn, v.ID)) || !p.s.mixes(p.now, u.step, p.s.workers[v.ID]) {
+		w := p.s.workers[v.ID]
+		if (avoidStill && w.still(p.now)) || (avoidFailed && slices.Contains(u.step.failedOn, v.ID)) || !p.may(u, w) {
 			continue
 		}
 		if limit := u.step.PerWorker; limit > 0 {
@@ -200,6 +196,17 @@
 	return out
 }
 
+// may reports whether a worker may run the step at all.
+func (p *pass) may(u unit, w *worker) bool {
+	if u.step.Label != "" && !slices.Contains(w.Labels, u.step.Label) {
+		return false
+	}
+	if u.job.queue.Advice != nil && !u.step.ticketed(p.now, w) {
+		return false
+	}
+	return p.s.mixes(p.now, u.step, w)
+}
+
 // plain reports whether every worker of the service may run the step.
 func (s *step) plain() bool {
 	return s.Label == "" && s.PerWorker == 0 && len(s.failedOn) == 0 && !s.Serves && !s.Fills
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -95,7 +95,9 @@
 			}
 			v.holds = nil
 		},
-		"pause": func(d time.Duration) { w.paused = w.now.Add(d) },
+		"hang":   func(id string) { w.workers[id].hung = true },
+		"unhang": func(id string) { w.workers[id].hung = false },
+		"pause":  func(d time.Duration) { w.paused = w.now.Add(d) },
 		"relist": func(id string) {
 			w.workers[id].present = true
 			w.list()
--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -6,7 +6,7 @@
 	slowClockPercent = 98                      // percent: the platform lets a worker's clock be 2 % slow
 	lapseSlack       = 300 * time.Millisecond  // the platform's stop time of 200 ms and a round trip
 	startWindow      = 2500 * time.Millisecond // a start that arrives later is refused; under the gang timeout of 3 s
-	holdWait         = 1900 * time.Millisecond // the platform answers a look within 2 s
+	holdWait         = 1000 * time.Millisecond // a look without news; runs that stand still are found after two
 	holdPause        = 400 * time.Millisecond  // before the next hold of a worker that did not answer
 	recoveryPause    = 100 * time.Millisecond  // the same while old jobs wait for its answer
 	storePause       = 800 * time.Millisecond  // before a look at a worker whose ends wait to be stored
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -24,6 +24,7 @@
 	untilMS   int64     // a start that arrives later, by the worker's clock, is refused
 	percent   int
 	moved     time.Time // when the percentage last rose
+	looked    time.Time // when the worker last listed it
 }
 
 // placementKey names a run on a worker.
@@ -65,6 +66,8 @@
 	faults int       // failed runs of different jobs since one succeeded
 	blamed []string  // the jobs that failed
 	shun   time.Time // no new tasks until then
+
+	stalled time.Time // when its runs were last seen to stand still, zero since one went on
 }
 
 // clock returns a lower bound of the worker's clock.
@@ -192,7 +195,7 @@
 	for _, id := range s.order {
 		if w := s.workers[id]; w.listed && !named[id] {
 			w.listed = false
-			s.note(Noted{Message: "worker left the list", Worker: id, Details: Details{"runs": len(w.runs)}})
+			s.note(Noted{Message: "worker left the list", Worker: id, Details: Details{detailRuns: len(w.runs)}})
 		}
 	}
 	s.passDue = true
@@ -201,11 +204,12 @@
 // reborn notes a new life of a worker. Whatever was started before the leader knew
 // may run in either life, so the runs stay until the new life has listed them.
 func (s *Scheduler) reborn(now time.Time, w *worker, born int64) {
-	s.note(Noted{Message: "worker began a new life", Worker: w.ID, Details: Details{"born": born, "runs": len(w.runs)}})
+	s.note(Noted{Message: "worker began a new life", Worker: w.ID, Details: Details{"born": born, detailRuns: len(w.runs)}})
 	w.Born = born
 	w.fenced = false
 	w.doubt = s.doubt(now)
 	w.strays = nil
+	w.stalled = time.Time{}
 	w.seen, w.covered, w.stored, w.acked = 0, 0, 0, 0
 	w.clockMS, w.clockAt = 0, now
 	w.deadline = s.Settings.Lease.Milliseconds() // a start of before may have begun a lease just now
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -74,6 +74,7 @@
 	number   int64
 	holds    []*scheduler.Hold
 	failing  bool
+	hung     bool // what it runs stands still
 }
 
 type fakeRun struct {
@@ -387,21 +388,23 @@
 	v.ends = append(v.ends, scheduler.End{Number: v.number, Task: id, Run: r.run, How: how})
 }
 
-// present reports whether all members of a gang's run are there, and whether one
-// has done its work.
+// gang reports whether all members of a gang's run are there, and whether all have
+// done their work.
 func (w *world) gang(id scheduler.TaskID, run int64) (bool, bool) {
-	n, done := 0, false
+	n, done, ready := 0, false, true
 	for _, v := range w.workers {
 		for k, r := range v.runs {
 			if k.Job == id.Job && k.Step == id.Step && r.run == run {
 				n++
+				ready = ready && r.left <= 0
 			}
 		}
 		for _, e := range v.ends {
 			done = done || (e.Task.Job == id.Job && e.Task.Step == id.Step && e.Run == run && e.How == scheduler.HowDone)
 		}
 	}
-	return n == w.taskStep(id).Tasks, done
+	whole := n == w.taskStep(id).Tasks
+	return whole, done || (whole && ready)
 }
 
 // work lets the runs on a worker go on for one step of time.
@@ -412,7 +415,7 @@
 		if w.taskStep(id).Gang {
 			whole, done = w.gang(id, r.run)
 		}
-		if whole || done {
+		if (whole || done) && !v.hung {
 			r.left -= worldStep
 		}
 		switch {
@@ -422,7 +425,7 @@
 			v.end(id, scheduler.HowStopped)
 		case v.failing:
 			v.end(id, scheduler.HowFailed)
-		case done || r.left <= 0:
+		case done || (r.left <= 0 && !w.taskStep(id).Gang):
 			v.end(id, scheduler.HowDone)
 		}
 	}
