Let VMs that do not lead read jobs once a second

Cause: each VM read jobs five times a second, though only the leader waits for them: a job that a VM does not know is looked up in the store when it is asked for, and counts may be 2 s old. A submission whose answer is late is looked up as well now.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -178,8 +178,8 @@
 	a.log("read").WithFields(logrus.Fields{"key": key, "offset": offset}).WithError(err).Warn("record is skipped")
 }
 
-// storeOrSee appends records of jobs. It also ends once this VM has read them: the
-// store has them then, though its answer was lost.
+// storeOrSee appends records of jobs. When the answer is late it reads what is stored,
+// and ends once the records are there: then only the answer was lost.
 func (a *Assembler) storeOrSee(ctx context.Context, records []accessor.Record, seen func() bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -192,7 +192,7 @@
 		case err := <-done:
 			return err
 		case <-t.C:
-			if seen() {
+			if a.refresh(ctx) == nil && seen() {
 				a.metrics.Count("appends-seen", 1)
 				return nil
 			}
@@ -225,7 +225,7 @@
 
 const (
 	appendPause = 50 * time.Millisecond  // between two tries of an append
-	seenPause   = 100 * time.Millisecond // between two looks at what was read, half the pause between reads
+	seenPause   = 150 * time.Millisecond // until the store is asked for what a call was to store; it answers in 10 ms on good days
 )
 
 func (a *Assembler) storeJob(ctx context.Context, j scheduler.Job) error {
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -17,6 +17,7 @@
 	readWait    = time.Second            // of a read that waits for a record; the store may leave one without news
 	peersWait   = 15 * time.Second       // of a read for other VMs, which come and go rarely
 	followPause = 200 * time.Millisecond // between two reads of what many VMs write; a state is that much older
+	jobsRest    = time.Second            // between two reads of jobs by a VM that does not lead: half of how old a count of waiting jobs may be
 	workersRest = 350 * time.Millisecond // between two such reads: each executor writes every 1.5 s
 )
 
@@ -26,7 +27,7 @@
 		if a.leading.Load() {
 			return 0 // jobs wait for the leader to read them
 		}
-		return followPause
+		return jobsRest
 	}
 	progressPause := func() time.Duration { return followPause }
 	a.tail(ctx, g, a.tailer(platform.TopicOperator, readWait, nil, a.takeConfig))
