--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -95,6 +95,7 @@
 	v.settings = platform.Settings{
 		VM: name, Callers: free(s.t), Readiness: free(s.t), Peers: free(s.t),
 		Store: server.Listener.Addr().String(), Lease: 10 * time.Second, Grace: 6 * time.Second,
+		Heartbeat: 1500 * time.Millisecond,
 	}
 	log, lines := logrus.New(), &buffer{}
 	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: "05.000", DisableColors: true})
@@ -224,6 +225,25 @@
 	is.Equal(len(s.executors[0].Starts()), 1) // the run was taken over
 }
 
+func TestNewLeaderHearsAWorkerWhoseEntryHasLapsed(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2, 1)
+	status, _ := s.vms[0].call(http.MethodPost, "/slow/"+id, "key", job("4s", 1))
+	is.Equal(status, http.StatusOK)
+	s.await("the job runs", func() bool { return s.vms[0].state(id) == "running" })
+	s.start("vm1")
+	busy := 0
+	if len(s.executors[1].Running()) > 0 {
+		busy = 1
+	}
+	s.store.Put("keyed.servers", fmt.Sprintf("x%d", busy), nil)
+	s.vms[0].cancel()
+	<-s.vms[0].done
+	s.await("the job is completed", func() bool { return s.vms[1].state(id) == "completed" })
+	is.Equal(len(s.executors[busy].Starts()), 1)
+	is.Equal(len(s.executors[1-busy].Starts()), 0)
+}
+
 func TestVMThatTheStoreTurnsAwayServesThroughAnother(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1, 2)
