Do not wait for workers that drained and left

Change: a worker that said that it would leave, is silent, and is no machine any more by the list of machines is not waited for, as for lapsed ones. Others that are listed and silent are waited for as before.

--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // recover ends the recovery once every worker that an earlier leader may have
 // used was heard, or its leases must have run out.
@@ -13,14 +10,14 @@
 	}
 	limit := s.Settings.Lease*100/slowClockPercent + lapseSlack
 	over := now.Sub(s.Began) > limit
-	unheard, lapsed := false, false
+	unheard, left := false, false
 	for _, id := range s.order {
 		w := s.workers[id]
-		unheard = unheard || !w.fenced
-		lapsed = lapsed || w.lapsedSilent()
+		unheard = unheard || !w.fenced && !w.gone
+		left = left || w.mayHaveLeft()
 	}
 	if unheard && !over {
-		if lapsed {
+		if left {
 			s.lookAtMachines(now)
 		}
 		return
@@ -30,9 +27,11 @@
 	s.note(Noted{Message: "recovery ended", Details: Details{"epoch": s.Epoch, "after-ms": now.Sub(s.Began).Milliseconds(), "timed-out": over}})
 }
 
-// lapsedSilent reports whether the worker is not on the list any more and has not
-// answered this leader.
-func (w *worker) lapsedSilent() bool { return !w.listed && !w.fenced && !w.silent.IsZero() }
+// mayHaveLeft reports whether the worker has not answered this leader and is not on
+// the list any more, or said that it would leave: its entry outlives it by seconds.
+func (w *worker) mayHaveLeft() bool {
+	return (!w.listed || w.Draining) && !w.fenced && !w.gone && !w.silent.IsZero()
+}
 
 // lookAtMachines asks for the machines unless that was done a moment ago.
 func (s *Scheduler) lookAtMachines(now time.Time) {
@@ -44,9 +43,9 @@
 	s.emit(ListMachines{})
 }
 
-// dropGone forgets lapsed workers that no machine is any more: what ran there has
+// findGone finds workers that left and that no machine is any more: what ran there has
 // ended, and the recovery need not wait for their leases.
-func (s *Scheduler) dropGone() {
+func (s *Scheduler) findGone() {
 	if !s.recovering {
 		return
 	}
@@ -56,12 +55,12 @@
 			up[m.Worker] = true
 		}
 	}
-	s.order = slices.DeleteFunc(s.order, func(id string) bool {
-		if !s.workers[id].lapsedSilent() || up[id] {
-			return false
+	for _, id := range s.order {
+		w := s.workers[id]
+		if !w.mayHaveLeft() || up[id] {
+			continue
 		}
-		s.note(Noted{Message: "lapsed worker is gone", Worker: id, Details: Details{"machines": len(s.machines)}})
-		delete(s.workers, id)
-		return true
-	})
+		w.gone = true
+		s.note(Noted{Message: "worker that left is gone", Worker: id, Details: Details{"machines": len(s.machines), "listed": w.listed}})
+	}
 }
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -257,7 +257,7 @@
 	for _, m := range e.Machines {
 		s.machines[m.ID] = m
 	}
-	s.dropGone()
+	s.findGone()
 	for _, v := range s.waves {
 		for id, u := range v.machines {
 			m, ok := s.machines[id]
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -37,6 +37,7 @@
 type worker struct {
 	Listed
 	listed bool
+	gone   bool // it left, and no machine is it any more
 
 	fenced    bool      // its lists were read under the own epoch
 	holding   bool      // a hold is in flight
@@ -210,6 +211,7 @@
 	w.doubt = s.doubt(now)
 	w.strays = nil
 	w.stalled = time.Time{}
+	w.gone = false
 	w.seen, w.covered, w.stored, w.acked = 0, 0, 0, 0
 	w.clockMS, w.clockAt = 0, now
 	w.deadline = s.Settings.Lease.Milliseconds() // a start of before may have begun a lease just now
