Move runs of a step that stand still once only

Change: a step moves once; after that its runs say nothing of their workers. A run that has gained nothing for 8 s says nothing either.

Test: a script of a task that takes 200 times what was declared, seen failing (started three times).

--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -118,6 +118,7 @@
 	tickets  map[string]ticket // by worker, of a queue with advice
 	denied   map[string]bool   // workers that may not run it
 	claim    []string          // workers on which room is being made for a gang or urgent tasks
+	moved    bool              // a run of it was moved, as it stood still
 	blocked  time.Time         // since when it waits for room, zero when it does not
 }
 
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -128,6 +128,12 @@
 		}
 		return nil
 	}
+	c["started"] = func(job string, want int) error {
+		if n := w.starts[job]; n != want {
+			return fmt.Errorf("it was started %d times", n)
+		}
+		return nil
+	}
 	c["state"] = func(job, want string) error {
 		if got := w.stored[job].State; string(got) != want {
 			return fmt.Errorf("stored state is %q", got)
@@ -201,6 +207,8 @@
 			switch o {
 			case "gang":
 				s.Gang = true
+			case "longer": // than declared
+				n[2] *= 200
 			case "rack":
 				s.SameRack = true
 			case "checkpoints":
--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -10,7 +10,7 @@
 	holdPause        = 400 * time.Millisecond  // before the next hold of a worker that did not answer
 	recoveryPause    = 100 * time.Millisecond  // the same while old jobs wait for its answer
 	storePause       = 800 * time.Millisecond  // before a look at a worker whose ends wait to be stored
-	ackFresh         = 100 * time.Millisecond  // since the last answer; a worker needs longer to start anew and end a task
+	ackFresh         = 100 * time.Millisecond  // since an answer was asked for; a worker needs longer to start anew and end a task
 	stopPause        = 600 * time.Millisecond  // before a stop without an answer is sent again
 	faultyRuns       = 2                       // failed runs of different jobs that shun a worker
 	shunTime         = 4 * time.Second         // half of the shortest time that workers fail on bad days
--- a/internal/jobs/scheduler/stall.go
+++ b/internal/jobs/scheduler/stall.go
@@ -10,6 +10,7 @@
 	stallTime     = 900 * time.Millisecond // without progress; a task of 2 s gains 40 % in it
 	stallProgress = 3.0                    // percent that a run should have gained meanwhile, for rounding of what is reported
 	stallRate     = 300 * time.Millisecond // of progress that tells how fast a run goes
+	stallEnd      = 8 * time.Second        // workers stand still for 5 to 7 s; a run that gains nothing for longer is at fault itself
 	stallLoss     = 3 * time.Second        // of work that may be lost by moving: workers stand still for 5 s and more
 )
 
@@ -66,7 +67,7 @@
 	if p.percent > 0 && quiet < stallTime {
 		return progressGood
 	}
-	if p.percent == 0 && st.Gang && !s.together(p) {
+	if st.moved || quiet > stallEnd || (p.percent == 0 && st.Gang && !s.together(p)) {
 		return progressUnclear
 	}
 	rate := fullPercent / max(float64(st.EstimateMS)/1000, 1) // percent a second
@@ -120,7 +121,10 @@
 	}
 }
 
+// move stops a run, or its gang. A step moves once: tasks that take far longer than
+// declared seem to stand still on every worker.
 func (p *pass) move(w *worker, r *placement, st *step, j *job) {
+	st.moved = true
 	p.s.note(Noted{Message: "run that stands still is moved", Job: j.ID, Task: r.task, Run: r.run, Worker: w.ID, Details: Details{"percent": r.percent, "still-ms": p.now.Sub(r.moved).Milliseconds()}})
 	if st.Gang {
 		p.s.breakGang(p.now, j, r.task.Step, r.run)
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -37,6 +37,7 @@
 	cut     map[string]bool
 	deaf    map[string]bool // orders are carried out, and answers lost
 	saved   int
+	starts  map[string]int  // by job
 	allowed map[string]bool // workers that advice allows
 	valid   time.Duration   // of tickets
 	asked   int
@@ -87,7 +88,7 @@
 func newWorld() *world {
 	w := &world{
 		now: time.Unix(1_000_000, 0), workers: map[string]*fakeWorker{}, jobs: map[string]scheduler.Submitted{},
-		secs: map[string][]time.Duration{}, stored: map[string]scheduler.Progress{}, storeUp: true,
+		secs: map[string][]time.Duration{}, starts: map[string]int{}, stored: map[string]scheduler.Progress{}, storeUp: true,
 		allowed: map[string]bool{}, acked: map[scheduler.TaskID]bool{}, cut: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, deaf: map[string]bool{},
 		terms: scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}},
 	}
@@ -361,6 +362,7 @@
 		if w.acked[f.Task] {
 			w.broken = fmt.Sprintf("task %v starts after its success was acknowledged", f.Task)
 		}
+		w.starts[base(f.Task.Job)]++
 		d := w.secs[base(f.Task.Job)][f.Task.Step]
 		v.runs[f.Task] = &fakeRun{run: f.Run, left: d, total: d}
 	}
