Give processes of scripts and soak process groups of their own

The shell command that had started that run in the background ended in the same second; the kernel sends SIGHUP to the stopped processes of a group that is orphaned by that, and the stand-in has no handler. Shown by a small program: of two stopped children, the one in the orphaned group ended by signal 1, the one in a group of its own lived.

Change: the processes that scripts and the soak start have groups of their own.

--- a/scripts_test.go
+++ b/scripts_test.go
@@ -154,6 +154,9 @@
 	c := exec.Command(bin, args...)
 	c.Dir = t.MkAbs(".")
 	c.Env = os.Environ()
+	// The kernel sends SIGHUP to stopped processes whose group is orphaned, as the
+	// group of these tests is when the shell that started them ends.
+	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	log, err := os.OpenFile(t.MkAbs(name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return "", err
--- a/soak_test.go
+++ b/soak_test.go
@@ -196,6 +196,7 @@
 	v.process = exec.Command("lacewingdoor", "schedule")
 	v.process.Env = append(os.Environ(), "LACEWINGDOOR_SETTINGS="+v.settings)
 	v.process.Stdout, v.process.Stderr = v.log, v.log
+	v.process.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // as for the processes of scripts
 	if err := v.process.Start(); err != nil {
 		s.t.Fatal(err)
 	}
