--- a/publisher/state_test.go
+++ b/publisher/state_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -73,3 +74,24 @@
 	_, ok = s.Verdict("w975")
 	is.True(!ok)
 }
+
+// TestOneGoroutineFeedsAndOthersAsk lets the control goroutine feed a reader while
+// another one asks for snapshots, as the daemon does; the race detector judges.
+func TestOneGoroutineFeedsAndOthersAsk(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1e9, 0)
+	r := &publisher.Reader{}
+	var g sync.WaitGroup
+	g.Go(func() {
+		for range 100 {
+			r.NeedsSnapshot(start, time.Hour)
+		}
+	})
+	for n := range int64(100) {
+		kind, body, err := publisher.EncodeRecord(publisher.Snapshot{State: r.State()})
+		is.NoErr(err)
+		_, err = r.Read(n+1, start, kind, body)
+		is.NoErr(err)
+	}
+	g.Wait()
+}
