Ask a worker again whose lost leases went unnoticed; resend lost commands sooner

Its next report shows none of the leases, the worker is put in doubt and asked; but it was still noted as steady, so the answer, equal to that report, was passed over and the doubt ended. The job counted as running for ever.

Change: compare notes that a worker is steady no more; commands without a result are sent again after 1 s (was 4 s). They are idempotent.

--- a/reducer/reports.go
+++ b/reducer/reports.go
@@ -187,13 +187,12 @@
 			lacking = lacking || !h.settled.IsZero()
 		}
 	}
-	if lacking {
-		t.doubt(id)
-		return
-	}
-	if steady {
+	if steady != w.steady {
 		n := w.clone()
-		n.steady = true
+		n.steady = steady
 		t.setWorker(n)
 	}
+	if lacking {
+		t.doubt(id)
+	}
 }
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/lacewingdoor/lacewingdoor/decoder"
 	"github.com/lacewingdoor/lacewingdoor/internal/scripter"
+	"github.com/lacewingdoor/lacewingdoor/leaser"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 	"github.com/lacewingdoor/lacewingdoor/reducer"
 )
@@ -79,6 +80,10 @@
 		"lose-answer": func(worker string, k reducer.CommandKind, times int) {
 			s.worker(worker).unheard[k] = times
 		},
+		"late-command": func(worker string) {
+			k, v := s.worker(worker), s.leader()
+			k.table, s.err = k.table.Fence(s.now, leaser.Token{Epoch: v.state.Epoch(), Holder: v.id})
+		},
 		"kill-vm":  func(name string) { s.vm(name).alive = false },
 		"start-vm": func(name string) { s.boot(s.vm(name)) },
 		"cut-from": func(worker, vm string) { s.worker(worker).cutFrom = s.vm(vm).id },
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -15,7 +15,7 @@
 // The times that the leader works with.
 const (
 	commandRetry  = 500 * time.Millisecond // from an unreachable worker to the next try
-	commandLost   = 4 * time.Second        // a command without a result is sent again; the runner gives up after 2 s
+	commandLost   = time.Second            // a command without a result is sent again: five tries within prepareLimit and startLimit
 	fenceRetry    = time.Second            // from a failed fence to the next
 	prepareLimit  = 5 * time.Second        // for all tasks of a gang to be staged
 	startLimit    = 5 * time.Second        // for all to start; with prepareLimit it stays below leaser.TTL
