Let fillers run beside tasks that serve, at a pace; guarantees before tasks that last

Cause: two gaps in the job model, both found by reading the users' rules. - Fillers never ran on a worker with a task that serves. Where such tasks are on every worker, as anti-affinity brings about, a job that fills waited for ever. - Tasks that last were never stopped for urgent work. Where they held all accelerators, a guarantee did not come back.

Change: fillers that find no worker without tasks that serve for 2 s may begin on one whose tails are short, at a quarter of their speed. The pace goes up slowly, is halved near the target, is 0 at once over it, and stays below what was too much for 20 s. One that may not work for 8 s is stopped. A new leader takes the pace for unknown. Workers where both kinds run are looked at twice as often. For a guarantee, tasks that last are the last victims, one of a step at a time or as many as the step may miss.

Replaced: the script tasks-that-last-are-never-stopped-for-urgent-jobs asserted what the users' rules on guarantees forbid (an urgent job within its organisation's guarantee did not start). Three scripts stand for it: never outside a guarantee, one at a time within one, and after other work.

Proof: paces.txtar, whose world checks at each step that no tail is over its target for 4 s because of fillers. With the lowering taken out, fillers-are-halted and fillers-that-may-never-work fail.

--- a/internal/jobs/scheduler/borrowers.go
+++ b/internal/jobs/scheduler/borrowers.go
@@ -46,6 +46,36 @@
 	return all
 }
 
+// lasting returns the tasks that last which may make way for work within a guarantee:
+// no more of a step at a time than it may miss.
+func (p *pass) lasting(u unit) []placer.Borrower {
+	var all []placer.Borrower
+	left := map[*step]int{}
+	for _, id := range p.s.order {
+		w := p.s.workers[id]
+		if w.Service != u.job.queue.Service || !w.usable(p.now) {
+			continue
+		}
+		for _, r := range w.sorted() {
+			j, st, t := p.s.find(r.task)
+			if t == nil || !st.Lasts || st.Gang || r.stopping || j.urgent() || r.need.Accelerators == 0 {
+				continue
+			}
+			n, ok := left[st]
+			if !ok {
+				n = max(1, st.MayMiss) - p.s.away(j, r.task.Step)
+			}
+			left[st] = n - 1
+			if n > 0 {
+				all = append(all, placer.Borrower{
+					Job: unitName(r.task), Cost: lastingCost, Held: []placer.Allocation{{Worker: id, Held: r.need}},
+				})
+			}
+		}
+	}
+	return all
+}
+
 func addHeld(held []placer.Allocation, id string, need placer.Resources) []placer.Allocation {
 	if n := len(held); n > 0 && held[n-1].Worker == id {
 		held[n-1].Held = held[n-1].Held.Plus(need)
@@ -91,7 +121,8 @@
 }
 
 const (
-	acceleratorCores = 8 // cores that an accelerator counts for
+	acceleratorCores = 8   // cores that an accelerator counts for
+	lastingCost      = 1e6 // core-seconds of a task that lasts; no other work loses as much
 	fullPercent      = 100
 	minRemaining     = 200 * time.Millisecond // of a run that has outlasted its estimate
 	savedLoss        = 300 * time.Millisecond // restoring a checkpoint takes up to 250 ms
--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -26,7 +26,7 @@
 			w.deadline = max(w.deadline, h.DeadlineMS)
 		}
 		if len(w.runs) > 0 && w.fenced && w.seen == w.stored && (fresh || !due) {
-			h.Wait = holdWait
+			h.Wait = w.look()
 		}
 		w.holding = true
 		w.heldAt = now
@@ -34,6 +34,14 @@
 	}
 }
 
+// look returns for how long a look at the worker may wait for news.
+func (w *worker) look() time.Duration {
+	if w.serving > 0 && w.filling > 0 {
+		return pacedLook
+	}
+	return holdWait
+}
+
 func (w *worker) wantsHold(now time.Time, recovering bool) bool {
 	pause := holdPause
 	if !w.fenced {
@@ -242,7 +250,7 @@
 		if p.confirmed.IsZero() {
 			p.confirmed, p.moved = now, now
 		}
-		p.looked = now
+		p.looked, p.measure = now, r.Measure
 		if r.Percent != p.percent {
 			p.percent, p.moved = r.Percent, now
 		}
@@ -256,6 +264,7 @@
 		}
 	}
 	s.judge(now, w)
+	s.paceFillers(now, w)
 }
 
 // over reports whether a run that a list lacks is not on the worker and never
@@ -269,7 +278,7 @@
 // adopt takes over a run that an earlier leader started, or stops one that is
 // not wanted.
 func (s *Scheduler) adopt(now time.Time, w *worker, r Running) {
-	p := &placement{task: r.Task, run: r.Run, confirmed: now, percent: r.Percent, moved: now}
+	p := &placement{task: r.Task, run: r.Run, confirmed: now, percent: r.Percent, measure: r.Measure, pace: unknownPace, moved: now}
 	j, st, t := s.find(r.Task)
 	if t != nil {
 		p.need, p.serves, p.fills = st.Need, st.Serves, st.Fills
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -77,6 +77,7 @@
 	Run     int64
 	Saved   string // newest checkpoint
 	Percent int    // of its work
+	Measure int    // over the last half second: the tail of its answers in milliseconds for a task that serves, else the thousandths of a core in use
 }
 
 // How is how a run has ended.
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -28,6 +28,7 @@
 	Speculative bool             `json:"speculative,omitempty"` // a second copy would be allowed
 	Lasts       bool             `json:"lasts,omitempty"`       // tasks run until the job is cancelled
 	Serves      bool             `json:"serves,omitempty"`      // tasks that last answer users of their own, in a bounded time
+	TargetMS    int              `json:"target-ms,omitempty"`   // below which the tail of their answers must stay
 	Fills       bool             `json:"fills,omitempty"`       // tasks use the processors that others leave idle
 	MayMiss     int              `json:"may-miss,omitempty"`    // most tasks that last and may be away through the system
 }
--- a/internal/jobs/scheduler/lasting.go
+++ b/internal/jobs/scheduler/lasting.go
@@ -71,19 +71,6 @@
 	return n
 }
 
-// mixes reports whether a worker may get a task of a step: fillers disturb the
-// tasks that serve, so the two are kept apart.
-func (s *Scheduler) mixes(now time.Time, st *step, w *worker) bool {
-	switch {
-	case st.Fills:
-		return w.serving == 0 && !now.Before(w.noFill)
-	case st.Serves:
-		return w.filling == 0
-	default:
-		return true
-	}
-}
-
 // clearFillers stops the fillers on one worker that a task which serves could run
 // on, if there is no worker without any.
 func (s *Scheduler) clearFillers(now time.Time, j *job, st *step) {
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -255,7 +255,10 @@
 				p.start(u, waiting[k], id, p.s.run)
 			}
 			u.step.claim = nil
+			u.step.blocked = time.Time{}
 		}
+	} else if u.step.Fills && u.step.blocked.IsZero() {
+		u.step.blocked = p.now
 	}
 	if r.Tasks == 0 && u.unrestricted() {
 		p.failed = append(p.failed, failure{u.job.queue.Service, one})
@@ -302,6 +305,9 @@
 		if u.job.queue.Advice != nil {
 			p.ask(u, r)
 		}
+		if u.step.Serves {
+			p.s.clearFillers(p.now, u.job, u.step)
+		}
 		p.makeRoom(u, r)
 		return
 	}
@@ -349,7 +355,7 @@
 	until := w.clock(p.now) + startWindow.Milliseconds()
 	w.add(&placement{
 		task: task, run: run, need: u.step.Need, untilMS: until, moved: p.now,
-		serves: u.step.Serves, fills: u.step.Fills,
+		serves: u.step.Serves, fills: u.step.Fills, pace: fullPace,
 	})
 	w.deadline = max(w.deadline, until)
 	p.take(u.job.queue.Service, id, u.step.Need)
--- a/internal/jobs/scheduler/room.go
+++ b/internal/jobs/scheduler/room.go
@@ -65,12 +65,16 @@
 			return
 		}
 		p.searches++
-		victims, at, ok := placer.Victims(r, p.allowed(u), p.borrowers(u, waste))
+		need := r.Tasks * u.step.Need.Accelerators
+		sure := p.held[u.job.Organisation]+need <= p.s.terms.Guaranteed[u.job.Organisation]
+		borrowers := p.borrowers(u, waste)
+		if sure {
+			borrowers = append(borrowers, p.lasting(u)...)
+		}
+		victims, at, ok := placer.Victims(r, p.allowed(u), borrowers)
 		if !ok {
 			return
 		}
-		need := r.Tasks * u.step.Need.Accelerators
-		sure := p.held[u.job.Organisation]+need <= p.s.terms.Guaranteed[u.job.Organisation]
 		cost := 0.0
 		for _, v := range victims {
 			cost += v.Cost
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -85,6 +85,8 @@
 		s.started(now, e)
 	case Stopped:
 		s.stopped(now, e)
+	case Paced:
+		s.paced(e)
 	case Advised:
 		s.advised(now, e)
 	case WavesChanged:
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -95,6 +95,9 @@
 			}
 			v.holds = nil
 		},
+		"tail": func(id string, milliseconds, disturbs int) {
+			w.workers[id].tail, w.workers[id].disturbs = milliseconds, disturbs
+		},
 		"hang":   func(id string) { w.workers[id].hung = true },
 		"unhang": func(id string) { w.workers[id].hung = false },
 		"pause":  func(d time.Duration) { w.paused = w.now.Add(d) },
@@ -146,6 +149,12 @@
 		}
 		return nil
 	}
+	c["paced-at-most"] = func(most int) error {
+		if w.paces > most {
+			return fmt.Errorf("paces were changed %d times", w.paces)
+		}
+		return nil
+	}
 	c["wave-over"] = func(number int) error {
 		if !w.waves[number].Over {
 			return fmt.Errorf("wave is %+v", w.waves[number])
@@ -218,7 +227,7 @@
 			case "lasts":
 				s.Lasts = true
 			case "serves":
-				s.Lasts, s.Serves = true, true
+				s.Lasts, s.Serves, s.TargetMS = true, true, tailTarget
 			case "fills":
 				s.Fills = true
 			case "labelled":
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -22,6 +22,9 @@
 	stopSent  time.Time // last attempt to stop it
 	inFlight  bool      // a stop is in flight
 	untilMS   int64     // a start that arrives later, by the worker's clock, is refused
+	measure   int       // as its worker listed it last
+	pace      int       // percent that its worker has agreed to, or unknownPace
+	pacing    bool      // a change of the pace is in flight
 	percent   int
 	moved     time.Time // when the percentage last rose
 	looked    time.Time // when the worker last listed it
@@ -56,6 +59,7 @@
 	serving   int       // runs that serve
 	filling   int       // runs that fill
 	noFill    time.Time // no fillers until then
+	pacing    pacing    // of its fillers
 	evacuated bool      // its machine goes down for upkeep
 	leaves    time.Time // a draining worker stays until then at least
 	seen      int64     // last end that was taken in
@@ -211,6 +215,7 @@
 	w.doubt = s.doubt(now)
 	w.strays = nil
 	w.stalled = time.Time{}
+	w.pacing = pacing{}
 	w.gone = false
 	w.seen, w.covered, w.stored, w.acked = 0, 0, 0, 0
 	w.clockMS, w.clockAt = 0, now
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -41,6 +41,7 @@
 	allowed map[string]bool // workers that advice allows
 	valid   time.Duration   // of tickets
 	asked   int
+	paces   int                       // changes of pace
 	acked   map[scheduler.TaskID]bool // tasks whose success was acknowledged
 	broken  string                    // a promise that was
 
@@ -76,13 +77,17 @@
 	holds    []*scheduler.Hold
 	failing  bool
 	hung     bool // what it runs stands still
+	tail     int  // milliseconds, of a task that serves with nothing beside it
+	disturbs int  // milliseconds more for each filler at full pace
 }
 
 type fakeRun struct {
 	run    int64
 	left   time.Duration
 	total  time.Duration
+	pace   int // percent
 	stopAt time.Time
+	over   time.Time // since when its tail is over its target, zero while it is not
 }
 
 func newWorld() *world {
@@ -173,6 +178,8 @@
 			return
 		}
 		w.later(latency, w.workers[f.Worker].stop(w, f))
+	case scheduler.Pace:
+		w.later(latency, w.pace(f))
 	case scheduler.Store:
 		w.store(f)
 	case scheduler.Advise:
@@ -318,7 +325,7 @@
 		if w.taskStep(id).Lasts {
 			percent = 100 // it is at work
 		}
-		e.Running = append(e.Running, scheduler.Running{Task: id, Run: r.run, Percent: percent})
+		e.Running = append(e.Running, scheduler.Running{Task: id, Run: r.run, Percent: percent, Measure: v.tailNow(w)})
 	}
 	w.later(2*time.Millisecond, e)
 }
@@ -364,7 +371,7 @@
 		}
 		w.starts[base(f.Task.Job)]++
 		d := w.secs[base(f.Task.Job)][f.Task.Step]
-		v.runs[f.Task] = &fakeRun{run: f.Run, left: d, total: d}
+		v.runs[f.Task] = &fakeRun{run: f.Run, left: d, total: d, pace: 100}
 	}
 	return e
 }
@@ -418,8 +425,9 @@
 			whole, done = w.gang(id, r.run)
 		}
 		if (whole || done) && !v.hung {
-			r.left -= worldStep
+			r.left -= worldStep * time.Duration(r.pace) / 100
 		}
+		w.harmed(v, id, r)
 		switch {
 		case w.now.After(v.deadline):
 			v.end(id, scheduler.HowLapsed)
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -121,6 +121,7 @@
 		},
 		Start: a.executors.Start,
 		Stop:  a.executors.Stop,
+		Pace:  a.executors.Pace,
 		Advise: func(ctx context.Context, v scheduler.Advise) scheduler.Advised {
 			return adviser.Advise(ctx, v, a.Now)
 		},
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -28,6 +28,7 @@
 	Hold   func(context.Context, scheduler.Hold) scheduler.Held
 	Start  func(context.Context, scheduler.Start) scheduler.Started
 	Stop   func(context.Context, scheduler.Stop) scheduler.Stopped
+	Pace   func(context.Context, scheduler.Pace) scheduler.Paced
 	Advise func(context.Context, scheduler.Advise) scheduler.Advised
 	List   func(context.Context) scheduler.MachinesListed
 	Upkeep func(context.Context, scheduler.BeginUpkeep) scheduler.UpkeepEnded
@@ -138,6 +139,9 @@
 	case scheduler.Stop:
 		e := c.Stop(l.ctx, f)
 		l.answer(e, e.Outcome)
+	case scheduler.Pace:
+		e := c.Pace(l.ctx, f)
+		l.answer(e, e.Outcome)
 	case scheduler.Advise:
 		l.post(c.Advise(l.ctx, f))
 	case scheduler.ListMachines:
