Start leases only in the epoch in which they were prepared

Change: a lease starts in the epoch in which it was prepared last; preparing it again under a newer epoch takes it over.

--- a/leaser/command.go
+++ b/leaser/command.go
@@ -36,7 +36,11 @@
 	}
 	i, ok := t.find(l.ID)
 	if ok {
-		return t, t.leases[i].same(l)
+		err := t.leases[i].same(l)
+		if err == nil && t.leases[i].State == StatePrepared {
+			t.leases[i].Epoch = k.Epoch
+		}
+		return t, err
 	}
 	if !l.valid() {
 		return t, fmt.Errorf("prepare lease %v: %w", l.ID, ErrInvalid)
@@ -72,8 +76,9 @@
 	}
 }
 
-// Start lets the task of a prepared lease run. A task that runs goes on, and its
-// lease is not prolonged.
+// Start lets the task of a lease run that was prepared in the same epoch: another
+// leader may have had it prepared anew after a restart of the worker, though it had
+// run before. A task that runs goes on, and its lease is not prolonged.
 func (t Table) Start(now time.Time, k Token, id ID) (Table, error) {
 	t, i, err := t.command(now, k, id)
 	if err != nil {
@@ -81,6 +86,9 @@
 	}
 	switch h := &t.leases[i]; h.State {
 	case StatePrepared:
+		if h.Epoch != k.Epoch {
+			return t, fmt.Errorf("start lease %v: prepared in epoch %v: %w", id, h.Epoch, ErrDifferent)
+		}
 		h.State = StateRunning
 		h.started = now
 		h.expires = now.Add(TTL)
