Move machines between the pools of services, and back from them

Cause: the users' services are pools of machines, some switched off; work of a pool that found no room waited though another pool was idle. Not built so far.

Change: where the configuration names more than one service, a pool whose work finds no room for 4 s gets a machine: one that is switched off, else an empty one of a pool that is mostly idle, whose other workers have room for all guarantees. One move at a time, 3 s apart, never of a machine that waits for its upkeep. On loan and idle for 20 s, it goes home; the loans are stored for the next leader. An order without an answer is given again, a pool that the platform does not allow is asked for once. Records of waves and loans are stored one at a time, and never an older state over a newer one: two stores of a wave could overtake each other in an outage, and show a wave that was over as running (found by reading).

--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -47,7 +47,8 @@
 // Terms is the part of the configuration that scheduling depends on.
 type Terms struct {
 	Queues     map[string]Queue
-	Guaranteed map[string]int // accelerators of an organisation for urgent jobs
+	Guaranteed map[string]int  // accelerators of an organisation for urgent jobs
+	Pools      map[string]bool // services by name, true for one whose machines are switched off
 }
 
 // ConfigChanged brings a configuration into force.
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -54,6 +54,7 @@
 func (s *Scheduler) place(now time.Time) {
 	units := s.units(now)
 	if len(units) == 0 && !s.stalled(now) {
+		s.starve(now, nil)
 		return
 	}
 	p := &pass{s: s, now: now, views: s.views(now), held: s.urgentHeld()}
@@ -61,6 +62,7 @@
 	for _, u := range units {
 		p.tryUnit(u)
 	}
+	s.starve(now, units)
 }
 
 // units returns the steps that wait for workers, the most urgent first. It answers
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -33,6 +34,7 @@
 	machines   map[string]Machine // as listed last, nil before
 	machinesAt time.Time          // when they were asked for last
 	listing    bool               // a look at them is in flight
+	movers     movers
 	meanWork   map[string]float64 // core-seconds of a job, by queue
 	advising   bool               // a call for advice is in flight
 	adviseAt   time.Time          // no call before
@@ -95,6 +97,10 @@
 		s.machinesListed(e)
 	case UpkeepEnded:
 		s.upkeepEnded(now, e)
+	case MoveEnded:
+		s.moveEnded(now, e)
+	case LoansKnown:
+		s.movers.loans = maps.Clone(e.Loans)
 	case Stored:
 		s.stored(now)
 	case Confirmed:
@@ -220,6 +226,7 @@
 	})
 	s.leave(now)
 	s.maintain(now)
+	s.relocate(now)
 	s.forget(now)
 }
 
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -30,6 +30,21 @@
 			w.terms.Queues[name] = scheduler.Queue{Service: "s", Priority: priority, MaxAttempts: attempts, Stretch: 3, ObjectiveMS: 1000}
 			w.feed(scheduler.ConfigChanged{Terms: w.terms})
 		},
+		"queue-of": func(service, name string, priority, attempts int) {
+			w.terms.Queues[name] = scheduler.Queue{Service: service, Priority: priority, MaxAttempts: attempts, Stretch: 3, ObjectiveMS: 1000}
+			w.feed(scheduler.ConfigChanged{Terms: w.terms})
+		},
+		"worker-of": w.addTo,
+		"pool": func(name string) {
+			w.terms.Pools[name] = false
+			w.feed(scheduler.ConfigChanged{Terms: w.terms})
+		},
+		"standby-pool": func(name string) {
+			w.terms.Pools[name] = true
+			w.feed(scheduler.ConfigChanged{Terms: w.terms})
+		},
+		"off":       w.switchedOff,
+		"fixed":     func(machine string) { w.unmovable[machine] = true },
 		"guarantee": func(org string, gpus int) { w.terms.Guaranteed[org] = gpus },
 		"job":       w.job,
 		"scheduled": func(times int, delay, interval time.Duration, id, queue, organisation string, words ...string) error {
@@ -155,6 +170,18 @@
 		}
 		return nil
 	}
+	c["moved"] = func(want int) error {
+		if w.moves != want {
+			return fmt.Errorf("%d machines were moved", w.moves)
+		}
+		return nil
+	}
+	c["machines-listed"] = func(want int) error {
+		if w.listings != want {
+			return fmt.Errorf("machines were listed %d times", w.listings)
+		}
+		return nil
+	}
 	c["wave-over"] = func(number int) error {
 		if !w.waves[number].Over {
 			return fmt.Errorf("wave is %+v", w.waves[number])
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/placer"
 )
 
 const (
@@ -27,7 +29,11 @@
 type Machine struct {
 	ID     string
 	Up     bool
+	Down   bool   // switched off, or failed
 	Worker string // the worker that it is now, empty where there is none
+
+	Pool     string // service whose worker it is
+	Capacity placer.Resources
 }
 
 // WavesChanged brings all waves that are known.
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -50,6 +50,11 @@
 	kept                   []string // machines that had their upkeep
 	down, mostDown, wasted int
 
+	off             []scheduler.Machine // that are switched off
+	unmovable       map[string]bool     // machines
+	loans           scheduler.Loans     // as stored
+	moves, listings int
+
 	schedule struct { // of the next job
 		times           int
 		delay, interval time.Duration
@@ -95,7 +100,8 @@
 		now: time.Unix(1_000_000, 0), workers: map[string]*fakeWorker{}, jobs: map[string]scheduler.Submitted{},
 		secs: map[string][]time.Duration{}, starts: map[string]int{}, stored: map[string]scheduler.Progress{}, storeUp: true,
 		allowed: map[string]bool{}, acked: map[scheduler.TaskID]bool{}, cut: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, deaf: map[string]bool{},
-		terms: scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}},
+		terms:     scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Pools: map[string]bool{}},
+		unmovable: map[string]bool{},
 	}
 	w.began = w.now
 	w.lead()
@@ -128,6 +134,7 @@
 		w.ordered[i].Done, w.ordered[i].Over = w.waves[v.Number].Done, w.waves[v.Number].Over
 	}
 	w.feed(scheduler.WavesChanged{Waves: w.ordered})
+	w.feed(scheduler.LoansKnown{Loans: w.loans})
 }
 
 func (w *world) list() { w.listWith(false) }
@@ -195,11 +202,19 @@
 		e := scheduler.MachinesListed{OK: true}
 		for _, id := range slices.Sorted(maps.Keys(w.workers)) {
 			v := w.workers[id]
-			e.Machines = append(e.Machines, scheduler.Machine{ID: "m-" + machineOf(id), Up: v.alive, Worker: id})
+			e.Machines = append(e.Machines, scheduler.Machine{
+				ID: "m-" + machineOf(id), Up: v.alive, Worker: id, Pool: v.listed.Service, Capacity: v.listed.Capacity,
+			})
 		}
+		e.Machines = append(e.Machines, w.off...)
+		w.listings++
 		w.later(5*time.Millisecond, e)
 	case scheduler.BeginUpkeep:
 		w.later(5*time.Millisecond, scheduler.UpkeepEnded{Begin: f, Outcome: w.upkeep(f)})
+	case scheduler.MoveMachine:
+		w.later(5*time.Millisecond, scheduler.MoveEnded{Move: f, Outcome: w.move(f)})
+	case scheduler.StoreLoans:
+		w.loans = f.Loans
 	case scheduler.StoreWave:
 		w.waves[f.Number] = f
 	case scheduler.Noted, scheduler.Forget:
@@ -244,17 +259,19 @@
 		w.queue = append(w.queue, delivery{at: w.now.Add(2 * time.Second), do: func() {
 			w.down--
 			delete(w.workers, id)
-			w.addWorker(id+"'", v.listed.Rack, v.listed.Capacity.Accelerators)
+			w.addTo(v.listed.Service, id+"'", v.listed.Rack, v.listed.Capacity.Accelerators)
 		}})
 		return scheduler.OutcomeDone
 	}
 	return scheduler.OutcomeUnhealthy
 }
 
-func (w *world) addWorker(id, rack string, gpus int) {
+func (w *world) addWorker(id, rack string, gpus int) { w.addTo("s", id, rack, gpus) }
+
+func (w *world) addTo(service, id, rack string, gpus int) {
 	w.workers[id] = &fakeWorker{
 		listed: scheduler.Listed{
-			ID: id, Address: id, Service: "s", Rack: rack, Born: w.now.UnixMilli(), Labels: []string{"a", rack},
+			ID: id, Address: id, Service: service, Rack: rack, Born: w.now.UnixMilli(), Labels: []string{"a", rack},
 			Capacity: placer.Resources{MilliCores: 128000, MemoryMB: 262144, Accelerators: gpus},
 		},
 		present: true, alive: true, started: w.now.Add(-time.Minute),
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -127,7 +127,9 @@
 		},
 		List:   cloud.List,
 		Upkeep: cloud.Upkeep,
+		Move:   cloud.Move,
 		Wave:   a.storeWave,
+		Loans:  a.storeLoans,
 		Note:   a.note,
 		Took: func(what string, d time.Duration) {
 			a.metrics.Observe(recorder.Series{Measure: what}, d)
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -222,7 +222,7 @@
 		l.WithError(err).Info("leadership ended before it began")
 		return
 	}
-	stored := a.storedWaves(ctx)
+	stored, loans := a.storedDuties(ctx)
 	old, _ := a.registrar.Next(registrar.TopicJobs)
 	s := &scheduler.Scheduler{
 		Settings: scheduler.Settings{Lease: a.Settings.Lease},
@@ -237,7 +237,7 @@
 	defer cancel()
 	err := a.commander.Lead(x, s, func() []scheduler.Event {
 		go a.followWorkers(x)
-		return append(a.firstEvents(), scheduler.WavesChanged{Waves: stored})
+		return append(a.firstEvents(), scheduler.WavesChanged{Waves: stored}, scheduler.LoansKnown{Loans: loans})
 	})
 	l.WithError(err).WithField("after-ms", a.Now().Sub(began).Milliseconds()).Info("leadership ended")
 }
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -32,7 +32,9 @@
 	Advise func(context.Context, scheduler.Advise) scheduler.Advised
 	List   func(context.Context) scheduler.MachinesListed
 	Upkeep func(context.Context, scheduler.BeginUpkeep) scheduler.UpkeepEnded
+	Move   func(context.Context, scheduler.MoveMachine) scheduler.MoveEnded
 	Wave   func(context.Context, scheduler.StoreWave)
+	Loans  func(context.Context, scheduler.StoreLoans)
 	Store  func(context.Context, map[string]scheduler.Progress) error // tries until it is done; wraps ErrOutranked
 	Forget func(ctx context.Context, jobs []string)
 	Note   func(scheduler.Noted)
@@ -149,8 +151,13 @@
 	case scheduler.BeginUpkeep:
 		e := c.Upkeep(l.ctx, f)
 		l.answer(e, e.Outcome)
+	case scheduler.MoveMachine:
+		e := c.Move(l.ctx, f)
+		l.answer(e, e.Outcome)
 	case scheduler.StoreWave:
 		c.Wave(l.ctx, f)
+	case scheduler.StoreLoans:
+		c.Loans(l.ctx, f)
 	case scheduler.Store:
 		if err := c.Store(l.ctx, f.Progress); err != nil {
 			l.cancel(err)
--- a/internal/node/gatekeeper/config.go
+++ b/internal/node/gatekeeper/config.go
@@ -25,6 +25,7 @@
 	Routes     []Route
 	Keys       map[string]string // organisation by key
 	Guaranteed map[string]int    // accelerators by organisation
+	Pools      map[string]bool   // services, true for one whose machines are switched off
 	MaxBody    int64             // bytes
 }
 
@@ -50,7 +51,7 @@
 
 // Terms returns what scheduling needs of the configuration.
 func (c *Config) Terms() scheduler.Terms {
-	t := scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: c.Guaranteed}
+	t := scheduler.Terms{Queues: map[string]scheduler.Queue{}, Guaranteed: c.Guaranteed, Pools: c.Pools}
 	for _, r := range c.Routes {
 		t.Queues[r.Name] = r.Queue
 	}
