Start a second copy of a slow run where its step allows it

Cause: steps may allow copies; none were made, so a task on a slow worker held its job up though others were idle.

Change: a run that has taken over twice its declared time, with more than that left, gets one copy, where nothing waits in the service and half of its room is free. The first to succeed counts; copies stop as soon as anything waits. When the run is lost its copy takes its place.

--- a/internal/jobs/scheduler/borrowers.go
+++ b/internal/jobs/scheduler/borrowers.go
@@ -26,7 +26,7 @@
 		}
 		for _, r := range w.sorted() {
 			j, st, t := p.s.find(r.task)
-			if t == nil || st.Lasts || j.urgent() || j == u.job || j.state.Ended() {
+			if t == nil || st.Lasts || j.urgent() || j == u.job || j.state.Ended() || r.run == t.copyRun {
 				continue
 			}
 			name := unitName(r.task)
--- a/internal/jobs/scheduler/calls.go
+++ b/internal/jobs/scheduler/calls.go
@@ -155,10 +155,7 @@
 		s.succeed(now, j, st, e)
 		return
 	}
-	current := t.state == taskPlaced && t.run == e.Run && t.worker == w.ID
-	if current {
-		t.state = taskWaiting
-	}
+	current := t.drop(w.ID, e.Run)
 	if e.How == HowFailed {
 		w.blame(now, j.ID)
 		if !slices.Contains(st.failedOn, w.ID) {
@@ -179,9 +176,7 @@
 	if e.How == HowFailed {
 		w.blame(w.clockAt, e.Task.Job)
 	}
-	if t.state == taskPlaced && t.run == e.Run && t.worker == w.ID {
-		t.state = taskWaiting
-	}
+	t.drop(w.ID, e.Run)
 }
 
 // succeed notes that a task, or a gang, has done its work.
@@ -190,6 +185,9 @@
 	if t.state == taskPlaced && t.run != e.Run {
 		s.stopTask(now, e.Task, t)
 	}
+	if t.copyRun != e.Run {
+		s.stopCopy(now, e.Task, t)
+	}
 	t.run = e.Run
 	st.finish(e.Task.Index)
 	if j.completed() {
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -107,6 +107,9 @@
 	run      int64
 	saved    string  // newest checkpoint
 	failures []int64 // runs that failed
+	copyOn   string  // worker of a second run at the same time
+	copyRun  int64   // its number, 0 for none
+	copied   bool    // it had one
 }
 
 // step is a step of a job with its tasks. A gang keeps one run, one checkpoint
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -53,7 +53,7 @@
 // place starts what there is room for, in order of urgency.
 func (s *Scheduler) place(now time.Time) {
 	units := s.units(now)
-	if len(units) == 0 && !s.stalled(now) {
+	if len(units) == 0 && !s.stalled(now) && !s.speculative() {
 		s.starve(now, nil)
 		return
 	}
@@ -62,6 +62,16 @@
 	for _, u := range units {
 		p.tryUnit(u)
 	}
+	waiting := map[string]bool{}
+	for _, u := range units {
+		if len(u.step.waiting()) > 0 && !waiting[u.job.queue.Service] {
+			waiting[u.job.queue.Service] = true
+			s.dropCopies(now, u.job.queue.Service)
+		}
+	}
+	if len(waiting) == 0 {
+		p.copySlow()
+	}
 	s.starve(now, units)
 }
 
@@ -350,9 +360,16 @@
 
 // start starts a task on a worker.
 func (p *pass) start(u unit, index int, id string, run int64) {
-	s, w := p.s, p.s.workers[id]
+	s := p.s
 	t := &u.step.tasks[index]
 	t.state, t.worker, t.run = taskPlaced, id, run
+	p.launch(u, index, id, run)
+	s.note(Noted{Message: "task placed", Job: u.job.ID, Task: TaskID{u.job.ID, u.index, index}, Run: run, Worker: id, Details: Details{"waited-ms": p.now.Sub(u.job.accepted).Milliseconds()}})
+}
+
+// launch sends the start of a run.
+func (p *pass) launch(u unit, index int, id string, run int64) {
+	s, w := p.s, p.s.workers[id]
 	task := TaskID{u.job.ID, u.index, index}
 	until := w.clock(p.now) + startWindow.Milliseconds()
 	w.add(&placement{
@@ -370,7 +387,6 @@
 		Spec: u.job.Spec, DeadlineMS: until, Checkpoint: u.step.lead(index).saved,
 		Ticket: u.step.tickets[id].value,
 	})
-	s.note(Noted{Message: "task placed", Job: u.job.ID, Task: task, Run: run, Worker: id, Details: Details{"waited-ms": p.now.Sub(u.job.accepted).Milliseconds()}})
 }
 
 // take reduces the room of a worker for the rest of the pass.
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -257,6 +257,8 @@
 				s.Lasts, s.Serves, s.TargetMS = true, true, tailTarget
 			case "fills":
 				s.Fills = true
+			case "copies":
+				s.Speculative = true
 			case "labelled":
 				s.Label = "special"
 			case "data-r2":
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -242,10 +242,9 @@
 	w.remove(p)
 	s.passDue = true
 	j, st, t := s.find(p.task)
-	if t == nil || t.state != taskPlaced || t.run != p.run || t.worker != w.ID {
+	if t == nil || !t.drop(w.ID, p.run) {
 		return
 	}
-	t.state = taskWaiting
 	s.note(Noted{Message: "run is lost", Job: j.ID, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"reason": why}})
 	if st.Gang {
 		s.breakGang(now, j, p.task.Step, p.run)
