Repeat commands of non-idempotent jobs only once the first try is over

Change: commands of non-idempotent jobs are repeated after 4 s as before, when the runner has given the first one up; all others after 1 s.

Proof: the kept minimal case fails before and passes.

--- a/reducer/starting.go
+++ b/reducer/starting.go
@@ -16,7 +16,7 @@
 	t.charge(n.Job)
 	g := &gang{job: n.ID, attempt: n.attempt, stage: stagePreparing, since: t.now}
 	for i, id := range p {
-		g.tasks = append(g.tasks, task{worker: id, retryAt: t.now.Add(commandLost)})
+		g.tasks = append(g.tasks, task{worker: id, retryAt: t.now.Add(lostAfter(&n))})
 		t.addHold(id, hold{id: g.id(i), owner: n.Organisation, resources: n.Gang.PerTask, since: t.now})
 		t.command(CommandPrepare, id, t.leaseOf(&n, g, i))
 	}
@@ -51,7 +51,7 @@
 		return
 	}
 	if !j.NonIdempotent {
-		t.startTasks(g)
+		t.startTasks(j, g)
 		return
 	}
 	t.setGang(g.with(t.now, stageRecording))
@@ -61,16 +61,29 @@
 // startAllowed goes on with a gang whose start record was read back.
 func (t *turn) startAllowed(r StartRecorded) {
 	g, ok := t.gangs.Get(r.Job)
-	if ok && g.attempt == r.Attempt && g.stage == stageRecording {
-		t.startTasks(g)
+	if !ok || g.attempt != r.Attempt || g.stage != stageRecording {
+		return
+	}
+	if j, ok := t.jobs.Get(r.Job); ok {
+		t.startTasks(j, g)
 	}
 }
 
-func (t *turn) startTasks(g *gang) {
+// lostAfter returns after how long a command to a task without a result is sent again.
+// A second prepare of a non-idempotent job may not be under way: it could reach the
+// next life of a worker, and the task would run there again.
+func lostAfter(j *job) time.Duration {
+	if j.NonIdempotent {
+		return onceLost
+	}
+	return commandLost
+}
+
+func (t *turn) startTasks(j *job, g *gang) {
 	n := g.with(t.now, stageStarting)
 	n.began = true
 	for i := range n.tasks {
-		n.tasks[i].retryAt = t.now.Add(commandLost)
+		n.tasks[i].retryAt = t.now.Add(lostAfter(j))
 		t.command(CommandStart, n.tasks[i].worker, leaser.Lease{ID: n.id(i)})
 	}
 	t.setGang(n)
@@ -92,12 +105,16 @@
 		t.giveUp(g)
 		return
 	}
+	j, ok := t.jobs.Get(id)
+	if !ok {
+		return
+	}
 	n := g.clone()
 	for i, v := range n.tasks {
 		if kind == "" || v.state != waiting || t.now.Before(v.retryAt) {
 			continue
 		}
-		n.tasks[i].retryAt = t.now.Add(commandLost)
+		n.tasks[i].retryAt = t.now.Add(lostAfter(j))
 		t.resend(kind, n, i)
 	}
 	t.setGang(n)
