Repeat lost starts of non-idempotent jobs after a second

Change: only a second prepare can do harm, so starts are repeated after 1 s for all jobs. A gang whose tasks are shorter than that can still be torn by a lost start: two-phase starts cannot be atomic.

--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -16,7 +16,7 @@
 const (
 	commandRetry  = 500 * time.Millisecond // from an unreachable worker to the next try
 	commandLost   = time.Second            // a command without a result is sent again: five tries within prepareLimit and startLimit
-	onceLost      = 4 * time.Second        // the same for a non-idempotent job: the runner has given up by then, so no other copy is under way
+	onceLost      = 4 * time.Second        // the same for a prepare of a non-idempotent job: the runner has given up by then, so no other copy is under way
 	fenceRetry    = time.Second            // from a failed fence to the next
 	prepareLimit  = 5 * time.Second        // for all tasks of a gang to be staged
 	startLimit    = 5 * time.Second        // for all to start; with prepareLimit it stays below leaser.TTL
--- a/reducer/starting.go
+++ b/reducer/starting.go
@@ -16,7 +16,7 @@
 	t.charge(n.Job)
 	g := &gang{job: n.ID, attempt: n.attempt, stage: stagePreparing, since: t.now}
 	for i, id := range p {
-		g.tasks = append(g.tasks, task{worker: id, retryAt: t.now.Add(lostAfter(&n))})
+		g.tasks = append(g.tasks, task{worker: id, retryAt: t.now.Add(lostAfter(&n, CommandPrepare))})
 		t.addHold(id, hold{id: g.id(i), owner: n.Organisation, resources: n.Gang.PerTask, since: t.now})
 		t.command(CommandPrepare, id, t.leaseOf(&n, g, i))
 	}
@@ -51,7 +51,7 @@
 		return
 	}
 	if !j.NonIdempotent {
-		t.startTasks(j, g)
+		t.startTasks(g)
 		return
 	}
 	t.setGang(g.with(t.now, stageRecording))
@@ -61,29 +61,26 @@
 // startAllowed goes on with a gang whose start record was read back.
 func (t *turn) startAllowed(r StartRecorded) {
 	g, ok := t.gangs.Get(r.Job)
-	if !ok || g.attempt != r.Attempt || g.stage != stageRecording {
-		return
-	}
-	if j, ok := t.jobs.Get(r.Job); ok {
-		t.startTasks(j, g)
+	if ok && g.attempt == r.Attempt && g.stage == stageRecording {
+		t.startTasks(g)
 	}
 }
 
 // lostAfter returns after how long a command to a task without a result is sent again.
 // A second prepare of a non-idempotent job may not be under way: it could reach the
-// next life of a worker, and the task would run there again.
-func lostAfter(j *job) time.Duration {
-	if j.NonIdempotent {
+// next life of a worker, and a second start would run the task there again.
+func lostAfter(j *job, k CommandKind) time.Duration {
+	if j.NonIdempotent && k == CommandPrepare {
 		return onceLost
 	}
 	return commandLost
 }
 
-func (t *turn) startTasks(j *job, g *gang) {
+func (t *turn) startTasks(g *gang) {
 	n := g.with(t.now, stageStarting)
 	n.began = true
 	for i := range n.tasks {
-		n.tasks[i].retryAt = t.now.Add(lostAfter(j))
+		n.tasks[i].retryAt = t.now.Add(commandLost)
 		t.command(CommandStart, n.tasks[i].worker, leaser.Lease{ID: n.id(i)})
 	}
 	t.setGang(n)
@@ -114,7 +111,7 @@
 		if kind == "" || v.state != waiting || t.now.Before(v.retryAt) {
 			continue
 		}
-		n.tasks[i].retryAt = t.now.Add(lostAfter(j))
+		n.tasks[i].retryAt = t.now.Add(lostAfter(j, kind))
 		t.resend(kind, n, i)
 	}
 	t.setGang(n)
