Keep all VMs together within the store's reads; read states when they are asked for

Change: the least time between two reads of a topic grows with the number of VMs, so that all together use half of what the settings say the store takes; with 8 or 35 VMs nothing waits longer. Progress is followed once a second (was 200 ms), and read once more when a caller asks for a job that has not ended; callers at the same time share that read, wait for 150 ms at most, and are told what was read before if the store is slow, with that reason in the log.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -141,6 +141,7 @@
 	a.gate = &gatekeeper.Gatekeeper{
 		Config: a.config.Load, Registrar: a.registrar, Now: a.Now,
 		StoreJob: a.storeJob, StoreEnd: a.storeCancel, Refresh: a.refresh,
+		Look: (&looker{Read: a.readProgress, Now: a.Now}).look,
 	}
 }
 
@@ -254,6 +255,11 @@
 	return a.catchUp(ctx, registrar.TopicJobs)
 }
 
+// readProgress returns once all progress is read that was stored before the call.
+func (a *Assembler) readProgress(ctx context.Context) error {
+	return a.catchUp(ctx, registrar.TopicProgress)
+}
+
 // catchUp reads a topic to its present end. It does not rely on the read that
 // waits for records: the store may leave such a read without an answer.
 func (a *Assembler) catchUp(ctx context.Context, topic string) error {
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -16,25 +16,42 @@
 const (
 	readWait    = time.Second            // of a read that waits for a record; the store may leave one without news
 	peersWait   = 15 * time.Second       // of a read for other VMs, which come and go rarely
-	followPause = 200 * time.Millisecond // between two reads of what many VMs write; a state is that much older
-	jobsRest    = time.Second            // between two reads of jobs by a VM that does not lead: half of how old a count of waiting jobs may be
+	followRest  = time.Second            // between two reads of jobs and of their progress: half of how old a count of waiting jobs may be
 	workersRest = 350 * time.Millisecond // between two such reads: each executor writes every 1.5 s
 )
 
+// The parts of the store's reads per second that all VMs may use for a topic. Half is
+// left to new leaders, to VMs that catch up, and to what callers ask for.
+const (
+	partLeader   = 0.15 // 1 s between two reads at 300 VMs and 2,000 reads; a renewal is missed after 2.6 s
+	partProgress = 0.15
+	partOperator = 0.10 // a new configuration is in force within 2 s
+	partJobs     = 0.05
+	partPeers    = 0.05
+)
+
+// share returns the least time between two reads of a topic by this VM.
+func (a *Assembler) share(part float64) time.Duration {
+	return tailer.Share(len(a.peers.list())+1, a.Settings.StoreReads, part)
+}
+
 // follow starts to read all topics that every VM follows.
 func (a *Assembler) follow(ctx context.Context, g *errgroup.Group) {
-	jobsPause := func() time.Duration {
+	jobsPause := func(took time.Duration) time.Duration {
 		if a.leading.Load() {
 			return 0 // jobs wait for the leader to read them
 		}
-		return jobsRest
+		return max(followRest, a.share(partJobs)-took)
+	}
+	progressPause := func(took time.Duration) time.Duration { return max(followRest, a.share(partProgress)-took) }
+	shared := func(part float64) func(time.Duration) time.Duration {
+		return func(took time.Duration) time.Duration { return a.share(part) - took }
 	}
-	progressPause := func() time.Duration { return followPause }
-	a.tail(ctx, g, a.tailer(platform.TopicOperator, readWait, nil, a.takeConfig))
+	a.tail(ctx, g, a.tailer(platform.TopicOperator, readWait, shared(partOperator), a.takeConfig))
 	a.tail(ctx, g, a.tailer(platform.OwnTopic(registrar.TopicJobs), readWait, jobsPause, a.registrar.TakeJobs))
 	a.tail(ctx, g, a.tailer(platform.OwnTopic(registrar.TopicProgress), readWait, progressPause, a.registrar.TakeProgress))
-	a.tail(ctx, g, a.tailer(platform.OwnTopic(topicLeader), readWait, nil, a.takeClaims))
-	a.tail(ctx, g, a.tailer(platform.OwnTopic(topicPeers), peersWait, nil, a.peers.take))
+	a.tail(ctx, g, a.tailer(platform.OwnTopic(topicLeader), readWait, shared(partLeader), a.takeClaims))
+	a.tail(ctx, g, a.tailer(platform.OwnTopic(topicPeers), peersWait, shared(partPeers), a.peers.take))
 	g.Go(func() error {
 		a.register(ctx)
 		return nil
@@ -52,7 +69,7 @@
 	})
 }
 
-func (a *Assembler) tailer(topic string, wait time.Duration, pause func() time.Duration, take func(tailer.Batch)) *tailer.Tailer {
+func (a *Assembler) tailer(topic string, wait time.Duration, pause func(took time.Duration) time.Duration, take func(tailer.Batch)) *tailer.Tailer {
 	return &tailer.Tailer{
 		Newest: func(ctx context.Context) ([]accessor.Record, int64, error) { return a.store.Newest(ctx, topic) },
 		Read: func(ctx context.Context, from int64, wait time.Duration) ([]accessor.Record, int64, error) {
@@ -61,6 +78,7 @@
 		Take:  take,
 		State: func(err error) { a.storeChanged(topic, err) },
 		Wait:  wait,
+		Now:   a.Now,
 		Pause: pause,
 	}
 }
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -258,7 +258,7 @@
 func (a *Assembler) followWorkers(ctx context.Context) {
 	w := &workers{}
 	a.listLapsed(ctx)
-	rest := func() time.Duration { return workersRest }
+	rest := func(time.Duration) time.Duration { return workersRest }
 	t := a.tailer(platform.TopicExecutors, readWait, rest, func(b tailer.Batch) {
 		if !w.take(b, a.malformed) {
 			return
--- /dev/null
+++ b/internal/node/assembler/looker_test.go
@@ -0,0 +1,54 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestLook(t *testing.T) {
+	errDown := errors.New("down")
+	for _, c := range []struct {
+		name  string
+		takes time.Duration
+		fails error
+		want  error
+		reads int // of twenty callers, one every 100 ms
+	}{
+		{name: "store answers", takes: 4 * time.Millisecond, reads: 20},
+		{name: "callers at the same time share a look", takes: 140 * time.Millisecond, reads: 10},
+		{name: "store is slow", takes: 300 * time.Millisecond, want: errStale, reads: 2},
+		{name: "store is down", takes: time.Millisecond, fails: errDown, want: errStale, reads: 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				reads := 0
+				l := &looker{Now: time.Now, Read: func(context.Context) error {
+					reads++
+					time.Sleep(c.takes)
+					return c.fails
+				}}
+				for range 20 {
+					go func() {
+						began := time.Now()
+						err := l.look(t.Context())
+						if !errors.Is(err, c.want) {
+							t.Errorf("got %v", err)
+						}
+						if time.Since(began) > lookPatience {
+							t.Errorf("a caller waited for %v", time.Since(began))
+						}
+					}()
+					time.Sleep(100 * time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				is.Equal(reads, c.reads)
+			})
+		})
+	}
+}
--- a/internal/node/gatekeeper/gatekeeper.go
+++ b/internal/node/gatekeeper/gatekeeper.go
@@ -57,6 +57,7 @@
 	StoreJob  func(context.Context, scheduler.Job) error // wraps ErrNotStored, or it is uncertain
 	StoreEnd  func(ctx context.Context, id string) error // as StoreJob, for a cancellation
 	Refresh   func(context.Context) error                // returns once all that was stored before is read
+	Look      func(context.Context) error                // reads what was stored of jobs' progress, for a short while at most
 	Now       func() time.Time
 }
 
@@ -151,7 +152,17 @@
 
 // Status returns where a job stands.
 func (g *Gatekeeper) Status(ctx context.Context, t Target) Answer {
-	_, a := g.entry(ctx, t)
+	e, a := g.entry(ctx, t)
+	if a.Verdict != VerdictOK || a.State.Ended() {
+		return a
+	}
+	if err := g.Look(ctx); err != nil {
+		a.Reason = err.Error()
+	}
+	if n, ok := g.Registrar.Get(t.Rest); ok {
+		e = n
+	}
+	a.State = e.State()
 	return a
 }
 
--- a/internal/store/tailer/tailer.go
+++ b/internal/store/tailer/tailer.go
@@ -27,10 +27,12 @@
 type Tailer struct {
 	Newest func(context.Context) ([]accessor.Record, int64, error)
 	Read   func(ctx context.Context, from int64, wait time.Duration) ([]accessor.Record, int64, error)
-	Take   func(Batch)          // called in order, from one goroutine
-	State  func(err error)      // told when reads begin to fail and when they work again
-	Wait   time.Duration        // of one read
-	Pause  func() time.Duration // between two reads; nil for none
+	Take   func(Batch)     // called in order, from one goroutine
+	State  func(err error) // told when reads begin to fail and when they work again
+	Wait   time.Duration   // of one read
+	Now    func() time.Time
+	// Pause returns how long to wait after a read that took so long.
+	Pause func(took time.Duration) time.Duration
 
 	failing bool
 }
@@ -40,6 +42,7 @@
 	next := int64(-1)
 	retry := retryMin
 	for ctx.Err() == nil {
+		began := t.Now()
 		n, err := t.step(ctx, next)
 		if ctx.Err() != nil {
 			return
@@ -56,9 +59,7 @@
 		}
 		retry = retryMin
 		next = n
-		if t.Pause != nil {
-			_ = sleeper.Sleep(ctx, t.Pause()) // ends early with the context only
-		}
+		_ = sleeper.Sleep(ctx, t.Pause(t.Now().Sub(began))) // ends early with the context only
 	}
 }
 
