--- /dev/null
+++ b/internal/jobs/scheduler/bench_test.go
@@ -0,0 +1,83 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// busy returns a scheduler of so many workers, of which each other runs a task, and a
+// queue of jobs that wait for room.
+func busy(b *testing.B, workers int) (*scheduler.Scheduler, time.Time, []scheduler.Held) {
+	b.Helper()
+	now := time.Unix(1_000_000, 0)
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, Began: now, Confirmed: now, Old: -1}
+	queue := scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 3, ObjectiveMS: 1000}
+	s.Reduce(now, scheduler.ConfigChanged{Terms: scheduler.Terms{Queues: map[string]scheduler.Queue{"q": queue}}})
+	var all []scheduler.Listed
+	for i := range workers {
+		id := fmt.Sprintf("w%05d", i)
+		all = append(all, scheduler.Listed{
+			ID: id, Address: id, Service: "s", Rack: fmt.Sprintf("r%d", i/8), Born: 1,
+			Capacity: placer.Resources{MilliCores: 64000, MemoryMB: 65536, Accelerators: 1 + i%2},
+		})
+	}
+	s.Reduce(now, scheduler.WorkersListed{Workers: all})
+	held := func(id string, r ...scheduler.Running) scheduler.Held {
+		return scheduler.Held{Worker: id, Sent: now, Outcome: scheduler.OutcomeDone, ClockMS: 1000, Born: 1, Running: r}
+	}
+	for _, l := range all {
+		s.Reduce(now, held(l.ID))
+	}
+	var held2 []scheduler.Held
+	effects := s.Reduce(now, scheduler.Submitted{Offset: 1, Job: scheduler.Job{
+		ID: "a", Queue: "q", Organisation: "o", AcceptedMS: now.UnixMilli(), Terms: queue,
+		Steps: []scheduler.Step{{Tasks: workers / 2, Need: placer.Resources{MilliCores: 1000, MemoryMB: 100, Accelerators: 2}, EstimateMS: 60000}},
+	}})
+	for _, f := range effects {
+		if f, ok := f.(scheduler.Start); ok {
+			s.Reduce(now, scheduler.Started{Start: f, Outcome: scheduler.OutcomeDone, ClockMS: 1000})
+			held2 = append(held2, held(f.Worker, scheduler.Running{Task: f.Task, Run: f.Run, Percent: 10}))
+		}
+	}
+	if len(held2) != workers/2 {
+		b.Fatalf("%d tasks run", len(held2))
+	}
+	return s, now, held2
+}
+
+// BenchmarkReduce reduces one look at a worker, as one event.
+func BenchmarkReduce(b *testing.B) {
+	for _, workers := range []int{50, 350, 3000} {
+		b.Run(fmt.Sprintf("look/%d", workers), func(b *testing.B) {
+			s, now, held := busy(b, workers)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				s.Reduce(now, held[i%len(held)])
+			}
+		})
+		b.Run(fmt.Sprintf("tick/%d", workers), func(b *testing.B) {
+			s, now, _ := busy(b, workers)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Reduce(now, scheduler.Ticked{})
+			}
+		})
+		b.Run(fmt.Sprintf("job/%d", workers), func(b *testing.B) {
+			s, now, _ := busy(b, workers)
+			queue := scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 3, ObjectiveMS: 1000}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ { // each finds room, and is cancelled
+				id := fmt.Sprintf("j%d", i)
+				s.Reduce(now, scheduler.Submitted{Offset: int64(i + 2), Job: scheduler.Job{
+					ID: id, Queue: "q", Organisation: "o", AcceptedMS: now.UnixMilli(), Terms: queue,
+					Steps: []scheduler.Step{{Tasks: 5, Gang: true, Need: placer.Resources{MilliCores: 1000, MemoryMB: 100, Accelerators: 1}, EstimateMS: 2000}},
+				}})
+				s.Reduce(now, scheduler.Cancelled{Job: id})
+			}
+		})
+	}
+}
