Read the gang and stop times from the settings; split the scheduler's largest files

Cause: the window of a start (2.5 s) and the slack after a lease (300 ms) were worked out from the bounds of the milestone's sites. On a site with a gang timeout under 2.5 s, a member that came late could let the others end alone.

Change: both follow the settings' bounds.

--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -210,6 +210,7 @@
 
 // The details that several decisions have.
 const (
+	detailMachine = "machine"
 	detailOutcome = "outcome"
 	detailRuns    = "runs"
 	detailWave    = "wave"
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -8,7 +8,7 @@
 	if !s.recovering || len(s.order) == 0 {
 		return
 	}
-	limit := s.Settings.Lease*100/slowClockPercent + lapseSlack
+	limit := s.Settings.Lease*100/slowClockPercent + s.Settings.lapseSlack()
 	over := now.Sub(s.Began) > limit
 	unheard, left := false, false
 	for _, id := range s.order {
--- a/internal/jobs/scheduler/relocation.go
+++ b/internal/jobs/scheduler/relocation.go
@@ -119,7 +119,7 @@
 	if w, ok := s.workers[m.Worker]; ok {
 		w.evacuated = true
 	}
-	s.note(Noted{Message: "machine is moved to another pool", Worker: m.Worker, Details: Details{"machine": m.ID, "from": m.Pool, "to": pool, "reason": why}})
+	s.note(Noted{Message: "machine is moved to another pool", Worker: m.Worker, Details: Details{detailMachine: m.ID, "from": m.Pool, "to": pool, "reason": why}})
 	s.sendMove(now)
 }
 
@@ -250,26 +250,13 @@
 		return
 	}
 	v.flying, v.at = false, now
-	s.note(Noted{Message: "machine was ordered to another pool", Worker: v.from.Worker, Details: Details{"machine": e.Move.Machine, "to": e.Move.Pool, detailOutcome: e.Outcome}})
+	s.note(Noted{Message: "machine was ordered to another pool", Worker: v.from.Worker, Details: Details{detailMachine: e.Move.Machine, "to": e.Move.Pool, detailOutcome: e.Outcome}})
 	if e.Outcome == OutcomeUnknown {
 		return
 	}
 	v.order = MoveMachine{}
 	if e.Outcome != OutcomeDone {
-		if w, ok := s.workers[v.from.Worker]; ok {
-			w.evacuated = false
-			s.passDue = true
-		}
-		if v.failed == nil {
-			v.failed = map[string]time.Time{}
-		}
-		v.failed[e.Move.Machine] = now
-		if e.Outcome == OutcomeObsolete {
-			if v.refused == nil {
-				v.refused = map[move]bool{}
-			}
-			v.refused[move{v.from.Pool, e.Move.Pool}] = true
-		}
+		s.moveFailed(now, e)
 		return
 	}
 	if v.loans == nil {
@@ -284,3 +271,19 @@
 	v.stored++
 	s.emit(StoreLoans{Epoch: s.Epoch, Number: v.stored, Loans: maps.Clone(v.loans)})
 }
+
+// moveFailed lets a machine that stays take tasks again.
+func (s *Scheduler) moveFailed(now time.Time, e MoveEnded) {
+	v := &s.movers
+	if w, ok := s.workers[v.from.Worker]; ok {
+		w.evacuated = false
+		s.passDue = true
+	}
+	if v.failed == nil {
+		v.failed, v.refused = map[string]time.Time{}, map[move]bool{}
+	}
+	v.failed[e.Move.Machine] = now
+	if e.Outcome == OutcomeObsolete {
+		v.refused[move{v.from.Pool, e.Move.Pool}] = true
+	}
+}
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -202,7 +202,7 @@
 func (s *Scheduler) sweep(now time.Time) {
 	for _, id := range s.order {
 		w := s.workers[id]
-		if len(w.runs) > 0 && !w.silent.IsZero() && w.lapsed(now) {
+		if len(w.runs) > 0 && !w.silent.IsZero() && w.lapsed(now, s.Settings.lapseSlack()) {
 			s.note(Noted{Message: "leases on a silent worker have run out", Worker: id, Details: Details{"silent-ms": now.Sub(w.silent).Milliseconds()}})
 			for _, p := range w.sorted() {
 				s.lose(now, w, p, "its lease ran out on a silent worker")
@@ -259,7 +259,7 @@
 	}
 	s.hurry = false
 	for _, w := range s.workers {
-		w.covered = w.settled()
+		w.covered = w.acknowledgeable()
 	}
 	p := map[string]Progress{}
 	for id, j := range s.jobs {
--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -1,11 +1,16 @@
 package scheduler
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	slowClockPercent = 98                      // percent: the platform lets a worker's clock be 2 % slow
-	lapseSlack       = 300 * time.Millisecond  // the platform's stop time of 200 ms and a round trip
-	startWindow      = 2500 * time.Millisecond // a start that arrives later is refused; under the gang timeout of 3 s
+	roundTrip        = 100 * time.Millisecond  // of a call to a worker, generously
+	gangMargin       = 500 * time.Millisecond  // between the last moment for a start and the gang timeout
+	gangDefault      = 3 * time.Second         // the platform's gang timeout on the milestone's sites
+	stopDefault      = 200 * time.Millisecond  // the platform's stop time there
 	holdWait         = 1000 * time.Millisecond // a look without news; runs that stand still are found after two
 	holdPause        = 400 * time.Millisecond  // before the next hold of a worker that did not answer
 	recoveryPause    = 100 * time.Millisecond  // the same while old jobs wait for its answer
@@ -22,5 +27,15 @@
 
 // Settings are the bounds of the platform that scheduling depends on.
 type Settings struct {
-	Lease time.Duration // longest lease that workers grant
+	Lease       time.Duration // longest lease that workers grant
+	GangTimeout time.Duration // after which a member of a gang that did not come together ends; 0 for 3 s
+	StopTime    time.Duration // that a worker takes to stop a run; 0 for 200 ms
+}
+
+// startWindow returns after which time a start that arrives is refused.
+func (s Settings) startWindow() time.Duration {
+	return max(cmp.Or(s.GangTimeout, gangDefault)-gangMargin, gangMargin)
 }
+
+// lapseSlack returns for how long a run may go on after its lease.
+func (s Settings) lapseSlack() time.Duration { return cmp.Or(s.StopTime, stopDefault) + roundTrip }
--- /dev/null
+++ b/internal/jobs/scheduler/settings_test.go
@@ -0,0 +1,40 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// TestStartsAreRefusedWellBeforeTheGangTimeout checks the window of a start: a member
+// that came later than the others' gang timeout would let them end.
+func TestStartsAreRefusedWellBeforeTheGangTimeout(t *testing.T) {
+	for _, c := range []struct{ timeout, window time.Duration }{
+		{timeout: 0, window: 2500 * time.Millisecond},
+		{timeout: 4 * time.Second, window: 3500 * time.Millisecond},
+		{timeout: 1500 * time.Millisecond, window: time.Second},
+		{timeout: 200 * time.Millisecond, window: 500 * time.Millisecond},
+	} {
+		is := is.New(t)
+		now := time.Unix(1_000_000, 0)
+		s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, GangTimeout: c.timeout}, Epoch: 1, Began: now, Old: -1}
+		need := placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}
+		s.Reduce(now, scheduler.WorkersListed{Workers: []scheduler.Listed{{ID: "w", Service: "s", Rack: "r", Born: 1, Capacity: need}}})
+		s.Reduce(now, scheduler.Held{Worker: "w", Sent: now, Outcome: scheduler.OutcomeDone, ClockMS: 5000, Born: 1})
+		found := false
+		for _, e := range s.Reduce(now, scheduler.Submitted{Job: scheduler.Job{
+			ID: "a", Queue: "q", Terms: scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 3}, AcceptedMS: now.UnixMilli(),
+			Steps: []scheduler.Step{{Tasks: 1, Need: need, EstimateMS: 1000}},
+		}}) {
+			if f, ok := e.(scheduler.Start); ok {
+				found = true
+				is.Equal(f.DeadlineMS, 5000+c.window.Milliseconds())
+			}
+		}
+		is.True(found)
+	}
+}
--- a/internal/jobs/scheduler/stray.go
+++ b/internal/jobs/scheduler/stray.go
@@ -22,9 +22,9 @@
 	s.note(Noted{Message: "run of a job that was not read yet has ended", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.ID, Details: Details{"how": e.How, "end": e.Number}})
 }
 
-// settled returns the last end on the worker up to which all may be acknowledged
+// acknowledgeable returns the last end on the worker up to which all may be acknowledged
 // once what is known is stored.
-func (w *worker) settled() int64 {
+func (w *worker) acknowledgeable() int64 {
 	if len(w.strays) > 0 {
 		return min(w.seen, w.strays[0].end.Number-1)
 	}
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -193,7 +193,7 @@
 // evacuate keeps new tasks from a machine and stops what can resume elsewhere.
 func (s *Scheduler) evacuate(now time.Time, v *wave, id string, u *upkeep) {
 	u.phase, u.since, u.worker = phaseEvacuating, now, s.machines[id].Worker
-	s.note(Noted{Message: "machine is evacuated for its upkeep", Worker: u.worker, Details: Details{"machine": id, detailWave: v.Number}})
+	s.note(Noted{Message: "machine is evacuated for its upkeep", Worker: u.worker, Details: Details{detailMachine: id, detailWave: v.Number}})
 	w, ok := s.workers[u.worker]
 	if !ok {
 		return
@@ -238,7 +238,7 @@
 		return
 	}
 	u.flying = false
-	s.note(Noted{Message: "upkeep was ordered", Worker: u.worker, Details: Details{"machine": e.Begin.Machine, detailWave: v.Number, detailOutcome: e.Outcome}})
+	s.note(Noted{Message: "upkeep was ordered", Worker: u.worker, Details: Details{detailMachine: e.Begin.Machine, detailWave: v.Number, detailOutcome: e.Outcome}})
 	switch e.Outcome {
 	case OutcomeDone:
 		u.phase, u.since = phaseDown, now
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -80,9 +80,10 @@
 	return w.clockMS + now.Sub(w.clockAt).Milliseconds()*slowClockPercent/100
 }
 
-// lapsed reports whether all leases on the worker have run out.
-func (w *worker) lapsed(now time.Time) bool {
-	return w.clock(now) > w.deadline+lapseSlack.Milliseconds()
+// lapsed reports whether all leases on the worker have run out, and runs have ended
+// within slack.
+func (w *worker) lapsed(now time.Time, slack time.Duration) bool {
+	return w.clock(now) > w.deadline+slack.Milliseconds()
 }
 
 // note takes in the clock of an answer.
--- /dev/null
+++ b/internal/jobs/scheduler/worker_test.go
@@ -0,0 +1,135 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+)
+
+// fakeWorker obeys the protocol of the platform's workers.
+type fakeWorker struct {
+	listed   scheduler.Listed
+	present  bool // in the list
+	alive    bool
+	epoch    int64
+	deadline time.Time
+	started  time.Time
+	runs     map[scheduler.TaskID]*fakeRun
+	barred   map[scheduler.TaskID]int64 // highest run that was stopped or ended
+	ends     []scheduler.End
+	number   int64
+	holds    []*scheduler.Hold
+	failing  bool
+	hung     bool // what it runs stands still
+	tail     int  // milliseconds, of a task that serves with nothing beside it
+	disturbs int  // milliseconds more for each filler at full pace
+}
+
+type fakeRun struct {
+	run    int64
+	left   time.Duration
+	total  time.Duration
+	pace   int // percent
+	stopAt time.Time
+	over   time.Time // since when its tail is over its target, zero while it is not
+}
+
+func (v *fakeWorker) clock(now time.Time) int64 { return now.Sub(v.started).Milliseconds() }
+
+func (v *fakeWorker) extend(deadlineMS int64) {
+	at := v.started.Add(time.Duration(deadlineMS) * time.Millisecond)
+	if at.After(v.deadline) {
+		v.deadline = at
+	}
+}
+
+func (v *fakeWorker) start(w *world, f scheduler.Start) scheduler.Started {
+	e := scheduler.Started{Start: f, Outcome: scheduler.OutcomeDone, ClockMS: v.clock(w.now)}
+	v.extend(f.DeadlineMS)
+	switch {
+	case f.Epoch < v.epoch:
+		e.Outcome = scheduler.OutcomeFenced
+	case f.Run <= v.barred[f.Task]:
+		e.Outcome = scheduler.OutcomeObsolete
+	case f.DeadlineMS < v.clock(w.now):
+		e.Outcome = scheduler.OutcomeLate
+	case w.terms.Queues[w.jobs[base(f.Task.Job)].Job.Queue].Advice != nil && !w.ticketed(f):
+		e.Outcome = scheduler.OutcomeTicket
+	default:
+		if w.acked[f.Task] {
+			w.broken = fmt.Sprintf("task %v starts after its success was acknowledged", f.Task)
+		}
+		w.starts[base(f.Task.Job)]++
+		d := w.secs[base(f.Task.Job)][f.Task.Step]
+		v.runs[f.Task] = &fakeRun{run: f.Run, left: d, total: d, pace: 100}
+	}
+	return e
+}
+
+func (w *world) ticketed(f scheduler.Start) bool {
+	until, err := time.Parse(time.RFC3339Nano, f.Ticket)
+	return err == nil && w.allowed[f.Worker] && w.now.Before(until)
+}
+
+func (v *fakeWorker) stop(w *world, f scheduler.Stop) scheduler.Stopped {
+	v.barred[f.Task] = max(v.barred[f.Task], f.Run)
+	if r, ok := v.runs[f.Task]; ok && r.run == f.Run && r.stopAt.IsZero() {
+		r.stopAt = w.now.Add(stopTime)
+	}
+	return scheduler.Stopped{Stop: f, Outcome: scheduler.OutcomeDone}
+}
+
+func (v *fakeWorker) end(id scheduler.TaskID, how scheduler.How) {
+	r := v.runs[id]
+	delete(v.runs, id)
+	v.number++
+	v.barred[id] = max(v.barred[id], r.run)
+	v.ends = append(v.ends, scheduler.End{Number: v.number, Task: id, Run: r.run, How: how})
+}
+
+// gang reports whether all members of a gang's run are there, and whether all have
+// done their work.
+func (w *world) gang(id scheduler.TaskID, run int64) (bool, bool) {
+	n, done, ready := 0, false, true
+	for _, v := range w.workers {
+		for k, r := range v.runs {
+			if k.Job == id.Job && k.Step == id.Step && r.run == run {
+				n++
+				ready = ready && r.left <= 0
+			}
+		}
+		for _, e := range v.ends {
+			done = done || (e.Task.Job == id.Job && e.Task.Step == id.Step && e.Run == run && e.How == scheduler.HowDone)
+		}
+	}
+	whole := n == w.taskStep(id).Tasks
+	return whole, done || (whole && ready)
+}
+
+// work lets the runs on a worker go on for one step of time.
+func (w *world) work(v *fakeWorker) {
+	for _, id := range slices.SortedFunc(maps.Keys(v.runs), compare) {
+		r := v.runs[id]
+		whole, done := true, false
+		if w.taskStep(id).Gang {
+			whole, done = w.gang(id, r.run)
+		}
+		if (whole || done) && !v.hung {
+			r.left -= worldStep * time.Duration(r.pace) / 100
+		}
+		w.harmed(v, id, r)
+		switch {
+		case w.now.After(v.deadline):
+			v.end(id, scheduler.HowLapsed)
+		case !r.stopAt.IsZero() && !w.now.Before(r.stopAt):
+			v.end(id, scheduler.HowStopped)
+		case v.failing:
+			v.end(id, scheduler.HowFailed)
+		case done || (r.left <= 0 && !w.taskStep(id).Gang):
+			v.end(id, scheduler.HowDone)
+		}
+	}
+}
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -225,8 +225,10 @@
 	stored, loans := a.storedDuties(ctx)
 	old, _ := a.registrar.Next(registrar.TopicJobs)
 	s := &scheduler.Scheduler{
-		Settings: scheduler.Settings{Lease: a.Settings.Lease},
-		Epoch:    epoch, Began: a.Now(), Old: old - 1, Confirmed: a.Now(),
+		Settings: scheduler.Settings{
+			Lease: a.Settings.Lease, GangTimeout: a.Settings.GangTimeout, StopTime: a.Settings.StopTime,
+		},
+		Epoch: epoch, Began: a.Now(), Old: old - 1, Confirmed: a.Now(),
 	}
 	if sent := a.confirmed.Load(); sent != nil {
 		s.Confirmed = *sent
