Try the direct way to the store once it is regained; let gone VMs rest longer

The VM had begun to ask another one, of a machine that had been replaced and stays on the list of VMs; it gave up after 300 ms of dialling and did not look whether the store served it again meanwhile.

Change: a call that was certainly not done through other VMs is made directly if the probe has regained the direct way. A VM that is not reached rests for 3 s, doubling up to 48 s, where it rested for 1.5 s each time; one that answers, if only with a refusal, rests as before.

Proof: TestDirectWayIsTriedOnceItIsRegained failed before, TestPeerThatIsNotReachedRestsLongerEachTime.

--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,7 +70,8 @@
 		return errNoWay
 	}
 	var worst error
-	for _, w := range ways {
+	for i := 0; i < len(ways); i++ {
+		w := ways[i]
 		x := r.Direct
 		if w != Direct {
 			x = r.Peer(w)
@@ -86,12 +88,26 @@
 		if r.answeredSince(w, sent) {
 			return err // the way works: this answer was lost
 		}
-		r.note(w, false)
+		if errors.Is(err, errUnreached) {
+			r.missed(w)
+		} else {
+			r.note(w, false)
+		}
 		worst = worse(worst, err)
+		if i == len(ways)-1 && errors.Is(worst, accessor.ErrNotDone) && !slices.Contains(ways, Direct) && r.DirectWorks() {
+			ways = append(ways, Direct) // it was regained meanwhile
+		}
 	}
 	return worst
 }
 
+// missed notes that a peer was not reached.
+func (r *Relayer) missed(peer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.route.Miss(r.Now(), peer)
+}
+
 // answeredSince reports whether another call on a way was answered after a time.
 func (r *Relayer) answeredSince(way string, sent time.Time) bool {
 	r.mu.Lock()
--- a/internal/store/relayer/relayer_test.go
+++ b/internal/store/relayer/relayer_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -147,6 +150,63 @@
 	is.True(!r.Suspect())
 }
 
+// A peer that is gone for good stays on the list of VMs.
+func TestPeerThatIsNotReachedRestsLongerEachTime(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	var r relayer.Route
+	r.Note(now, relayer.Direct, false)
+	for _, rests := range []time.Duration{3, 6, 12, 24, 48, 48} {
+		r.Miss(now, "a")
+		is.Equal(len(r.Order(now.Add(rests*time.Second-1), []string{"a"})), 0)
+		now = now.Add(rests * time.Second)
+		is.Equal(len(r.Order(now, []string{"a"})), 1)
+	}
+	r.Note(now, "a", true)
+	r.Miss(now, "a")
+	is.Equal(len(r.Order(now.Add(3*time.Second), []string{"a"})), 1)
+}
+
+// A VM that is gone is asked while the store comes back.
+func TestDirectWayIsTriedOnceItIsRegained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var up atomic.Bool
+		answer := func() error {
+			if up.Load() {
+				return nil
+			}
+			return accessor.ErrNotDone
+		}
+		r := &relayer.Relayer{
+			Direct: accessor.Access{
+				Append: func(context.Context, accessor.Append) (int64, error) { return 0, answer() },
+				Read: func(context.Context, string, int64, time.Duration) ([]accessor.Record, int64, error) {
+					return nil, 0, answer()
+				},
+			},
+			Peer: func(string) accessor.Access {
+				return accessor.Access{Append: func(context.Context, accessor.Append) (int64, error) {
+					time.Sleep(time.Second)
+					return 0, accessor.ErrNotDone
+				}}
+			},
+			Peers: func() []string { return []string{"gone"} }, Changed: func(bool) {}, Now: time.Now,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		g.Go(func() { r.Probe(ctx, "t") })
+		_, err := r.Access().Append(ctx, accessor.Append{})
+		is.True(errors.Is(err, accessor.ErrNotDone))
+		time.Sleep(2 * time.Second) // the peer may be asked again
+		up.Store(true)
+		_, err = r.Access().Append(ctx, accessor.Append{})
+		is.NoErr(err)
+		cancel()
+		g.Wait()
+	})
+}
+
 // While no way works, a call is refused for certain and without a try that would
 // leave it uncertain.
 func TestCallIsNotTriedWhileNoWayWorks(t *testing.T) {
--- a/internal/store/relayer/route.go
+++ b/internal/store/relayer/route.go
@@ -10,6 +10,7 @@
 const (
 	probePause = 300 * time.Millisecond  // between two probes of the direct way
 	rest       = 1500 * time.Millisecond // before a peer that could not help is asked again
+	maxMisses  = 5                       // doublings of the rest of a peer that is not reached: 48 s, as it may be gone for good
 	maxPeers   = 2                       // asked for one call
 )
 
@@ -23,6 +24,7 @@
 	suspect bool // the direct way failed last
 	probeAt time.Time
 	resting map[string]time.Time // by peer, until when
+	misses  map[string]int       // by peer, times in a row that it was not reached
 	turn    int                  // spreads the calls over the peers
 }
 
@@ -58,6 +60,7 @@
 	if r.resting == nil {
 		r.resting = map[string]time.Time{}
 	}
+	delete(r.misses, way)
 	if worked {
 		delete(r.resting, way)
 		return
@@ -65,5 +68,17 @@
 	r.resting[way] = now.Add(rest)
 }
 
+// Miss takes in that a peer was not reached. Peers of machines that were replaced stay
+// on the list; each try of one holds a caller up.
+func (r *Route) Miss(now time.Time, peer string) {
+	if r.misses == nil {
+		r.misses = map[string]int{}
+	}
+	n := min(r.misses[peer]+1, maxMisses)
+	r.Note(now, peer, false)
+	r.misses[peer] = n
+	r.resting[peer] = now.Add(rest << n)
+}
+
 // Suspect reports whether the direct way failed last.
 func (r *Route) Suspect() bool { return r.suspect }
--- a/internal/store/relayer/wire.go
+++ b/internal/store/relayer/wire.go
@@ -84,7 +84,10 @@
 	}
 }
 
-var errUncertain = errors.New("another VM got no answer from the store")
+var (
+	errUncertain = errors.New("another VM got no answer from the store")
+	errUnreached = errors.New("the VM is not reached")
+)
 
 func (a answer) err(peer string) error {
 	var cause error
@@ -185,7 +188,7 @@
 	r, err := c.CallUnary(ctx, connect.NewRequest(&q))
 	var o *net.OpError
 	if errors.As(err, &o) && o.Op == "dial" {
-		return answer{}, fmt.Errorf("ask VM at %s: %w: %w", address, accessor.ErrNotDone, err)
+		return answer{}, fmt.Errorf("ask VM at %s: %w: %w: %w", address, accessor.ErrNotDone, errUnreached, err)
 	}
 	if err != nil {
 		return answer{}, fmt.Errorf("ask VM at %s: %w", address, err)
