--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -141,7 +141,7 @@
 	a.gate = &gatekeeper.Gatekeeper{
 		Config: a.config.Load, Registrar: a.registrar, Now: a.Now,
 		StoreJob: a.storeJob, StoreEnd: a.storeCancel, Refresh: a.refresh,
-		Look: (&looker{Read: a.readProgress, Now: a.Now}).look,
+		Look: (&looker{Read: a.readProgress, Now: a.Now, Slow: a.toldStale}).look,
 	}
 }
 
@@ -255,6 +255,12 @@
 	return a.catchUp(ctx, registrar.TopicJobs)
 }
 
+// toldStale logs that callers are told states as they were read before.
+func (a *Assembler) toldStale(err error) {
+	a.metrics.Count("states-told-stale", 1)
+	a.log("answer").WithError(err).WithField("for-ms", lookPause.Milliseconds()).Warn("states are told as they were read before")
+}
+
 // readProgress returns once all progress is read that was stored before the call.
 func (a *Assembler) readProgress(ctx context.Context) error {
 	return a.catchUp(ctx, registrar.TopicProgress)
--- a/internal/node/assembler/looker_test.go
+++ b/internal/node/assembler/looker_test.go
@@ -28,7 +28,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				reads := 0
-				l := &looker{Now: time.Now, Read: func(context.Context) error {
+				slow := 0
+				l := &looker{Now: time.Now, Slow: func(error) { slow++ }, Read: func(context.Context) error {
 					reads++
 					time.Sleep(c.takes)
 					return c.fails
@@ -48,6 +49,8 @@
 				}
 				time.Sleep(time.Second)
 				is.Equal(reads, c.reads)
+				is.True(slow <= 2)
+				is.Equal(slow > 0, c.want != nil)
 			})
 		})
 	}
