--- a/internal/node/assembler/looker_test.go
+++ b/internal/node/assembler/looker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,10 +28,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				reads := 0
-				slow := 0
-				l := &looker{Now: time.Now, Slow: func(error) { slow++ }, Read: func(context.Context) error {
-					reads++
+				var reads, slow atomic.Int64
+				l := &looker{Now: time.Now, Slow: func(error) { slow.Add(1) }, Read: func(context.Context) error {
+					reads.Add(1)
 					time.Sleep(c.takes)
 					return c.fails
 				}}
@@ -48,9 +48,9 @@
 					time.Sleep(100 * time.Millisecond)
 				}
 				time.Sleep(time.Second)
-				is.Equal(reads, c.reads)
-				is.True(slow <= 2)
-				is.Equal(slow > 0, c.want != nil)
+				is.Equal(int(reads.Load()), c.reads)
+				is.True(slow.Load() <= 2)
+				is.Equal(slow.Load() > 0, c.want != nil)
 			})
 		})
 	}
