--- a/internal/node/assembler/looker.go
+++ b/internal/node/assembler/looker.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	lookPatience = 150 * time.Millisecond // that a caller waits for news of a job; the store answers within 5 ms on a good day
+	lookPatience = 500 * time.Millisecond // that a caller waits for news of a job; the store takes 240 ms on its slowest days
 	lookTimeout  = 2 * time.Second        // of a look itself
 	lookPause    = time.Second            // without looks after one that failed or took too long
 )
