--- a/internal/node/assembler/looker_test.go
+++ b/internal/node/assembler/looker_test.go
@@ -22,7 +22,7 @@
 	}{
 		{name: "store answers", takes: 4 * time.Millisecond, reads: 20},
 		{name: "callers at the same time share a look", takes: 240 * time.Millisecond, reads: 7},
-		{name: "store is too slow", takes: 700 * time.Millisecond, want: errStale, reads: 2},
+		{name: "store is too slow", takes: 1200 * time.Millisecond, want: errStale, reads: 2},
 		{name: "store is down", takes: time.Millisecond, fails: errDown, want: errStale, reads: 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
