Move only machines that can run what waits

Cause, by reading: a pool whose work waits for a label got machines without it, which went home after 20 s of idling, and again.

Change: machines that lack the label are not moved; work that fills and work that needs advice does not call for machines.

With one service nothing of it runs.

--- a/internal/jobs/scheduler/relocation.go
+++ b/internal/jobs/scheduler/relocation.go
@@ -55,6 +55,7 @@
 type starving struct {
 	since time.Time
 	need  placer.Resources // of one task
+	label string           // that its worker must have
 }
 
 // movers is what moves between pools need to know.
@@ -82,10 +83,10 @@
 	found := map[string]starving{}
 	for _, u := range units {
 		pool := u.job.queue.Service
-		if _, ok := found[pool]; ok || len(u.step.waiting()) == 0 || u.job.queue.Advice != nil {
-			continue
+		if _, ok := found[pool]; ok || len(u.step.waiting()) == 0 || u.job.queue.Advice != nil || u.step.Fills {
+			continue // more machines might not help
 		}
-		n := starving{since: now, need: u.step.Need}
+		n := starving{since: now, need: u.step.Need, label: u.step.Label}
 		if old, ok := s.movers.starving[pool]; ok {
 			n.since = old.since
 		}
@@ -140,7 +141,7 @@
 			s.lookAtMachines(now)
 			return Machine{}, "", ""
 		}
-		if m, ok := s.spare(now, pool, n.need); ok {
+		if m, ok := s.spare(now, pool, n); ok {
 			return m, pool, "work finds no room"
 		}
 	}
@@ -149,11 +150,11 @@
 
 // spare returns a machine that another pool can do without, one that is switched off
 // where there is any.
-func (s *Scheduler) spare(now time.Time, pool string, need placer.Resources) (Machine, bool) {
+func (s *Scheduler) spare(now time.Time, pool string, n starving) (Machine, bool) {
 	var idle *Machine
 	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
 		m := s.machines[id]
-		if m.Pool == pool || s.movers.refused[move{m.Pool, pool}] || !need.Fits(m.Capacity) || s.inWave(id) || now.Sub(s.movers.failed[id]) < moveRetry {
+		if m.Pool == pool || s.movers.refused[move{m.Pool, pool}] || !n.need.Fits(m.Capacity) || (n.label != "" && !slices.Contains(m.Labels, n.label)) || s.inWave(id) || now.Sub(s.movers.failed[id]) < moveRetry {
 			continue
 		}
 		if s.terms.Pools[m.Pool] && (m.Up || m.Down) {
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -34,6 +34,7 @@
 
 	Pool     string // service whose worker it is
 	Capacity placer.Resources
+	Labels   []string
 }
 
 // WavesChanged brings all waves that are known.
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -175,7 +175,7 @@
 		for _, id := range slices.Sorted(maps.Keys(w.workers)) {
 			v := w.workers[id]
 			e.Machines = append(e.Machines, scheduler.Machine{
-				ID: "m-" + machineOf(id), Up: v.alive, Worker: id, Pool: v.listed.Service, Capacity: v.listed.Capacity,
+				ID: "m-" + machineOf(id), Up: v.alive, Worker: id, Pool: v.listed.Service, Capacity: v.listed.Capacity, Labels: v.listed.Labels,
 			})
 		}
 		e.Machines = append(e.Machines, w.off...)
