Revert "Notice slow workers by the other members of a gang"

A task of 60 s gains one percent in the 0.7 s of a measurement, so two members of a gang differ by a factor of two or more by rounding alone; their workers were taken for slow, and urgent work, its search for work to stop included, kept off them. The next try needs a window in which ten percent are gained.

--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -114,9 +114,10 @@
 			s.adopt(now, w, r)
 			continue
 		}
-		p.confirm(now)
+		if p.confirmed.IsZero() {
+			p.confirmed, p.moved = now, now
+		}
 		p.looked, p.measure = now, r.Measure
-		p.speed = p.speed.with(now, r.Percent)
 		if r.Percent != p.percent {
 			p.percent, p.moved = r.Percent, now
 		}
--- a/internal/jobs/scheduler/orders.go
+++ b/internal/jobs/scheduler/orders.go
@@ -43,7 +43,9 @@
 		w.note(now, e.ClockMS)
 	}
 	if e.Outcome == OutcomeDone {
-		p.confirm(now)
+		if p.confirmed.IsZero() {
+			p.confirmed, p.moved = now, now
+		}
 		return
 	}
 	s.note(Noted{Message: "start failed", Job: e.Start.Task.Job, Task: e.Start.Task, Run: e.Start.Run, Worker: w.ID, Details: Details{detailOutcome: e.Outcome}})
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -256,7 +256,7 @@
 	until := w.clock(p.now) + s.Settings.startWindow().Milliseconds()
 	w.add(&placement{
 		task: task, run: run, need: u.step.Need, untilMS: until, moved: p.now,
-		serves: u.step.Serves, fills: u.step.Fills, pace: fullPace, whole: u.step.lead(index).saved == "",
+		serves: u.step.Serves, fills: u.step.Fills, pace: fullPace,
 	})
 	w.deadline = max(w.deadline, until)
 	p.take(u.job.queue.Service, id, u.step.Need)
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -113,7 +113,6 @@
 		"tail": func(id string, milliseconds, disturbs int) {
 			w.workers[id].tail, w.workers[id].disturbs = milliseconds, disturbs
 		},
-		"slow":   func(id string, percent int) { w.workers[id].slow = percent },
 		"hang":   func(id string) { w.workers[id].hung = true },
 		"unhang": func(id string) { w.workers[id].hung = false },
 		"pause":  func(d time.Duration) { w.paused = w.now.Add(d) },
--- a/internal/jobs/scheduler/stall.go
+++ b/internal/jobs/scheduler/stall.go
@@ -14,34 +14,33 @@
 	stallLoss     = 3 * time.Second        // of work that may be lost by moving: workers stand still for 5 s and more
 )
 
-// judge finds out from the progress of its runs whether a worker stands still or is
-// slow. It answers for workers that accept work, report good health and get little or
-// nothing done: they
+// judge finds out from the progress of its runs whether a worker stands still. It
+// answers for workers that accept work, report good health and get nothing done: they
 // get no tasks of urgent jobs, and those that they hold are moved if little is lost by
 // that. Other work stays and may still come, as it can outlast the stall.
 func (s *Scheduler) judge(now time.Time, w *worker) {
-	still, slow, good := false, false, false
+	still := false
 	for _, p := range w.runs {
-		slow = slow || s.slow(p)
 		switch s.progressOf(p) {
 		case progressGood:
-			good = true
+			if !w.stalled.IsZero() {
+				w.stalled = time.Time{}
+				s.note(Noted{Message: "runs on a worker go on again", Worker: w.ID})
+			}
+			return
 		case progressNone:
 			still = true
 		case progressUnclear:
 		}
 	}
-	switch {
-	case slow, still && !good:
-		s.passDue = true
-		if !w.still(now) {
-			s.note(Noted{Message: "runs on a worker stand still", Worker: w.ID, Details: Details{detailRuns: len(w.runs), "slow": slow}})
-		}
-		w.stalled = now
-	case good && !w.stalled.IsZero():
-		w.stalled = time.Time{}
-		s.note(Noted{Message: "runs on a worker go on again", Worker: w.ID})
+	if !still {
+		return
+	}
+	s.passDue = true
+	if !w.still(now) {
+		s.note(Noted{Message: "runs on a worker stand still", Worker: w.ID, Details: Details{detailRuns: len(w.runs)}})
 	}
+	w.stalled = now
 }
 
 // still reports whether the worker was seen to stand still a moment ago.
@@ -112,7 +111,7 @@
 		}
 		for _, r := range w.sorted() {
 			j, st, t := p.s.find(r.task)
-			if t == nil || !j.urgent() || r.stopping || t.run != r.run || t.worker != id || st.Lasts || !p.s.toMove(st, r) {
+			if t == nil || !j.urgent() || r.stopping || t.run != r.run || t.worker != id || st.Lasts || p.s.progressOf(r) != progressNone {
 				continue
 			}
 			if p.s.lossOf(st, r) <= stallLoss && p.fitsElsewhere(unit{j, r.task.Step, st}, r) {
@@ -122,14 +121,6 @@
 	}
 }
 
-// toMove reports whether a run gains so little that it had better run elsewhere.
-func (s *Scheduler) toMove(st *step, p *placement) bool {
-	if s.slow(p) {
-		return !st.moved && s.restartPays(p)
-	}
-	return s.progressOf(p) == progressNone
-}
-
 // move stops a run, or its gang. A step moves once: tasks that take far longer than
 // declared seem to stand still on every worker.
 func (p *pass) move(w *worker, r *placement, st *step, j *job) {
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -28,8 +28,6 @@
 	percent   int
 	moved     time.Time // when the percentage last rose
 	looked    time.Time // when the worker last listed it
-	speed     speed
-	whole     bool // it began without a checkpoint
 }
 
 // placementKey names a run on a worker.
--- a/internal/jobs/scheduler/worker_test.go
+++ b/internal/jobs/scheduler/worker_test.go
@@ -24,7 +24,6 @@
 	holds    []*scheduler.Hold
 	failing  bool
 	hung     bool // what it runs stands still
-	slow     int  // percent of the declared time that it takes, 0 for 100
 	tail     int  // milliseconds, of a task that serves with nothing beside it
 	disturbs int  // milliseconds more for each filler at full pace
 }
@@ -119,7 +118,7 @@
 			whole, done = w.gang(id, r.run)
 		}
 		if (whole || done) && !v.hung {
-			r.left -= worldStep * time.Duration(r.pace) / time.Duration(max(v.slow, 100))
+			r.left -= worldStep * time.Duration(r.pace) / 100
 		}
 		w.harmed(v, id, r)
 		switch {
