Hear all workers whose entries lapsed at the same time

A new leader reads the entries of the last 8.5 s, counted in records from the number of workers on the list, and that list was empty: it read six records, heard of no worker, ended its recovery after 144 ms and started tasks whose ends the workers still kept. The log of that leader has no line `worker was on the list a moment ago`.

Change: the entries are read from further back until what is read covers all the workers that it names.

Proof: TestWorkersThatLapsedTogetherAreHeard found none of 48 workers before.

--- a/internal/node/assembler/lapsed.go
+++ b/internal/node/assembler/lapsed.go
@@ -39,16 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	beats := int64(recentWindow/a.Settings.Heartbeat) + 1
-	from := max(0, end-beats*int64(len(present)+1))
-	recent := map[string]accessor.Record{}
-	err = tailer.CatchUp(ctx, a.store, platform.TopicExecutors, from, func(b tailer.Batch) {
-		for _, r := range b.Records {
-			if len(r.Value) > 0 {
-				recent[r.Key] = r
-			}
-		}
-	})
+	recent, err := a.recentRecords(ctx, end, len(present))
 	if err != nil {
 		return nil, err
 	}
@@ -68,6 +59,30 @@
 	return all, nil
 }
 
+// recentRecords returns the newest entry of each worker that was written within the
+// recent window. How many records that are follows from the number of workers, which is
+// not known when all of them have lapsed: it is read anew from further back until what
+// is read covers all the workers that it names.
+func (a *Assembler) recentRecords(ctx context.Context, end int64, workers int) (map[string]accessor.Record, error) {
+	beats := int64(recentWindow/a.Settings.Heartbeat) + 1
+	for {
+		from := max(0, end-beats*int64(workers+1))
+		recent, named := map[string]accessor.Record{}, map[string]bool{}
+		err := tailer.CatchUp(ctx, a.store, platform.TopicExecutors, from, func(b tailer.Batch) {
+			for _, r := range b.Records {
+				named[r.Key] = true
+				if len(r.Value) > 0 {
+					recent[r.Key] = r
+				}
+			}
+		})
+		if err != nil || from == 0 || len(named) <= workers {
+			return recent, err
+		}
+		workers = len(named)
+	}
+}
+
 // decodeWorkers decodes entries and leaves out what can't be read.
 func (a *Assembler) decodeWorkers(records []accessor.Record) []scheduler.Listed {
 	var all []scheduler.Listed
--- /dev/null
+++ b/internal/node/assembler/lapsed_test.go
@@ -0,0 +1,59 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
+	"github.com/lacewingdoor/lacewingdoor/platform"
+)
+
+// TestWorkersThatLapsedTogetherAreHeard lets all heartbeats stay away from the store
+// for so long that every entry lapses, and one worker come back.
+func TestWorkersThatLapsedTogetherAreHeard(t *testing.T) {
+	const workers, beats = 48, 6
+	for _, back := range []int{0, 1, workers} {
+		is := is.New(t)
+		var all []accessor.Record
+		put := func(i int, value string) {
+			all = append(all, accessor.Record{Offset: int64(len(all)), Key: fmt.Sprintf("i-%02d", i), Value: []byte(value)})
+		}
+		const entry = `{"service":"s","address":"a","zone":"z","state":"ready","capacity":{"cpu":1},"labels":["a","r1"],"born":1}`
+		for range 3 * beats {
+			for i := range workers {
+				put(i, entry)
+			}
+		}
+		for i := range workers {
+			put(i, "")
+		}
+		for i := range back {
+			put(i, entry)
+		}
+		log, _ := test.NewNullLogger()
+		a := &Assembler{Logger: log, Settings: platform.Settings{Heartbeat: 1500 * time.Millisecond}}
+		a.store = accessor.Access{
+			Read: func(_ context.Context, _ string, from int64, _ time.Duration) ([]accessor.Record, int64, error) {
+				return all[from:], int64(len(all)), nil
+			},
+			Newest: func(context.Context, string) ([]accessor.Record, int64, error) {
+				return all[len(all)-back:], int64(len(all)), nil
+			},
+		}
+		got, err := a.recentWorkers(t.Context())
+		is.NoErr(err)
+		is.Equal(len(got), workers)
+		lapsed := 0
+		for _, l := range got {
+			if l.Lapsed {
+				lapsed++
+			}
+		}
+		is.Equal(lapsed, workers-back)
+	}
+}
