Wait for the workers of all machines that are up before a recovery ends

When all entries have lapsed and the history is gone, the store does not say who was there; workers are back within two seconds.

Change: a new leader asks for the machines once, at its beginning, and ends its recovery only when the list names the workers of all that are up, or after 2.5 s. A wave of upkeep needs a list of machines that is at most 2 s old now: the first one, taken before workers were known, let a machine go down under six runs in a script.

Ruled out: waiting for 2.5 s whenever a VM cannot rule out an outage, as every start after a loss of all VMs would wait; storing which workers are used, as a write before first use.

Changed checks: one-pool-costs-nothing allows the one look of a new leader.

--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -2,10 +2,14 @@
 
 import "time"
 
+// listReturn is how long after an outage of the store the list may lack workers that
+// live: the platform says two seconds, and the list is read every 350 ms.
+const listReturn = 2500 * time.Millisecond
+
 // recover ends the recovery once every worker that an earlier leader may have
 // used was heard, or its leases must have run out.
 func (s *Scheduler) recover(now time.Time) {
-	if !s.recovering || len(s.order) == 0 {
+	if !s.recovering || (len(s.order) == 0 && s.allListed(now)) {
 		return
 	}
 	limit := s.Settings.Lease*100/slowClockPercent + s.Settings.lapseSlack()
@@ -22,11 +26,33 @@
 		}
 		return
 	}
+	if !s.allListed(now) {
+		s.lookAtMachines(now)
+		return
+	}
 	s.recovering = false
 	s.passDue = true
 	s.note(Noted{Message: "recovery ended", Details: Details{"epoch": s.Epoch, "after-ms": now.Sub(s.Began).Milliseconds(), "timed-out": over}})
 }
 
+// allListed reports whether the list names the workers of all machines that are up.
+// While the store is away all entries may lapse at once, and a new leader that claims
+// right after its return would know of none of the workers that run something.
+func (s *Scheduler) allListed(now time.Time) bool {
+	if !s.Settings.Machines || now.Sub(s.Began) > listReturn {
+		return true
+	}
+	if s.machines == nil {
+		return false
+	}
+	for _, m := range s.machines {
+		if _, ok := s.workers[m.Worker]; !ok && m.Up && m.Worker != "" {
+			return false
+		}
+	}
+	return true
+}
+
 // mayHaveLeft reports whether the worker has not answered this leader and is not on
 // the list any more, or said that it would leave: its entry outlives it by seconds.
 func (w *worker) mayHaveLeft() bool {
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -33,12 +33,14 @@
 	waves      map[int]*wave
 	machines   map[string]Machine // as listed last, nil before
 	machinesAt time.Time          // when they were asked for last
-	listing    bool               // a look at them is in flight
-	movers     movers
-	meanWork   map[string]float64 // core-seconds of a job, by queue
-	advising   bool               // a call for advice is in flight
-	adviseAt   time.Time          // no call before
-	effects    []Effect
+
+	machinesSeen time.Time // when they were listed last
+	listing      bool      // a look at them is in flight
+	movers       movers
+	meanWork     map[string]float64 // core-seconds of a job, by queue
+	advising     bool               // a call for advice is in flight
+	adviseAt     time.Time          // no call before
+	effects      []Effect
 }
 
 // Reduce takes in events and returns what is to be done. It is the only place
@@ -94,7 +96,7 @@
 	case WavesChanged:
 		s.setWaves(now, e.Waves)
 	case MachinesListed:
-		s.machinesListed(e)
+		s.machinesListed(now, e)
 	case UpkeepEnded:
 		s.upkeepEnded(now, e)
 	case MoveEnded:
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -116,8 +116,12 @@
 		"hang":   func(id string) { w.workers[id].hung = true },
 		"unhang": func(id string) { w.workers[id].hung = false },
 		"pause":  func(d time.Duration) { w.paused = w.now.Add(d) },
+		"lapse-unseen": func(id string) {
+			w.workers[id].present, w.workers[id].unseen = false, true
+			w.list()
+		},
 		"relist": func(id string) {
-			w.workers[id].present = true
+			w.workers[id].present, w.workers[id].unseen = true, false
 			w.list()
 		},
 		"revive": func(id string) {
--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -30,6 +30,7 @@
 	Lease       time.Duration // longest lease that workers grant
 	GangTimeout time.Duration // after which a member of a gang that did not come together ends; 0 for 3 s
 	StopTime    time.Duration // that a worker takes to stop a run; 0 for 200 ms
+	Machines    bool          // the platform lists machines
 }
 
 // startWindow returns after which time a start that arrives is refused.
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -132,8 +132,8 @@
 			continue
 		}
 		s.lookAtMachines(now)
-		if s.machines == nil || s.recovering {
-			return
+		if now.Sub(s.machinesSeen) > machinesNew || s.recovering {
+			return // a machine may be another worker by now
 		}
 		s.carryOn(now, v)
 	}
@@ -255,11 +255,12 @@
 }
 
 // machinesListed takes in the list of machines.
-func (s *Scheduler) machinesListed(e MachinesListed) {
+func (s *Scheduler) machinesListed(now time.Time, e MachinesListed) {
 	s.listing = false
 	if !e.OK {
 		return
 	}
+	s.machinesSeen = now
 	s.machines = make(map[string]Machine, len(e.Machines))
 	for _, m := range e.Machines {
 		s.machines[m.ID] = m
--- a/internal/jobs/scheduler/worker_test.go
+++ b/internal/jobs/scheduler/worker_test.go
@@ -13,6 +13,7 @@
 type fakeWorker struct {
 	listed   scheduler.Listed
 	present  bool // in the list
+	unseen   bool // nor in the list of those that have just lapsed
 	alive    bool
 	epoch    int64
 	deadline time.Time
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -87,7 +87,7 @@
 	for _, v := range w.workers {
 		v.holds = nil
 	}
-	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: w.epoch, Began: w.now, Old: int64(len(w.jobs)) - 1}
+	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, Machines: true}, Epoch: w.epoch, Began: w.now, Old: int64(len(w.jobs)) - 1}
 	w.feed(scheduler.ConfigChanged{Terms: w.terms})
 	for _, e := range slices.SortedFunc(maps.Values(w.jobs), func(a, b scheduler.Submitted) int { return cmp.Compare(a.Offset, b.Offset) }) {
 		e.Progress = w.stored[e.Job.ID]
@@ -119,7 +119,7 @@
 		v := w.workers[id]
 		l := v.listed
 		l.Lapsed = !v.present
-		if v.present || lapsed {
+		if v.present || (lapsed && !v.unseen) {
 			all = append(all, l)
 		}
 	}
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -227,6 +227,7 @@
 	s := &scheduler.Scheduler{
 		Settings: scheduler.Settings{
 			Lease: a.Settings.Lease, GangTimeout: a.Settings.GangTimeout, StopTime: a.Settings.StopTime,
+			Machines: a.Settings.Cloud != "",
 		},
 		Epoch: epoch, Began: a.Now(), Old: old - 1, Confirmed: a.Now(),
 	}
