Choose machines to move from a list that has just come

The age of the list was counted from when it was asked for, so the one before could be used while the answer was under way. With one service nothing of it runs.

--- a/internal/jobs/scheduler/relocation.go
+++ b/internal/jobs/scheduler/relocation.go
@@ -137,7 +137,7 @@
 		if now.Sub(n.since) < starveTime {
 			continue
 		}
-		if s.machines == nil || now.Sub(s.machinesAt) > machinesNew {
+		if now.Sub(s.machinesSeen) > machinesNew {
 			s.lookAtMachines(now)
 			return Machine{}, "", ""
 		}
@@ -197,7 +197,7 @@
 		if now.Sub(since) < loanIdle {
 			continue
 		}
-		if now.Sub(s.machinesAt) > machinesNew {
+		if now.Sub(s.machinesSeen) > machinesNew {
 			s.lookAtMachines(now)
 			return Machine{}, "", ""
 		}
