scheduler: index workers and jobs by what they wait for

Cause: each call of Reduce walked all workers to look for due holds, each tick all runs, each end of a job all runs of all workers, each store all workers and jobs.

Change: whatever changes a worker touches it, and Reduce updates the indexes of touched workers only: usable workers with their free resources, workers that something may become due on, holds due later, runs by job, ends and jobs to be stored.

Ruled out: that decisions change.

--- a/internal/jobs/scheduler/abandon.go
+++ b/internal/jobs/scheduler/abandon.go
@@ -49,7 +49,7 @@
 	}
 	t.abandoned.run = run
 	j.awaitingStore = true
-	j.dirty = true
+	s.markDirty(j)
 	s.storeSoon = true
 }
 
--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -19,6 +19,8 @@
 		return
 	}
 	p.stopping = true
+	w.stoppingRuns++
+	s.touch(w)
 	p.stopAnsweredAt = time.Time{}
 	s.sendStop(now, w, p)
 }
@@ -39,6 +41,7 @@
 	if !ok {
 		return
 	}
+	s.touch(w)
 	if e.ClockMS != 0 {
 		w.noteAnswer(now, e.ClockMS)
 	}
@@ -81,6 +84,7 @@
 		return
 	}
 	p.stopInFlight = false
+	s.touch(w)
 	switch e.Outcome {
 	case OutcomeDone, OutcomeObsolete:
 		p.stopAnsweredAt = now
--- a/internal/jobs/scheduler/confirm.go
+++ b/internal/jobs/scheduler/confirm.go
@@ -19,7 +19,10 @@
 	}
 	s.ConfirmedAt = e.Sent
 	for _, w := range s.workers {
-		s.clearUnconfirmed(&w.unconfirmedSince)
+		if !w.unconfirmedSince.IsZero() {
+			s.clearUnconfirmed(&w.unconfirmedSince)
+			s.touch(w)
+		}
 	}
 	for _, j := range s.active {
 		s.clearUnconfirmed(&j.unconfirmedSince)
--- a/internal/jobs/scheduler/copies.go
+++ b/internal/jobs/scheduler/copies.go
@@ -15,7 +15,8 @@
 // removeRun removes a run that has ended on its worker, and reports whether the
 // task now waits for a worker. The copy of a removed run becomes the run of the
 // task.
-func (t *task) removeRun(worker string, run int64) bool {
+func (s *step) removeRun(index int, worker string, run int64) bool {
+	t := &s.tasks[index]
 	switch {
 	case t.copyRun == run && t.copyWorker == worker:
 		t.copyRun, t.copyWorker = 0, ""
@@ -27,7 +28,7 @@
 		t.copyRun, t.copyWorker = 0, ""
 		return false
 	}
-	t.state = taskWaiting
+	s.setState(index, taskWaiting)
 	return true
 }
 
--- a/internal/jobs/scheduler/ends.go
+++ b/internal/jobs/scheduler/ends.go
@@ -16,8 +16,9 @@
 		s.storeSoon = true
 		s.placementDue = true
 		p, ok := w.runs[placementKey{e.Task, e.Run}]
+		s.noteEnds(w)
 		if ok {
-			w.remove(p)
+			s.removeRun(w, p)
 		}
 		if _, known := s.jobs[e.Task.Job]; !known {
 			if !ok || !p.stopping {
@@ -50,9 +51,9 @@
 	if e.Checkpoint != "" && e.Run >= primary.run {
 		primary.checkpoint = e.Checkpoint
 	}
-	j.dirty = true
+	s.markDirty(j)
 	if st.LongRunning {
-		s.requeue(w, t, e)
+		s.requeue(w, st, e)
 		return
 	}
 	if e.Reason == EndReasonDone {
@@ -60,7 +61,7 @@
 		s.handleSuccess(now, j, st, e)
 		return
 	}
-	current := t.removeRun(w.ID, e.Run)
+	current := st.removeRun(e.Task.Index, w.ID, e.Run)
 	if e.Reason == EndReasonFailed {
 		w.countFailure(now, j.ID)
 		if !slices.Contains(st.failedWorkers, w.ID) {
@@ -77,11 +78,11 @@
 }
 
 // requeue lets a long-running task wait for another worker, however its run ended.
-func (*Scheduler) requeue(w *worker, t *task, e End) {
+func (*Scheduler) requeue(w *worker, st *step, e End) {
 	if e.Reason == EndReasonFailed {
 		w.countFailure(w.clockAt, e.Task.Job)
 	}
-	t.removeRun(w.ID, e.Run)
+	st.removeRun(e.Task.Index, w.ID, e.Run)
 }
 
 // handleSuccess records the success of a task or gang.
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -106,7 +106,7 @@
 	state      taskState
 	worker     string
 	run        int64
-	checkpoint string  // newest one
+	checkpoint string // newest one
 	abandoned  abandonment
 	failures   []int64 // runs that failed
 	copyWorker string  // worker of a concurrent second run
@@ -119,6 +119,7 @@
 type step struct {
 	Step
 	tasks         []task
+	waiting       int               // number of tasks that need a worker
 	succeeded     int               // number of completed tasks
 	failedWorkers []string          // workers on which a run of it failed
 	tickets       map[string]ticket // by worker, in a queue with advice
@@ -139,7 +140,6 @@
 	endedAt          time.Time
 	dirty            bool          // it has changes that are not stored
 	awaitingStore    bool          // its tasks may start only after its progress is stored
-	storing          bool          // its progress is in the store in flight
 	unconfirmedSince time.Time     // when it was read while another VM may have led; else zero
 	criticalPath     time.Duration // duration of the longest chain of its steps
 	notBefore        time.Time     // earliest start of a task, zero for a job without a delay
@@ -156,7 +156,7 @@
 		if s.Filler {
 			s.Need.MilliCores = 0 // it uses CPU that others leave idle
 		}
-		n.steps = append(n.steps, &step{Step: s, tasks: make([]task, s.Tasks)})
+		n.steps = append(n.steps, &step{Step: s, tasks: make([]task, s.Tasks), waiting: s.Tasks})
 	}
 	n.criticalPath = n.computeCriticalPath()
 	return n
@@ -205,18 +205,32 @@
 	return !slices.ContainsFunc(j.steps, func(s *step) bool { return s.succeeded < len(s.tasks) })
 }
 
+// setState sets the state of a task.
+func (s *step) setState(index int, to taskState) {
+	t := &s.tasks[index]
+	s.count(t.state, -1)
+	s.count(to, 1)
+	t.state = to
+}
+
+func (s *step) count(v taskState, n int) {
+	switch v {
+	case taskWaiting:
+		s.waiting += n
+	case taskDone:
+		s.succeeded += n
+	case taskPlaced:
+	}
+}
+
 // markDone marks a task, or its whole gang, as succeeded.
 func (s *step) markDone(index int) {
-	if s.Gang {
-		for i := range s.tasks {
-			s.tasks[i].state = taskDone
-		}
-		s.succeeded = len(s.tasks)
+	if !s.Gang {
+		s.setState(index, taskDone)
 		return
 	}
-	if s.tasks[index].state != taskDone {
-		s.tasks[index].state = taskDone
-		s.succeeded++
+	for i := range s.tasks {
+		s.setState(i, taskDone)
 	}
 }
 
@@ -231,7 +245,10 @@
 
 // waitingTasks returns the indices of the tasks that need a worker.
 func (s *step) waitingTasks() []int {
-	var w []int
+	if s.waiting == 0 {
+		return nil
+	}
+	w := make([]int, 0, s.waiting)
 	for i := range s.tasks {
 		if s.tasks[i].state == taskWaiting {
 			w = append(w, i)
--- a/internal/jobs/scheduler/lasting.go
+++ b/internal/jobs/scheduler/lasting.go
@@ -12,9 +12,8 @@
 // runs move at once if they would be cut off: they restart seconds earlier than if
 // their leases had to expire first, which matters on days when many workers are
 // taken away.
-func (s *Scheduler) vacateWorkers(now time.Time) {
-	for _, id := range s.workerIDs {
-		w := s.workers[id]
+func (s *Scheduler) vacateWorkers(now time.Time, watched []*worker) {
+	for _, w := range watched {
 		if !w.Draining && !w.evacuating {
 			continue
 		}
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -5,12 +5,8 @@
 // sendHolds calls the workers that have runs or unacknowledged ends, or that have
 // not answered yet.
 func (s *Scheduler) sendHolds(now time.Time) {
-	for _, id := range s.workerIDs {
-		w := s.workers[id]
-		if w.holdInFlight || !w.needsHold(now, s.recovering) {
-			continue
-		}
-		h := Hold{Worker: id, Address: w.Address, Epoch: s.Epoch, DecidedAt: now}
+	for _, w := range s.dueHolds(now) {
+		h := Hold{Worker: w.ID, Address: w.Address, Epoch: s.Epoch, DecidedAt: now}
 		// A restarted worker numbers its ends from 1 again, so a number is sent once and
 		// only soon after an answer. Other workers are asked first.
 		ackDue := w.storedEnd > w.ackedEnd && w.unresponsiveSince.IsZero()
@@ -39,28 +35,32 @@
 	return holdWait
 }
 
-// needsHold reports whether a hold is due.
-func (w *worker) needsHold(now time.Time, recovering bool) bool {
-	pause := holdRetryDelay
-	if !w.fenced {
-		pause = recoveryRetryDelay
-	}
-	if !w.callFailedAt.IsZero() && now.Sub(w.callFailedAt) < pause {
-		return false
-	}
+// nextHold returns when the next hold is due, or false if none is.
+func (w *worker) nextHold(recovering bool) (time.Time, bool) {
 	if !w.listed && len(w.runs) == 0 && (w.fenced || !recovering) {
-		return false
-	}
-	if !w.fenced || !w.unresponsiveSince.IsZero() {
-		return true
-	}
-	if w.withheldEnd != 0 && len(w.runs) == 0 && len(w.orphanEnds) == 0 && w.lastAckable() <= w.ackedEnd {
-		return false
+		return time.Time{}, false
 	}
-	if w.handledEnd > w.storedEnd {
-		return now.Sub(w.holdSentAt) >= unstoredHoldDelay
+	var at time.Time
+	if !w.callFailedAt.IsZero() {
+		pause := holdRetryDelay
+		if !w.fenced {
+			pause = recoveryRetryDelay
+		}
+		at = w.callFailedAt.Add(pause)
+	}
+	switch {
+	case !w.fenced || !w.unresponsiveSince.IsZero():
+		return at, true
+	case w.withheldEnd != 0 && len(w.runs) == 0 && len(w.orphanEnds) == 0 && w.lastAckable() <= w.ackedEnd:
+		return at, false
+	case w.handledEnd > w.storedEnd:
+		if next := w.holdSentAt.Add(unstoredHoldDelay); next.After(at) {
+			at = next
+		}
+		return at, true
+	default:
+		return at, len(w.runs) > 0 || w.storedEnd > w.ackedEnd
 	}
-	return len(w.runs) > 0 || w.storedEnd > w.ackedEnd
 }
 
 // handleHoldResult applies a worker's report of its runs and ends.
@@ -70,6 +70,7 @@
 		return
 	}
 	w.holdInFlight = false
+	s.touch(w)
 	switch e.Outcome {
 	case OutcomeDone:
 	case OutcomeReplaced:
@@ -129,9 +130,11 @@
 			st.primary(r.Task.Index).checkpoint = r.Checkpoint
 		}
 	}
-	for _, p := range w.sortedRuns() {
-		if !listed[placementKey{p.task, p.run}] && p.confirmedAbsent(e) {
-			s.loseRun(now, w, p, "its worker no longer lists it")
+	if len(listed) < len(w.order) {
+		for _, p := range w.sortedRuns() {
+			if !listed[placementKey{p.task, p.run}] && p.confirmedAbsent(e) {
+				s.loseRun(now, w, p, "its worker no longer lists it")
+			}
 		}
 	}
 	s.detectStall(now, w)
@@ -154,7 +157,7 @@
 	if t != nil {
 		p.need, p.serving, p.filler = st.Need, st.Serving, st.Filler
 	}
-	w.add(p)
+	s.addRun(w, p)
 	if _, known := s.jobs[r.Task.Job]; !known {
 		s.keepOrphanRun(now, w, p)
 		return
@@ -164,7 +167,8 @@
 		s.stopRun(now, w, p)
 		return
 	}
-	t.state, t.run, t.worker = taskPlaced, r.Run, w.ID
+	st.setState(r.Task.Index, taskPlaced)
+	t.run, t.worker = r.Run, w.ID
 	if r.Checkpoint != "" {
 		st.primary(r.Task.Index).checkpoint = r.Checkpoint
 	}
@@ -190,7 +194,7 @@
 func (s *Scheduler) markRunning(j *job) {
 	if j.state == StateQueued {
 		j.state = StateRunning
-		j.dirty = true
+		s.markDirty(j)
 	}
 	if j.parent != nil {
 		s.markRunning(j.parent)
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -46,7 +46,7 @@
 	}
 	waiting := map[string]bool{}
 	for _, u := range units {
-		if len(u.step.waitingTasks()) > 0 && !waiting[u.job.queue.Service] {
+		if u.step.waiting > 0 && !waiting[u.job.queue.Service] {
 			waiting[u.job.queue.Service] = true
 			s.stopCopies(now, u.job.queue.Service)
 		}
@@ -81,7 +81,7 @@
 			r.class = 2
 		}
 		for i, st := range j.steps {
-			if !j.ready(st) || st.succeeded == len(st.tasks) {
+			if !j.ready(st) || st.waiting == 0 {
 				continue
 			}
 			r.unit = unit{j, i, st}
@@ -98,20 +98,6 @@
 	return units
 }
 
-// usableWorkers returns the usable workers of each service.
-func (s *Scheduler) usableWorkers(now time.Time) map[string][]placer.Worker {
-	v := map[string][]placer.Worker{}
-	for _, id := range s.workerIDs {
-		w := s.workers[id]
-		if w.usable(now) {
-			v[w.Service] = append(v[w.Service], placer.Worker{
-				ID: id, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.Capacity.Minus(w.used),
-			})
-		}
-	}
-	return v
-}
-
 // urgentAccelerators returns the accelerators held by urgent jobs, by organisation.
 func (s *Scheduler) urgentAccelerators() map[string]int {
 	n := map[string]int{}
@@ -244,7 +230,8 @@
 func (p *pass) placeTask(u unit, index int, id string, run int64) {
 	s := p.s
 	t := &u.step.tasks[index]
-	t.state, t.worker, t.run = taskPlaced, id, run
+	u.step.setState(index, taskPlaced)
+	t.worker, t.run = id, run
 	p.startRun(u, index, id, run)
 	s.logDecision(Decision{Message: "task placed", Job: u.job.ID, Task: TaskID{u.job.ID, u.index, index}, Run: run, Worker: id, Details: Details{"waited-ms": p.now.Sub(u.job.acceptedAt).Milliseconds()}})
 }
@@ -254,7 +241,7 @@
 	s, w := p.s, p.s.workers[id]
 	task := TaskID{u.job.ID, u.index, index}
 	deadlineMS := w.minClock(p.now) + s.Settings.startWindow().Milliseconds()
-	w.add(&placement{
+	s.addRun(w, &placement{
 		task: task, run: run, need: u.step.Need, startDeadlineMS: deadlineMS, progressedAt: p.now,
 		serving: u.step.Serving, filler: u.step.Filler, pace: fullPace,
 	})
--- a/internal/jobs/scheduler/relocation.go
+++ b/internal/jobs/scheduler/relocation.go
@@ -120,6 +120,7 @@
 	v.pendingMove, v.pendingMachine = MoveMachine{Machine: m.ID, Pool: pool, Epoch: s.Epoch}, m
 	if w, ok := s.workers[m.Worker]; ok {
 		w.evacuating = true
+		s.touch(w)
 	}
 	s.logDecision(Decision{Message: "machine is moved to another pool", Worker: m.Worker, Details: Details{detailMachine: m.ID, "from": m.Pool, "to": pool, "reason": reason}})
 	s.sendMove(now)
@@ -281,6 +282,7 @@
 	v := &s.relocation
 	if w, ok := s.workers[v.pendingMachine.Worker]; ok {
 		w.evacuating = false
+		s.touch(w)
 		s.placementDue = true
 	}
 	if v.failedAt == nil {
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -40,6 +40,7 @@
 	meanWork         map[string]float64 // core-seconds of a job, by queue
 	adviceInFlight   bool
 	nextAdviceAt     time.Time // earliest time of the next call for advice
+	tracking         tracking
 	effects          []Effect
 }
 
@@ -50,6 +51,7 @@
 	if s.workers == nil {
 		s.workers = map[string]*worker{}
 		s.jobs = map[string]*job{}
+		s.tracking = newTracking()
 		s.recovering = true
 		if s.ConfirmedAt.IsZero() {
 			s.ConfirmedAt = s.LeadingSince
@@ -175,17 +177,12 @@
 func (s *Scheduler) endJob(now time.Time, j *job, state State, reason string) {
 	j.state = state
 	j.endedAt = now
-	j.dirty = true
+	s.markDirty(j)
 	s.storeSoon = true
 	s.active = slices.DeleteFunc(s.active, func(o *job) bool { return o == j })
 	s.logDecision(Decision{Message: "job ended", Job: j.ID, Details: Details{"state": state, "reason": reason, "after-ms": now.Sub(j.acceptedAt).Milliseconds()}})
-	for _, id := range s.workerIDs {
-		w := s.workers[id]
-		for _, p := range w.sortedRuns() {
-			if p.task.Job == j.ID {
-				s.stopRun(now, w, p)
-			}
-		}
+	for _, r := range s.runsOf(j.ID) {
+		s.stopRun(now, r.worker, r.run)
 	}
 	for _, st := range j.steps {
 		st.reserved = nil
@@ -202,39 +199,62 @@
 
 // runTimers performs the actions that depend on time alone.
 func (s *Scheduler) runTimers(now time.Time) {
-	for _, id := range s.workerIDs {
-		w := s.workers[id]
-		if len(w.runs) > 0 && !w.unresponsiveSince.IsZero() && w.leasesExpired(now, s.Settings.leaseEndSlack()) {
-			s.logDecision(Decision{Message: "leases on an unresponsive worker have expired", Worker: id, Details: Details{"silent-ms": now.Sub(w.unresponsiveSince).Milliseconds()}})
-			for _, p := range w.sortedRuns() {
-				s.abandonRun(w, p)
-				s.loseRun(now, w, p, "its lease expired on an unresponsive worker")
-			}
-			w.fenced = false
-		}
-		for _, p := range w.sortedRuns() {
-			if p.stopping && !p.stopInFlight && p.stopAnsweredAt.IsZero() && now.Sub(p.stopSentAt) >= stopRetryDelay {
-				s.sendStop(now, w, p)
-			}
-		}
+	watched := s.watchedWorkers(now)
+	gone := false
+	for _, w := range watched {
+		s.touch(w)
+		s.expireLeases(now, w)
+		s.retryStops(now, w)
 		s.dropOrphans(now, w)
-	}
-	s.workerIDs = slices.DeleteFunc(s.workerIDs, func(id string) bool {
-		w := s.workers[id]
 		if w.listed || w.holdInFlight || len(w.runs) > 0 || (s.recovering && !w.fenced) {
-			return false
+			continue
 		}
-		delete(s.workers, id)
-		return true
-	})
-	s.vacateWorkers(now)
+		gone = true
+		delete(s.workers, w.ID)
+		delete(s.tracking.stalled, w.ID)
+		delete(s.tracking.orphaned, w.ID)
+	}
+	if gone {
+		s.workerIDs = slices.DeleteFunc(s.workerIDs, func(id string) bool { return s.workers[id] == nil })
+	}
+	s.vacateWorkers(now, watched)
 	s.advanceWaves(now)
 	s.relocateMachines(now)
 	s.deleteOldJobs(now)
 }
 
+// expireLeases gives up the runs on a worker that has been silent until all its leases
+// have expired.
+func (s *Scheduler) expireLeases(now time.Time, w *worker) {
+	if len(w.runs) == 0 || w.unresponsiveSince.IsZero() || !w.leasesExpired(now, s.Settings.leaseEndSlack()) {
+		return
+	}
+	s.logDecision(Decision{Message: "leases on an unresponsive worker have expired", Worker: w.ID, Details: Details{"silent-ms": now.Sub(w.unresponsiveSince).Milliseconds()}})
+	for _, p := range w.sortedRuns() {
+		s.abandonRun(w, p)
+		s.loseRun(now, w, p, "its lease expired on an unresponsive worker")
+	}
+	w.fenced = false
+}
+
+// retryStops sends the stops again that got no answer.
+func (s *Scheduler) retryStops(now time.Time, w *worker) {
+	if w.stoppingRuns == 0 {
+		return
+	}
+	for _, p := range w.sortedRuns() {
+		if p.stopping && !p.stopInFlight && p.stopAnsweredAt.IsZero() && now.Sub(p.stopSentAt) >= stopRetryDelay {
+			s.sendStop(now, w, p)
+		}
+	}
+}
+
 // deleteOldJobs deletes jobs that ended long ago.
 func (s *Scheduler) deleteOldJobs(now time.Time) {
+	if now.Sub(s.tracking.oldJobsAt) < oldJobsInterval {
+		return
+	}
+	s.tracking.oldJobsAt = now
 	var old []string
 	for id, j := range s.jobs {
 		if j.state.Ended() && !j.dirty && now.Sub(j.endedAt) > endedJobRetention {
@@ -261,20 +281,24 @@
 		return
 	}
 	s.storeSoon = false
-	for _, w := range s.workers {
+	k := &s.tracking
+	for _, w := range k.endsToStore {
+		w.endsPending = false
 		w.storingEnd = w.lastAckable()
 	}
-	p := map[string]Progress{}
-	for id, j := range s.jobs {
-		if j.dirty {
-			p[id] = j.progress()
-			j.dirty, j.storing = false, true
-		}
-	}
-	if len(p) == 0 {
+	k.endsStoring, k.endsToStore = k.endsToStore, k.endsStoring[:0]
+	if len(k.dirtyJobs) == 0 {
 		s.markEndsStored()
 		return
 	}
+	p := make(map[string]Progress, len(k.dirtyJobs))
+	k.storingJobs = k.storingJobs[:0]
+	for id, j := range k.dirtyJobs {
+		p[id] = j.progress()
+		j.dirty = false
+		k.storingJobs = append(k.storingJobs, j)
+	}
+	clear(k.dirtyJobs)
 	s.storeInFlight = true
 	s.storedAt = now
 	s.emit(Store{Progress: p})
@@ -285,18 +309,20 @@
 	s.storeInFlight = false
 	s.storedAt = now
 	s.markEndsStored()
-	for _, j := range s.jobs {
-		if j.storing && j.awaitingStore && !j.dirty {
+	for _, j := range s.tracking.storingJobs {
+		if j.awaitingStore && !j.dirty {
 			j.awaitingStore = false
 			s.placementDue = true
 		}
-		j.storing = false
 	}
+	s.tracking.storingJobs = s.tracking.storingJobs[:0]
 }
 
 // markEndsStored records that all ends covered by the last batch are stored.
 func (s *Scheduler) markEndsStored() {
-	for _, w := range s.workers {
+	for _, w := range s.tracking.endsStoring {
 		w.storedEnd = max(w.storedEnd, w.storingEnd)
+		s.touch(w)
 	}
+	s.tracking.endsStoring = s.tracking.endsStoring[:0]
 }
--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -20,6 +20,7 @@
 	exclusionFailures   = 2                       // failed runs of different jobs after which a worker is excluded
 	exclusionTime       = 4 * time.Second         // half of the shortest period for which workers fail on bad days
 	endedJobRetention   = 150 * time.Second       // callers query states for at least 120 s after the end
+	oldJobsInterval     = time.Second             // between searches for such jobs
 	storeInterval       = 300 * time.Millisecond  // between stores of progress that nobody waits for
 	urgentStoreInterval = 40 * time.Millisecond   // between stores of ends; every VM reads each store
 	runsPerEpoch        = 1_000_000               // run numbers of one epoch; later leaders use higher ones
--- a/internal/jobs/scheduler/stall.go
+++ b/internal/jobs/scheduler/stall.go
@@ -25,7 +25,7 @@
 		switch s.progressOf(p) {
 		case progressMade:
 			if !w.stalledAt.IsZero() {
-				w.stalledAt = time.Time{}
+				s.setStalled(w, time.Time{})
 				s.logDecision(Decision{Message: "worker is no longer stalled", Worker: w.ID})
 			}
 			return
@@ -41,7 +41,17 @@
 	if !w.isStalled(now) {
 		s.logDecision(Decision{Message: "worker is stalled", Worker: w.ID, Details: Details{detailRuns: len(w.runs)}})
 	}
-	w.stalledAt = now
+	s.setStalled(w, now)
+}
+
+// setStalled sets when the runs on a worker were last seen to stall.
+func (s *Scheduler) setStalled(w *worker, at time.Time) {
+	w.stalledAt = at
+	if at.IsZero() {
+		delete(s.tracking.stalled, w.ID)
+		return
+	}
+	s.tracking.stalled[w.ID] = w
 }
 
 // isStalled reports whether a stall was detected within the last exclusionTime.
@@ -105,14 +115,13 @@
 
 // moveStalled stops stalled urgent runs that can restart elsewhere at once.
 func (p *pass) moveStalled() {
-	for _, id := range p.s.workerIDs {
-		w := p.s.workers[id]
+	for _, w := range sortedWorkers(p.s.tracking.stalled) {
 		if !w.isStalled(p.now) {
 			continue
 		}
 		for _, r := range w.sortedRuns() {
 			j, st, t := p.s.findTask(r.task)
-			if t == nil || !j.urgent() || r.stopping || t.run != r.run || t.worker != id || st.LongRunning || p.s.progressOf(r) != progressStalled {
+			if t == nil || !j.urgent() || r.stopping || t.run != r.run || t.worker != w.ID || st.LongRunning || p.s.progressOf(r) != progressStalled {
 				continue
 			}
 			if p.s.lostWork(st, r) <= maxMoveLoss && p.fitsElsewhere(unit{j, r.task.Step, st}, r) {
@@ -178,7 +187,7 @@
 
 // anyStalled reports whether any worker is stalled.
 func (s *Scheduler) anyStalled(now time.Time) bool {
-	for _, w := range s.workers {
+	for _, w := range s.tracking.stalled {
 		if w.isStalled(now) {
 			return true
 		}
--- a/internal/jobs/scheduler/stray.go
+++ b/internal/jobs/scheduler/stray.go
@@ -19,6 +19,7 @@
 // keepOrphanEnd keeps the end of an orphaned run until its job is read.
 func (s *Scheduler) keepOrphanEnd(now time.Time, w *worker, e End) {
 	w.orphanEnds = append(w.orphanEnds, orphanEnd{e, now})
+	s.tracking.orphaned[w.ID] = w
 	s.logDecision(Decision{Message: "orphaned run ended: its job has not been read yet", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.ID, Details: Details{"how": e.Reason, "end": e.Number}})
 }
 
@@ -40,19 +41,19 @@
 func (s *Scheduler) keepOrphanRun(now time.Time, w *worker, p *placement) {
 	p.orphanSince = now
 	w.orphanRuns++
+	s.tracking.orphaned[w.ID] = w
 	s.logDecision(Decision{Message: "orphaned run found: its job has not been read yet", Job: p.task.Job, Task: p.task, Run: p.run, Worker: w.ID})
 }
 
 // adoptOrphans adopts the orphaned runs and ends of a job that has been read, before
 // any of its tasks is placed.
 func (s *Scheduler) adoptOrphans(now time.Time, id string) {
-	for _, name := range s.workerIDs {
-		w := s.workers[name]
+	for _, w := range sortedWorkers(s.tracking.orphaned) {
 		for _, p := range w.sortedRuns() {
 			if p.orphanSince.IsZero() || p.task.Job != id {
 				continue
 			}
-			w.remove(p)
+			s.removeRun(w, p)
 			s.adopt(now, w, Running{Task: s.canonicalID(p.task), Run: p.run, Percent: p.percent})
 		}
 		w.orphanEnds = slices.DeleteFunc(w.orphanEnds, func(v orphanEnd) bool {
@@ -63,12 +64,17 @@
 			s.handleEnd(now, w, v.end)
 			return true
 		})
+		s.forgetOrphaned(w)
 	}
 }
 
 // dropOrphans drops the ends, and stops the runs, whose jobs were not read within
 // orphanTimeout: jobs that were never stored or were deleted long ago.
 func (s *Scheduler) dropOrphans(now time.Time, w *worker) {
+	if w.orphanRuns == 0 && len(w.orphanEnds) == 0 {
+		return
+	}
+	defer s.forgetOrphaned(w)
 	timedOut := func(at time.Time) bool { return now.Sub(at) > orphanTimeout }
 	w.orphanEnds = slices.DeleteFunc(w.orphanEnds, func(v orphanEnd) bool { return timedOut(v.listedAt) })
 	if w.orphanRuns == 0 {
@@ -81,3 +87,12 @@
 		}
 	}
 }
+
+// forgetOrphaned updates the indexes after orphaned runs or ends of a worker were handled.
+func (s *Scheduler) forgetOrphaned(w *worker) {
+	s.noteEnds(w)
+	s.touch(w)
+	if w.orphanRuns == 0 && len(w.orphanEnds) == 0 {
+		delete(s.tracking.orphaned, w.ID)
+	}
+}
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -203,6 +203,7 @@
 		return
 	}
 	w.evacuating = true
+	s.touch(w)
 	for _, p := range w.sortedRuns() {
 		if _, st, t := s.findTask(p.task); t != nil && st.Checkpoints && !st.LongRunning {
 			s.stopRun(now, w, p)
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -74,6 +74,15 @@
 	excludedUntil time.Time // no new tasks before
 
 	stalledAt time.Time // when its runs were last seen to stall, zero after progress
+
+	// Membership in the indexes of the scheduler.
+	touched       bool
+	holdCandidate bool
+	holdQueuedAt  time.Time // time of its earliest entry among the later holds, else zero
+	usableIn      string    // service among whose usable workers it is, empty for none
+	endsPending   bool      // it has ends that no store covers
+	stoppingRuns  int
+	order         []*placement // runs, sorted
 }
 
 // minClock returns a lower bound of the worker's clock.
@@ -106,6 +115,8 @@
 
 func (w *worker) add(p *placement) {
 	w.runs[placementKey{p.task, p.run}] = p
+	i, _ := slices.BinarySearchFunc(w.order, p, comparePlacements)
+	w.order = slices.Insert(w.order, i, p)
 	w.used = w.used.Plus(p.need)
 	w.adjustCounts(p, 1)
 }
@@ -117,12 +128,16 @@
 	if p.filler {
 		w.fillerRuns += n
 	}
+	if p.stopping {
+		w.stoppingRuns += n
+	}
 }
 
 func (w *worker) remove(p *placement) {
 	k := placementKey{p.task, p.run}
 	if _, ok := w.runs[k]; ok {
 		delete(w.runs, k)
+		w.order = slices.DeleteFunc(w.order, func(o *placement) bool { return o == p })
 		w.used = w.used.Minus(p.need)
 		w.adjustCounts(p, -1)
 		if !p.orphanSince.IsZero() {
@@ -131,14 +146,11 @@
 	}
 }
 
-// sortedRuns returns the runs on the worker in a fixed order.
-func (w *worker) sortedRuns() []*placement {
-	all := make([]*placement, 0, len(w.runs))
-	for _, p := range w.runs {
-		all = append(all, p)
-	}
-	slices.SortFunc(all, func(a, b *placement) int { return cmp.Or(compareTask(a.task, b.task), cmp.Compare(a.run, b.run)) })
-	return all
+// sortedRuns returns a copy of the runs on the worker in a fixed order.
+func (w *worker) sortedRuns() []*placement { return slices.Clone(w.order) }
+
+func comparePlacements(a, b *placement) int {
+	return cmp.Or(compareTask(a.task, b.task), cmp.Compare(a.run, b.run))
 }
 
 func compareTask(a, b TaskID) int {
@@ -196,11 +208,13 @@
 		w.WorkerInfo = l
 		w.StartedMS = born
 		w.listed = !l.Expired
+		s.touch(w)
 	}
 	slices.Sort(s.workerIDs)
 	for _, id := range s.workerIDs {
 		if w := s.workers[id]; w.listed && !inList[id] {
 			w.listed = false
+			s.touch(w)
 			s.logDecision(Decision{Message: "worker is no longer listed", Worker: id, Details: Details{detailRuns: len(w.runs)}})
 		}
 	}
@@ -216,7 +230,11 @@
 	w.fenced = false
 	w.unconfirmedSince = s.unconfirmedSince(now)
 	w.orphanEnds = nil
-	w.stalledAt = time.Time{}
+	s.setStalled(w, time.Time{})
+	if w.orphanRuns == 0 {
+		delete(s.tracking.orphaned, w.ID)
+	}
+	s.touch(w)
 	w.pacing = pacing{}
 	w.departed = false
 	w.handledEnd, w.storingEnd, w.storedEnd, w.ackedEnd, w.withheldEnd = 0, 0, 0, 0, 0
@@ -242,10 +260,10 @@
 // loseRun removes a run that its worker no longer has and requeues its task. The
 // other members of a gang are stopped.
 func (s *Scheduler) loseRun(now time.Time, w *worker, p *placement, reason string) {
-	w.remove(p)
+	s.removeRun(w, p)
 	s.placementDue = true
 	j, st, t := s.findTask(p.task)
-	if t == nil || !t.removeRun(w.ID, p.run) {
+	if t == nil || !st.removeRun(p.task.Index, w.ID, p.run) {
 		return
 	}
 	s.logDecision(Decision{Message: "run is lost", Job: j.ID, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"reason": reason}})
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -45,7 +45,7 @@
 	paceChanges    int
 	ackedTasks     map[scheduler.TaskID]bool // tasks whose success was acknowledged
 	lastStarts     map[scheduler.TaskID]time.Time
-	violation      string                    // violated guarantee, empty for none
+	violation      string // violated guarantee, empty for none
 
 	waves                     map[int]scheduler.StoreWave // as stored
 	knownWaves                []scheduler.Wave
