scheduler: keep what was freed for an urgent job, and search for it less often

Cause: an urgent job whose search for runs to stop was over the limit of its pass reserved nothing, so batch tasks started in the same pass on what the next pass took back. A run that had just started cost nothing and was the next victim. A search that failed was repeated in every pass, over all runs each time.

Whether an empty rack is large enough for a gang is worked out every 500 ms. Stalled runs are moved at ticks.

--- a/internal/jobs/scheduler/borrowers.go
+++ b/internal/jobs/scheduler/borrowers.go
@@ -15,32 +15,43 @@
 type costFunc func(now time.Time, j *job, st *step, p *placement) float64
 
 // preemptibleRuns returns the runs of less urgent jobs on the workers of a unit's
-// service. The runs of a gang are one entry, since they stop together.
+// service. The runs of a gang are one entry, since they stop together. For an urgent unit
+// they are collected once per pass.
 func (p *pass) preemptibleRuns(u unit, cost costFunc) []placer.Borrower {
+	service := u.job.queue.Service
+	if !u.job.urgent() {
+		return p.collectRuns(service, u.job, cost)
+	}
+	all, ok := p.borrowers[service]
+	if !ok {
+		all = p.collectRuns(service, nil, cost)
+		p.borrowers[service] = all
+	}
+	return all
+}
+
+// collectRuns returns the runs of less urgent jobs but one on the workers of a service.
+func (p *pass) collectRuns(service string, except *job, cost costFunc) []placer.Borrower {
 	var all []placer.Borrower
-	at := map[string]int{}
-	for _, id := range p.s.workerIDs {
-		w := p.s.workers[id]
-		if w.Service != u.job.queue.Service || len(w.runs) == 0 || !w.usable(p.now) {
-			continue
-		}
-		for _, r := range w.sortedRuns() {
+	at := map[TaskID]int{}
+	for _, v := range p.workers[service] {
+		for _, r := range p.s.workers[v.ID].order {
 			j, st, t := p.s.findTask(r.task)
-			if t == nil || st.LongRunning || j.urgent() || j == u.job || j.state.Ended() || r.run == t.copyRun {
+			if t == nil || st.LongRunning || j.urgent() || j == except || j.state.Ended() || r.run == t.copyRun {
 				continue
 			}
-			name := unitName(r.task)
+			id := r.task
 			if st.Gang {
-				name = unitName(TaskID{j.ID, r.task.Step, 0})
+				id.Index = 0
 			}
-			k, ok := at[name]
+			k, ok := at[id]
 			if !ok {
 				k = len(all)
-				at[name] = k
-				all = append(all, placer.Borrower{Job: name})
+				at[id] = k
+				all = append(all, placer.Borrower{Job: unitName(id)})
 			}
 			all[k].Cost += cost(p.now, j, st, r)
-			all[k].Held = addAllocation(all[k].Held, id, r.need)
+			all[k].Held = addAllocation(all[k].Held, v.ID, r.need)
 		}
 	}
 	return all
@@ -91,7 +102,8 @@
 }
 
 // preemptionCost returns the work that is lost when a run is stopped, in
-// core-seconds.
+// core-seconds. A run that has only just started costs something too, and more each time
+// its task is stopped, so that no task is the victim again and again.
 func preemptionCost(now time.Time, _ *job, st *step, p *placement) float64 {
 	if p.stopping {
 		return 0
@@ -104,6 +116,7 @@
 	if st.Checkpoints {
 		lost = min(lost, checkpointLoss.Seconds())
 	}
+	lost = (lost + restartLoss.Seconds()) * float64(1+st.primary(p.task.Index).preemptions)
 	return lost * weightedCores(st.Need)
 }
 
@@ -126,5 +139,6 @@
 	longRunningCost  = 1e6 // core-seconds lost with a long-running task; no other run costs as much
 	fullPercent      = 100
 	minRemainingTime = 200 * time.Millisecond // of a run that takes longer than its estimate
+	restartLoss      = 500 * time.Millisecond // for which the resources of a stopped run are idle
 	checkpointLoss   = 300 * time.Millisecond // work lost by a run with a checkpoint, which takes up to 250 ms to restore
 )
--- a/internal/jobs/scheduler/day_test.go
+++ b/internal/jobs/scheduler/day_test.go
@@ -88,6 +88,7 @@
 	start  scheduler.Start
 	worker *dayWorker
 	began  time.Duration // when it, or its whole gang, began to work
+	total  time.Duration // of its work
 	works  bool
 }
 
@@ -123,6 +124,7 @@
 	callCost time.Duration // processor time of the leader for a call
 	speed    float64       // share of a processor of the leader, 0 for unlimited
 
+	passAt                                               time.Duration // time of the last postponed pass
 	busyUntil                                            time.Duration
 	cpu                                                  time.Duration // of Reduce
 	looks, starts, stops, passes, preemptions, lostSteps int
@@ -253,6 +255,10 @@
 	for _, f := range effects {
 		d.execute(f)
 	}
+	if at := d.s.NextPass(); !at.IsZero() && at.Sub(d.start) > d.passAt {
+		d.passAt = at.Sub(d.start)
+		d.post(d.passAt, nil)
+	}
 }
 
 func (d *day) execute(f scheduler.Effect) {
@@ -313,8 +319,8 @@
 	}
 	for t, r := range w.runs {
 		percent := 0
-		if j := d.jobs[t.Job]; r.works {
-			percent = min(99, int(100*(d.now-r.began)/j.work))
+		if r.works {
+			percent = min(99, int(100*(d.now-r.began)/r.total))
 		}
 		e.Running = append(e.Running, scheduler.Running{Task: t, Run: r.start.Run, Percent: percent})
 	}
@@ -353,7 +359,7 @@
 // work lets runs that belong together work until their end.
 func (d *day) work(all []*dayRun, work time.Duration) {
 	for _, r := range all {
-		r.began, r.works = d.now, true
+		r.began, r.total, r.works = d.now, work, true
 	}
 	d.do(d.now+work, func() {
 		for _, r := range all {
--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -119,10 +119,13 @@
 	if u.job.urgent() && !u.step.blockedSince.IsZero() && p.now.Sub(u.step.blockedSince) >= urgentRackWait {
 		return true
 	}
-	empty := slices.Clone(p.eligibleWorkers(u))
-	for i := range empty {
-		empty[i].Free = empty[i].Capacity
+	if u.step.rackCheckedAt.IsZero() || p.now.Sub(u.step.rackCheckedAt) >= rackCheckInterval {
+		empty := slices.Clone(p.eligibleWorkers(u))
+		for i := range empty {
+			empty[i].Free = empty[i].Capacity
+		}
+		_, u.step.rackFits = placer.Place(r, empty)
+		u.step.rackCheckedAt = p.now
 	}
-	_, ok := placer.Place(r, empty)
-	return !ok
+	return !u.step.rackFits
 }
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -112,21 +112,26 @@
 	copyWorker string  // worker of a concurrent second run
 	copyRun    int64   // its number, 0 for none
 	hadCopy    bool
+
+	preemptions int // how often its runs were stopped for urgent jobs
 }
 
 // step is a step of a job with its tasks. A gang keeps its run, checkpoint, failures and
 // abandonment on its first task.
 type step struct {
 	Step
-	tasks         []task
-	waiting       int               // number of tasks that need a worker
-	succeeded     int               // number of completed tasks
-	failedWorkers []string          // workers on which a run of it failed
-	tickets       map[string]ticket // by worker, in a queue with advice
-	deniedWorkers map[string]bool   // workers that may not run it
-	reserved      []string          // workers on which resources are being freed for a gang or urgent tasks
-	movedOnce     bool              // a stalled run of it was moved
-	blockedSince  time.Time         // when it first found too few resources, else zero
+	tasks          []task
+	waiting        int               // number of tasks that need a worker
+	succeeded      int               // number of completed tasks
+	failedWorkers  []string          // workers on which a run of it failed
+	tickets        map[string]ticket // by worker, in a queue with advice
+	deniedWorkers  map[string]bool   // workers that may not run it
+	searchFailedAt time.Time         // when a search for runs to stop or to wait for last found none, else zero
+	reserved       []string          // workers on which resources are being freed for a gang or urgent tasks
+	movedOnce      bool              // a stalled run of it was moved
+	rackFits       bool              // at rackCheckedAt, an empty rack was large enough for it
+	rackCheckedAt  time.Time
+	blockedSince   time.Time // when it first found too few resources, else zero
 }
 
 // job is a job with the leader's state of it.
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -12,6 +12,13 @@
 	lateFactor      = 3               // objectives after which the completion of a job has no value
 	avoidFailedTime = 2 * time.Second // a gang that has waited for longer may use workers again on which it failed
 	urgentRackWait  = time.Second     // an urgent gang that has waited for longer gives up the rack constraint
+
+	// Which racks are large enough for a gang changes only with the usable workers.
+	rackCheckInterval = 500 * time.Millisecond
+
+	// While tasks wait, a pass costs milliseconds at a thousand workers, and each end of a
+	// run would cause one.
+	passInterval = 20 * time.Millisecond
 )
 
 // unit is what is placed at once: a gang, or the waiting tasks of a step.
@@ -25,11 +32,13 @@
 type pass struct {
 	s                  *Scheduler
 	now                time.Time
-	workers            map[string][]placer.Worker // usable ones, by service
-	reservations       int                        // gangs with reserved resources
-	urgentAccelerators map[string]int             // held by or reserved for urgent jobs, by organisation
-	failedRequests     []failedRequest            // requests that did not fit in this pass
-	victimSearches     int                        // searches for runs to preempt or to wait for
+	workers            map[string][]placer.Worker   // usable ones, by service
+	reservations       int                          // gangs with reserved resources
+	urgentAccelerators map[string]int               // held by or reserved for urgent jobs, by organisation
+	failedRequests     []failedRequest              // requests that did not fit in this pass
+	victimSearches     int                          // searches for runs to preempt or to wait for
+	postponed          map[string]bool              // services of units whose search is left to the next pass
+	borrowers          map[string][]placer.Borrower // runs that urgent units may stop, by service, once collected
 }
 
 // place starts the tasks that fit, the most urgent first.
@@ -39,10 +48,16 @@
 		s.recordStarvation(now, nil)
 		return
 	}
-	p := &pass{s: s, now: now, workers: s.usableWorkers(now), urgentAccelerators: s.urgentAccelerators()}
-	p.moveStalled()
+	p := &pass{s: s, now: now, workers: s.usableWorkers(now), urgentAccelerators: s.urgentAccelerators(), postponed: map[string]bool{}, borrowers: map[string][]placer.Borrower{}}
+	if s.ticked {
+		p.moveStalled()
+	}
 	for _, u := range units {
-		p.placeUnit(u)
+		// The next pass stops runs for an urgent unit whose search was postponed, so
+		// others must not start meanwhile on what it needs.
+		if u.job.urgent() || !p.postponed[u.job.queue.Service] {
+			p.placeUnit(u)
+		}
 	}
 	waiting := map[string]bool{}
 	for _, u := range units {
@@ -53,6 +68,8 @@
 	}
 	if len(waiting) == 0 {
 		p.startCopies()
+	} else {
+		s.nextPassAt = now.Add(passInterval)
 	}
 	s.recordStarvation(now, units)
 }
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -9,15 +9,18 @@
 // checkRecovery ends the recovery once each worker that an earlier leader may have
 // used has answered, has departed, or can hold no valid lease any more.
 func (s *Scheduler) checkRecovery(now time.Time) {
-	if !s.recovering || (len(s.workerIDs) == 0 && s.allListed(now)) {
+	if !s.recovering {
+		return
+	}
+	s.settle(now)
+	if !s.ticked && len(s.tracking.unanswered) > 0 || (len(s.workerIDs) == 0 && s.allListed(now)) {
 		return
 	}
 	limit := s.Settings.Lease*100/minClockRatePercent + s.Settings.leaseEndSlack()
 	timedOut := now.Sub(s.LeadingSince) > limit
 	unanswered, anyLeft := false, false
-	for _, id := range s.workerIDs {
-		w := s.workers[id]
-		unanswered = unanswered || !w.fenced && !w.departed
+	for _, w := range s.tracking.unanswered {
+		unanswered = unanswered || !w.departed
 		anyLeft = anyLeft || w.mayHaveLeft()
 	}
 	if unanswered && !timedOut {
@@ -91,6 +94,7 @@
 			continue
 		}
 		w.departed = true
+		s.touch(w)
 		s.logDecision(Decision{Message: "departed worker has no machine any more", Worker: id, Details: Details{"machines": len(s.machines), "listed": w.listed}})
 	}
 }
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -24,9 +24,11 @@
 	jobs      map[string]*job
 	active    []*job // jobs that have not ended, by offset
 
+	ticked          bool  // the present call handles a tick
 	recovering      bool  // workers that have not answered yet may have runs of earlier leaders
 	lastRun         int64 // number of the last run
 	placementDue    bool
+	nextPassAt      time.Time // earliest time of the next placement pass
 	storeInFlight   bool
 	storedAt        time.Time
 	storeSoon       bool // a worker or caller waits for the next store
@@ -59,11 +61,12 @@
 		s.lastRun = s.Epoch * runsPerEpoch
 	}
 	s.effects = nil
+	s.ticked = false
 	for _, e := range events {
 		s.handle(now, e)
 	}
 	s.checkRecovery(now)
-	if s.placementDue {
+	if s.placementDue && !now.Before(s.nextPassAt) {
 		s.placementDue = false
 		s.place(now)
 	}
@@ -72,9 +75,19 @@
 	return s.effects
 }
 
+// NextPass returns when a postponed placement pass is due, the zero value for none. Reduce
+// should be called then, without events if there are none.
+func (s *Scheduler) NextPass() time.Time {
+	if !s.placementDue {
+		return time.Time{}
+	}
+	return s.nextPassAt
+}
+
 func (s *Scheduler) handle(now time.Time, e Event) {
 	switch e := e.(type) {
 	case Ticked:
+		s.ticked = true
 		s.placementDue = true
 		s.runTimers(now)
 	case Submitted:
--- a/internal/jobs/scheduler/tracking.go
+++ b/internal/jobs/scheduler/tracking.go
@@ -18,6 +18,7 @@
 	holdCandidates []*worker                  // touched ones that may be due for a hold
 	holdTimes      holdTimes                  // workers that are due for a hold later
 	watched        map[string]*worker         // workers on which something may become due by time alone
+	unanswered     map[string]*worker         // workers that have not answered a hold of this epoch
 	stalled        map[string]*worker         // workers with a stall that has not been forgotten
 	orphaned       map[string]*worker         // workers with orphaned runs or ends
 	usable         map[string][]placer.Worker // usable workers with their free resources, by service, sorted by ID
@@ -32,7 +33,7 @@
 
 func newTracking() tracking {
 	return tracking{
-		watched: map[string]*worker{}, stalled: map[string]*worker{}, orphaned: map[string]*worker{},
+		watched: map[string]*worker{}, unanswered: map[string]*worker{}, stalled: map[string]*worker{}, orphaned: map[string]*worker{},
 		usable: map[string][]placer.Worker{}, scratch: map[string][]placer.Worker{},
 		runs: map[string]map[*placement]*worker{}, dirtyJobs: map[string]*job{},
 	}
@@ -52,11 +53,9 @@
 	for _, w := range k.touched {
 		w.touched = false
 		s.updateUsable(now, w)
-		if w.needsWatch(now) && s.workers[w.ID] == w {
-			k.watched[w.ID] = w
-		} else {
-			delete(k.watched, w.ID)
-		}
+		known := s.workers[w.ID] == w
+		setMember(k.watched, w, known && w.needsWatch(now))
+		setMember(k.unanswered, w, known && !w.fenced)
 		if !w.holdCandidate {
 			w.holdCandidate = true
 			k.holdCandidates = append(k.holdCandidates, w)
@@ -65,6 +64,14 @@
 	k.touched = k.touched[:0]
 }
 
+func setMember(all map[string]*worker, w *worker, member bool) {
+	if member {
+		all[w.ID] = w
+		return
+	}
+	delete(all, w.ID)
+}
+
 // needsWatch reports whether something may become due on the worker by time alone, other
 // than a hold.
 func (w *worker) needsWatch(now time.Time) bool {
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -128,6 +128,7 @@
 	w.feed(scheduler.WorkersListed{Workers: all})
 }
 
+// feed delivers an event, or none if it is nil.
 func (w *world) feed(e scheduler.Event) {
 	for _, f := range w.s.Reduce(w.now, e) {
 		w.execute(f)
@@ -370,6 +371,9 @@
 	if w.now.Before(w.pausedUntil) {
 		return w.check()
 	}
+	if at := w.s.NextPass(); !at.IsZero() && !w.now.Before(at) {
+		w.feed(nil)
+	}
 	if w.now.Sub(w.began)%(800*time.Millisecond) == 0 && !w.renewalsLost {
 		w.feed(scheduler.Confirmed{Sent: w.now})
 	}
