commander: let no start wait for long polls, and make fewer looks when short of a link

Cause: all calls shared 1,024 slots. With 1,100 busy workers each holding a long poll, starts queued behind polls for up to a second. After each end of a run its worker was looked at three times: the answer to a long poll has no time of its own, so a second answer was requested before the acknowledgement. Calls that timed out on the leader's own full link were repeated at the same pace, and closed all connections to their worker.

Change: holds have slots of their own. The earliest time of an answer follows from the worker's clock, which does not run fast, so an end is acknowledged with the next long poll. With over 256 busy workers a long poll lasts 1.9 s. Package pacer waits longer for answers when over a quarter of all calls get none, as more than ever are cut off at once, and delays plain looks while decisions are late. Stops are repeated at growing intervals, starts wait for two fifths of the gang's time, and a failed call closes the idle connections only if nothing has answered there since it was sent.

--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -25,9 +25,16 @@
 	s.sendStop(now, w, p)
 }
 
+// stopRetryPause returns how long after a stop without an answer it is sent again: longer
+// each time, as the answers may be queueing on this VM's own link.
+func (p *placement) stopRetryPause() time.Duration {
+	return min(maxStopRetryDelay, stopRetryDelay<<min(p.stopsSent-1, maxStopDoublings))
+}
+
 func (s *Scheduler) sendStop(now time.Time, w *worker, p *placement) {
 	p.stopInFlight = true
 	p.stopSentAt = now
+	p.stopsSent++
 	s.emit(Stop{Worker: w.ID, Address: w.Address, Epoch: s.Epoch, Task: p.task, Run: p.run})
 }
 
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -19,7 +19,7 @@
 			w.leaseDeadlineMS = max(w.leaseDeadlineMS, h.DeadlineMS)
 		}
 		if len(w.runs) > 0 && w.fenced && w.handledEnd == w.storedEnd && (answeredRecently || !ackDue) {
-			h.Wait = w.pollWait()
+			h.Wait = s.pollWait(w)
 		}
 		w.holdInFlight = true
 		w.holdSentAt = now
@@ -28,11 +28,15 @@
 }
 
 // pollWait returns for how long the worker may delay its answer to a hold.
-func (w *worker) pollWait() time.Duration {
-	if w.servingRuns > 0 && w.fillerRuns > 0 {
+func (s *Scheduler) pollWait(w *worker) time.Duration {
+	switch {
+	case w.servingRuns > 0 && w.fillerRuns > 0:
 		return pacedHoldWait
+	case s.tracking.busy > manyBusyWorkers:
+		return longHoldWait
+	default:
+		return holdWait
 	}
-	return holdWait
 }
 
 // nextHold returns when the next hold is due, or false if none is.
@@ -54,8 +58,10 @@
 	case w.withheldEnd != 0 && len(w.runs) == 0 && len(w.orphanEnds) == 0 && w.lastAckable() <= w.ackedEnd:
 		return at, false
 	case w.handledEnd > w.storedEnd:
-		if next := w.holdSentAt.Add(unstoredHoldDelay); next.After(at) {
-			at = next
+		for _, last := range []time.Time{w.holdSentAt, w.heardAt} {
+			if next := last.Add(unstoredHoldDelay); next.After(at) {
+				at = next
+			}
 		}
 		return at, true
 	default:
@@ -102,7 +108,8 @@
 	}
 	w.fenced = true
 	w.ackedEnd = max(w.ackedEnd, e.Ack)
-	w.answeredAt = e.Sent // the time of the answer is unknown: this VM may have been paused before it read it
+	w.noteAnswerTime(e)
+	w.heardAt = now
 	s.handleEnds(now, w, e.Ends)
 	s.reconcileRuns(now, w, e)
 }
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -256,7 +256,7 @@
 		return
 	}
 	for _, p := range w.sortedRuns() {
-		if p.stopping && !p.stopInFlight && p.stopAnsweredAt.IsZero() && now.Sub(p.stopSentAt) >= stopRetryDelay {
+		if p.stopping && !p.stopInFlight && p.stopAnsweredAt.IsZero() && now.Sub(p.stopSentAt) >= p.stopRetryPause() {
 			s.sendStop(now, w, p)
 		}
 	}
--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -12,11 +12,15 @@
 	defaultGangTimeout  = 3 * time.Second         // the platform's default
 	defaultStopTime     = 200 * time.Millisecond  // the platform's default
 	holdWait            = 1000 * time.Millisecond // long-poll time of a hold; stalls are detected after two holds
+	longHoldWait        = 1900 * time.Millisecond // the same with many busy workers, whose holds would take most of the leader's processor; the platform allows 2 s
+	manyBusyWorkers     = 256                     // more take longHoldWait
 	holdRetryDelay      = 400 * time.Millisecond  // before the next hold of a worker that did not answer
 	recoveryRetryDelay  = 100 * time.Millisecond  // the same while recovery waits for its answer
 	unstoredHoldDelay   = 800 * time.Millisecond  // before the next hold of a worker whose ends are not stored yet
 	maxAckAge           = 100 * time.Millisecond  // since the last answer was requested; a worker takes longer to restart and end a task
 	stopRetryDelay      = 600 * time.Millisecond  // before a stop without an answer is sent again
+	maxStopRetryDelay   = 2400 * time.Millisecond // the same after several
+	maxStopDoublings    = 2                       // of stopRetryDelay
 	exclusionFailures   = 2                       // failed runs of different jobs after which a worker is excluded
 	exclusionTime       = 4 * time.Second         // half of the shortest period for which workers fail on bad days
 	endedJobRetention   = 150 * time.Second       // callers query states for at least 120 s after the end
--- a/internal/jobs/scheduler/tracking.go
+++ b/internal/jobs/scheduler/tracking.go
@@ -22,6 +22,7 @@
 	stalled        map[string]*worker         // workers with a stall that has not been forgotten
 	orphaned       map[string]*worker         // workers with orphaned runs or ends
 	usable         map[string][]placer.Worker // usable workers with their free resources, by service, sorted by ID
+	busy           int                        // workers with runs
 	scratch        map[string][]placer.Worker // copies for placement passes
 	runs           map[string]map[*placement]*worker
 	dirtyJobs      map[string]*job
@@ -133,6 +134,9 @@
 
 // addRun adds a run to a worker.
 func (s *Scheduler) addRun(w *worker, p *placement) {
+	if len(w.runs) == 0 {
+		s.tracking.busy++
+	}
 	w.add(p)
 	s.touch(w)
 	all, ok := s.tracking.runs[p.task.Job]
@@ -145,7 +149,11 @@
 
 // removeRun removes a run from its worker.
 func (s *Scheduler) removeRun(w *worker, p *placement) {
+	before := len(w.runs)
 	w.remove(p)
+	if before > 0 && len(w.runs) == 0 {
+		s.tracking.busy--
+	}
 	s.touch(w)
 	all := s.tracking.runs[p.task.Job]
 	delete(all, p)
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -21,6 +21,7 @@
 	filler          bool
 	stopSentAt      time.Time // time of the last stop
 	stopInFlight    bool
+	stopsSent       int
 	startDeadlineMS int64 // by the worker's clock; a later start is refused
 	measure         int   // as last reported
 	pace            int   // percent confirmed by the worker, or unknownPace
@@ -45,7 +46,9 @@
 	fenced            bool // it has answered a hold of this epoch
 	holdInFlight      bool
 	holdSentAt        time.Time // time of the last hold
-	answeredAt        time.Time // when the last answered hold was sent, the earliest time at which it can have been answered
+	answeredAt        time.Time // earliest time at which the last answer to a hold can have been sent
+	heardAt           time.Time // when that answer was handled
+	answerClockMS     int64     // the worker's clock in that answer, 0 before the first
 	callFailedAt      time.Time // time of the last unanswered call, zero after an answer
 	unresponsiveSince time.Time // time of the first unanswered call since the last answer, else zero
 	clockMS           int64     // of its monotonic clock
@@ -105,6 +108,20 @@
 	}
 }
 
+// noteAnswerTime records the earliest time at which an answer can have been sent. When it
+// was read tells nothing, as this VM may have been paused before. It was sent after the
+// request, and, as clocks of workers do not run fast, no sooner after the answer before
+// than the worker's clock advanced.
+func (w *worker) noteAnswerTime(e HoldResult) {
+	at := e.Sent
+	if sinceLast := e.ClockMS - w.answerClockMS; w.answerClockMS != 0 && sinceLast >= 0 {
+		if t := w.answeredAt.Add(time.Duration(sinceLast) * time.Millisecond); t.After(at) {
+			at = t
+		}
+	}
+	w.answeredAt, w.answerClockMS = at, e.ClockMS
+}
+
 // noteFailedCall records that a call got no answer.
 func (w *worker) noteFailedCall(now time.Time) {
 	w.callFailedAt = now
@@ -238,7 +255,7 @@
 	w.pacing = pacing{}
 	w.departed = false
 	w.handledEnd, w.storingEnd, w.storedEnd, w.ackedEnd, w.withheldEnd = 0, 0, 0, 0, 0
-	w.clockMS, w.clockAt = 0, now
+	w.clockMS, w.clockAt, w.answerClockMS = 0, now, 0
 	w.leaseDeadlineMS = s.Settings.Lease.Milliseconds() // an earlier start may have begun a lease just now
 	for _, p := range w.runs {
 		p.startDeadlineMS = 0 // it referred to the clock of the previous instance
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -105,7 +105,7 @@
 	}
 	a.store = a.relayer.StoreClient()
 	a.metrics = recorder.New()
-	a.executors = &platform.Executors{Client: a.client, CallFailed: a.recordCallFailure}
+	a.executors = &platform.Executors{Client: a.client, GangTimeout: a.Settings.GangTimeout, CallFailed: a.recordCallFailure}
 	a.registrar = registrar.New()
 	a.registrar.Malformed = a.logMalformed
 	a.electorEvents = make(chan electorEvent, electorQueueSize)
@@ -116,8 +116,8 @@
 		a.log("cloud").WithField("call", step).WithError(err).Warn("machine API call failed")
 	}}
 	a.commander = &commander.Commander{
-		Hold: func(ctx context.Context, h scheduler.Hold) scheduler.HoldResult {
-			return a.executors.Hold(ctx, h, a.Now)
+		Hold: func(ctx context.Context, h scheduler.Hold, margin time.Duration) scheduler.HoldResult {
+			return a.executors.Hold(ctx, h, margin, a.Now)
 		},
 		Start: a.executors.Start,
 		Stop:  a.executors.Stop,
--- a/internal/node/commander/bench_test.go
+++ b/internal/node/commander/bench_test.go
@@ -105,8 +105,8 @@
 	x := &platform.Executors{Client: &platform.Client{}, CallFailed: func(_, _ string, err error) { b.Log(err) }}
 	completed := make(chan string, workers+64)
 	c := &commander.Commander{
-		Hold: func(ctx context.Context, h scheduler.Hold) scheduler.HoldResult {
-			return x.Hold(ctx, h, time.Now)
+		Hold: func(ctx context.Context, h scheduler.Hold, margin time.Duration) scheduler.HoldResult {
+			return x.Hold(ctx, h, margin, time.Now)
 		},
 		Start: x.Start, Stop: x.Stop, Pace: x.Pace,
 		StoreProgress: func(_ context.Context, all map[string]scheduler.Progress) error {
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -11,12 +11,15 @@
 	"github.com/alitto/pond/v2"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/internal/node/pacer"
 )
 
 const (
-	tickInterval = 100 * time.Millisecond // the scheduler's deadlines are a few hundred milliseconds
-	queueSize    = 1024                   // events; Post blocks while the queue is full
-	maxCalls     = 1024                   // concurrent effects: a long poll to each of a few hundred workers, and commands
+	tickInterval = 100 * time.Millisecond  // the scheduler's deadlines are a few hundred milliseconds
+	queueSize    = 1024                    // events; Post blocks while the queue is full
+	maxLooks     = 4096                    // concurrent holds: a long poll to each of a few thousand workers
+	crowdedWait  = 1900 * time.Millisecond // long poll of a hold while the leader is short of its link; the platform allows 2 s
+	maxCommands  = 512                     // other concurrent effects; apart from the holds, so that no start waits for long polls
 )
 
 // ErrLeadershipLost says that another VM has become the leader.
@@ -25,7 +28,7 @@
 // Commander executes the scheduler's effects. Its exported fields are set before Lead is
 // called.
 type Commander struct {
-	Hold            func(context.Context, scheduler.Hold) scheduler.HoldResult
+	Hold            func(ctx context.Context, h scheduler.Hold, margin time.Duration) scheduler.HoldResult
 	Start           func(context.Context, scheduler.Start) scheduler.StartResult
 	Stop            func(context.Context, scheduler.Stop) scheduler.StopResult
 	Pace            func(context.Context, scheduler.Pace) scheduler.PaceResult
@@ -43,13 +46,21 @@
 
 	mu      sync.Mutex
 	current *leadership
+	pacer   pacer.Pacer
 }
 
 // leadership is one term of this VM as the leader.
 type leadership struct {
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	events chan scheduler.Event
+	events chan postedEvent
+}
+
+// postedEvent is an event with the time at which it was posted.
+type postedEvent struct {
+	scheduler.Event
+
+	at time.Time
 }
 
 // Post queues an event for the scheduler. It drops the event if this VM is not the leader.
@@ -58,13 +69,13 @@
 	l := c.current
 	c.mu.Unlock()
 	if l != nil {
-		l.post(e)
+		c.postTo(l, e)
 	}
 }
 
-func (l *leadership) post(e scheduler.Event) {
+func (c *Commander) postTo(l *leadership, e scheduler.Event) {
 	select {
-	case l.events <- e:
+	case l.events <- postedEvent{e, c.Now()}:
 	case <-l.ctx.Done():
 	}
 }
@@ -74,7 +85,7 @@
 func (c *Commander) Lead(ctx context.Context, s *scheduler.Scheduler, initial func() []scheduler.Event) error {
 	x, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	l := &leadership{ctx: x, cancel: cancel, events: make(chan scheduler.Event, queueSize)}
+	l := &leadership{ctx: x, cancel: cancel, events: make(chan postedEvent, queueSize)}
 	c.mu.Lock()
 	c.current = l
 	c.mu.Unlock()
@@ -83,19 +94,30 @@
 		c.current = nil
 		c.mu.Unlock()
 	}()
-	pool := pond.NewPool(maxCalls)
-	defer pool.Stop()
-	c.process(l, pool, s, initial())
+	looks, commands := pond.NewPool(maxLooks), pond.NewPool(maxCommands)
+	defer looks.Stop()
+	defer commands.Stop()
+	run := func(events []scheduler.Event, oldest time.Time) {
+		c.process(l, looks, commands, s, events, oldest)
+	}
+	run(initial(), c.Now())
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
+	pass := time.NewTimer(0)
+	defer pass.Stop()
 	for {
+		if at := s.NextPass(); !at.IsZero() {
+			pass.Reset(at.Sub(c.Now()))
+		}
 		select {
 		case <-x.Done():
 			return context.Cause(x)
 		case e := <-l.events:
-			c.process(l, pool, s, l.batch(e))
+			run(l.batch(e.Event), e.at)
 		case <-t.C:
-			c.process(l, pool, s, l.batch(scheduler.Ticked{}))
+			run(l.batch(scheduler.Ticked{}), c.Now())
+		case <-pass.C:
+			run(l.batch(nil), c.Now())
 		}
 	}
 }
@@ -106,53 +128,86 @@
 	for {
 		select {
 		case n := <-l.events:
-			all = append(all, n)
+			all = append(all, n.Event)
 		default:
 			return all
 		}
 	}
 }
 
-func (c *Commander) process(l *leadership, pool pond.Pool, s *scheduler.Scheduler, events []scheduler.Event) {
+// process lets the scheduler handle events, the oldest of which was posted at the given
+// time, and begins to execute the effects.
+func (c *Commander) process(l *leadership, looks, commands pond.Pool, s *scheduler.Scheduler, events []scheduler.Event, oldest time.Time) {
 	began := c.Now()
 	effects := s.Reduce(began, events...)
-	c.ObserveDuration("decision", c.Now().Sub(began))
+	now := c.Now()
+	c.ObserveDuration("decision", now.Sub(began))
+	c.ObserveDuration("decision-lag", now.Sub(oldest))
+	delay := pacer.LookDelay(now.Sub(oldest))
 	for _, f := range effects {
-		if n, ok := f.(scheduler.Decision); ok {
-			c.LogDecision(n)
-			continue
+		switch f := f.(type) {
+		case scheduler.Decision:
+			c.LogDecision(f)
+		case scheduler.Hold:
+			if f.Ack == 0 && f.Wait > 0 && delay > 0 {
+				time.AfterFunc(delay, func() { looks.Submit(func() { c.execute(l, f) }) })
+				continue
+			}
+			looks.Submit(func() { c.execute(l, f) })
+		default:
+			commands.Submit(func() { c.execute(l, f) })
 		}
-		pool.Submit(func() { c.execute(l, f) })
 	}
 }
 
+// hold calls a worker, with a longer long poll and a longer time-out while many calls get
+// no answer in time.
+func (c *Commander) hold(l *leadership, h scheduler.Hold) {
+	c.mu.Lock()
+	margin := c.pacer.Margin()
+	if c.pacer.Crowded() && h.Wait > 0 {
+		h.Wait = max(h.Wait, crowdedWait)
+	}
+	c.mu.Unlock()
+	e := c.Hold(l.ctx, h.At(c.Now()), margin)
+	c.observe(e.Outcome)
+	c.postResult(l, e, e.Outcome)
+}
+
+func (c *Commander) observe(o scheduler.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pacer.Observe(o != scheduler.OutcomeUnknown)
+}
+
 // execute executes one effect and posts its result.
 func (c *Commander) execute(l *leadership, f scheduler.Effect) {
 	switch f := f.(type) {
 	case scheduler.Hold:
-		e := c.Hold(l.ctx, f.At(c.Now()))
-		l.postResult(e, e.Outcome)
+		c.hold(l, f)
 	case scheduler.Start:
 		began := c.Now()
 		e := c.Start(l.ctx, f)
 		c.ObserveDuration("start", c.Now().Sub(began))
-		l.postResult(e, e.Outcome)
+		c.observe(e.Outcome)
+		c.postResult(l, e, e.Outcome)
 	case scheduler.Stop:
 		e := c.Stop(l.ctx, f)
-		l.postResult(e, e.Outcome)
+		c.observe(e.Outcome)
+		c.postResult(l, e, e.Outcome)
 	case scheduler.Pace:
 		e := c.Pace(l.ctx, f)
-		l.postResult(e, e.Outcome)
+		c.postResult(l, e, e.Outcome)
 	case scheduler.Advise:
-		l.post(c.Advise(l.ctx, f))
+		c.postTo(l, c.Advise(l.ctx, f))
 	case scheduler.ListMachines:
-		l.post(c.ListMachines(l.ctx))
+		c.postTo(l, c.ListMachines(l.ctx))
 	case scheduler.BeginUpkeep:
 		e := c.BeginUpkeep(l.ctx, f)
-		l.postResult(e, e.Outcome)
+		c.postResult(l, e, e.Outcome)
 	case scheduler.MoveMachine:
 		e := c.MoveMachine(l.ctx, f)
-		l.postResult(e, e.Outcome)
+		c.postResult(l, e, e.Outcome)
 	case scheduler.StoreWave:
 		c.StoreWave(l.ctx, f)
 	case scheduler.StoreLoans:
@@ -162,16 +217,16 @@
 			l.cancel(err)
 			return
 		}
-		l.post(scheduler.Stored{})
+		c.postTo(l, scheduler.Stored{})
 	case scheduler.DeleteJobs:
 		c.DeleteJobs(l.ctx, f.Jobs)
 	}
 }
 
-func (l *leadership) postResult(e scheduler.Event, o scheduler.Outcome) {
+func (c *Commander) postResult(l *leadership, e scheduler.Event, o scheduler.Outcome) {
 	if o == scheduler.OutcomeFenced {
 		l.cancel(ErrLeadershipLost)
 		return
 	}
-	l.post(e)
+	c.postTo(l, e)
 }
