--- /dev/null
+++ b/internal/node/commander/commander_test.go
@@ -0,0 +1,91 @@
+package commander_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/internal/node/commander"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// Each of over a thousand busy workers has an open hold. The start of another task must
+// not wait for any of them.
+func TestStartDoesNotWaitForOpenHolds(t *testing.T) {
+	is := is.New(t)
+	const workers = 1200
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var mu sync.Mutex
+	open := 0
+	allOpen := make(chan struct{})
+	started := make(chan string, 2*workers)
+	c := &commander.Commander{
+		Hold: func(ctx context.Context, h scheduler.Hold, _ time.Duration) scheduler.HoldResult {
+			if h.Wait > 0 {
+				mu.Lock()
+				if open++; open == workers {
+					close(allOpen)
+				}
+				mu.Unlock()
+				<-ctx.Done()
+			}
+			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli(), StartedMS: 1}
+		},
+		Start: func(_ context.Context, s scheduler.Start) scheduler.StartResult {
+			started <- s.Task.Job
+			return scheduler.StartResult{Start: s, Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli()}
+		},
+		StoreProgress: func(context.Context, map[string]scheduler.Progress) error { return nil },
+		LogDecision:   func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
+	}
+	queue := scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 3, ObjectiveMS: 1000}
+	job := func(id string, offset int64, tasks int) scheduler.Submitted {
+		return scheduler.Submitted{Offset: offset, Job: scheduler.Job{
+			ID: id, Queue: "q", Organisation: "o", AcceptedMS: time.Now().UnixMilli(), QueueConfig: queue,
+			Steps: []scheduler.Step{{Tasks: tasks, PerWorker: 1, Need: placer.Resources{MilliCores: 1000, MemoryMB: 100, Accelerators: 1}, EstimateMS: 60000}},
+		}}
+	}
+	infos := make([]scheduler.WorkerInfo, workers)
+	for i := range infos {
+		id := fmt.Sprintf("w%04d", i)
+		infos[i] = scheduler.WorkerInfo{ID: id, Address: id, Service: "s", Rack: "r", StartedMS: 1, Capacity: placer.Resources{MilliCores: 64000, MemoryMB: 65536, Accelerators: 8}}
+	}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: time.Now(), ConfirmedAt: time.Now().Add(time.Hour), LastInheritedOffset: -1}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- c.Lead(ctx, s, func() []scheduler.Event {
+			return []scheduler.Event{
+				scheduler.ConfigChanged{Config: scheduler.Config{Queues: map[string]scheduler.Queue{"q": queue}}},
+				scheduler.WorkersListed{Workers: infos},
+				job("long", 1, workers),
+			}
+		})
+	}()
+	wait := func(c <-chan struct{}) {
+		select {
+		case <-c:
+		case <-time.After(time.Minute):
+			t.Fatal("no progress for a minute")
+		}
+	}
+	wait(allOpen)
+	c.Post(job("another", 2, 1))
+	found := make(chan struct{})
+	go func() {
+		for id := range started {
+			if id == "another" {
+				close(found)
+				return
+			}
+		}
+	}()
+	wait(found)
+	cancel()
+	is.True(<-ended != nil)
+}
--- a/internal/node/pacer/pacer.go
+++ b/internal/node/pacer/pacer.go
@@ -10,6 +10,7 @@
 const (
 	minMargin     = 600 * time.Millisecond  // for an answer that is due at once; short, as a hold can be repeated
 	maxMargin     = 2400 * time.Millisecond // a quarter of the shortest lease that platforms grant, so that two holds fit in
+	marginStep    = 300 * time.Millisecond  // of an adjustment
 	window        = 64                      // answers and time-outs after which the margin is adjusted
 	crowdedShare  = 4                       // more than one call in crowdedShare without an answer: more than ever are cut off at once
 	calmShare     = 10                      // fewer than one in calmShare: the margin shrinks again
@@ -38,9 +39,9 @@
 	}
 	switch {
 	case p.silent*crowdedShare > p.calls:
-		p.margin, p.crowded = min(maxMargin, p.Margin()*3/2), true
+		p.margin, p.crowded = min(maxMargin, p.Margin()+marginStep), true
 	case p.silent*calmShare < p.calls:
-		p.margin = max(minMargin, p.Margin()*2/3)
+		p.margin = max(minMargin, p.Margin()-marginStep)
 		p.crowded = p.margin > minMargin
 	}
 	p.calls, p.silent = 0, 0
