registrar: skip records of jobs that no VM can have accepted

Cause (operators' report on malformed messages): submissions are validated, records of jobs in the store were not. One with a negative number of tasks or a dependency on a later step ended the leader with a panic, and each next leader after it.

Change: the validation moved from the gatekeeper to scheduler.Job and holds for records too; such a record is logged with its key and the others are read. A test of the gatekeeper stored a job without steps, which no caller can submit; it has one now.

--- a/internal/jobs/registrar/registrar.go
+++ b/internal/jobs/registrar/registrar.go
@@ -123,7 +123,11 @@
 		return Entry{}, false
 	}
 	e := &Entry{Offset: v.Offset}
-	if err := json.Unmarshal(v.Value, &e.Job); err != nil {
+	err := json.Unmarshal(v.Value, &e.Job)
+	if err == nil {
+		err = e.Job.Validate() // a leader relies on it
+	}
+	if err != nil {
 		r.Malformed(v.Key, v.Offset, err)
 		return Entry{}, false
 	}
--- /dev/null
+++ b/internal/jobs/registrar/registrar_test.go
@@ -0,0 +1,45 @@
+package registrar_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/registrar"
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
+)
+
+// A record that no VM of ours can have written must neither end the leader, which computes
+// with the numbers in it, nor keep other jobs from being read.
+func TestImpossibleJobsAreSkipped(t *testing.T) {
+	is := is.New(t)
+	r := registrar.New()
+	malformed := map[string]bool{}
+	r.Malformed = func(key string, _ int64, err error) {
+		is.True(err != nil)
+		malformed[key] = true
+	}
+	s := &scheduler.Scheduler{Epoch: 1, LastInheritedOffset: -1}
+	submitted := 0
+	r.Submitted = func(e registrar.Entry) {
+		submitted++
+		s.Reduce(time.Unix(1_000_000, 0), scheduler.Submitted{Job: e.Job, Offset: e.Offset, Progress: e.Progress})
+	}
+	var records []accessor.Record
+	for i, v := range []string{
+		`{"id":"j0","steps":[{"tasks":-1}]}`,
+		`{"id":"j1","steps":[{"tasks":1,"after":[7]}]}`,
+		`{"id":"j2","steps":[{"tasks":99999999999}]}`,
+		`{"id":"j3","steps":[{"tasks":1}],"times":-5}`,
+		`{"id":"j4","steps":[{"tasks":1e99}]}`,
+		`{"id":"j5","steps":[{"tasks":1}]}`,
+	} {
+		records = append(records, accessor.Record{Offset: int64(i), Key: "job/j" + string(rune('0'+i)), Value: []byte(v)})
+	}
+	r.ApplyJobs(tailer.Batch{Records: records, Next: int64(len(records))})
+	is.Equal(submitted, 1)
+	is.Equal(len(malformed), 5)
+}
--- a/internal/jobs/scheduler/progress.go
+++ b/internal/jobs/scheduler/progress.go
@@ -68,7 +68,7 @@
 // same for all its unfinished tasks, else by key of the task or gang.
 func (j *job) abandonedRuns() map[string]int64 {
 	all := map[string]int64{}
-	for i, s := range j.steps {
+	for i, s := range j.steps { // each has a task, see Job.Validate
 		first, same := s.tasks[0].abandoned.run, true
 		for k := range s.tasks {
 			same = same && s.tasks[k].abandoned.run == first
--- a/internal/node/gatekeeper/gatekeeper.go
+++ b/internal/node/gatekeeper/gatekeeper.go
@@ -84,7 +84,7 @@
 	if _, ok := g.Registrar.Get(t.JobID); ok {
 		return Answer{Verdict: VerdictOK, Reason: "the job is already stored"}
 	}
-	if err := validateJob(j); err != nil {
+	if err := j.Validate(); err != nil {
 		return Answer{Verdict: VerdictInvalid, Reason: err.Error()}
 	}
 	j.ID, j.Queue, j.Organisation = t.JobID, t.Route.Name, t.Organisation
@@ -104,36 +104,6 @@
 	}
 }
 
-const (
-	maxSteps       = 256   // bounds the cost of one submission
-	maxTasks       = 10000 // of one step
-	maxOccurrences = 1000  // occurrences of one job
-)
-
-// validateJob returns an error for a job that can't be run.
-func validateJob(j scheduler.Job) error {
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return fmt.Errorf("job has %d steps, want 1 to %d", len(j.Steps), maxSteps)
-	}
-	if j.Times < 0 || j.Times > maxOccurrences || j.IntervalMS < 0 {
-		return fmt.Errorf("job has %d occurrences every %d ms, want 0 to %d and no negative interval", j.Times, j.IntervalMS, maxOccurrences)
-	}
-	for i, s := range j.Steps {
-		if s.Tasks < 1 || s.Tasks > maxTasks {
-			return fmt.Errorf("step %d has %d tasks, want 1 to %d", i, s.Tasks, maxTasks)
-		}
-		if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
-			return fmt.Errorf("step %d has a negative resource requirement", i)
-		}
-		for _, a := range s.After {
-			if a < 0 || a >= i {
-				return fmt.Errorf("step %d depends on step %d, want an earlier step", i, a)
-			}
-		}
-	}
-	return nil
-}
-
 // findJob returns a job if the caller is authorised to see it.
 func (g *Gatekeeper) findJob(ctx context.Context, t Target) (registrar.Entry, Answer) {
 	e, ok := g.Registrar.Get(t.JobID)
--- a/internal/node/gatekeeper/status_test.go
+++ b/internal/node/gatekeeper/status_test.go
@@ -33,7 +33,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			r := registrar.New()
-			job, err := registrar.JobRecord(scheduler.Job{ID: jobID, Organisation: "o"})
+			job, err := registrar.JobRecord(scheduler.Job{ID: jobID, Organisation: "o", Steps: []scheduler.Step{{Tasks: 1}}})
 			is.NoErr(err)
 			end, err := registrar.ProgressRecord(jobID, scheduler.Progress{State: scheduler.StateCompleted})
 			is.NoErr(err)
