scheduler: let a late leader acknowledge ends

Cause: an end was acknowledged within 100 ms after an answer of its worker only. A leader whose decisions are later than that could acknowledge nothing: it looked at the worker, was late again, and looked again.

Change: an end may also be acknowledged up to 2 s after the answer if nothing can have been started on a new instance since: every start was answered, by the clock of the known instance, none got lost within a lease, and the leadership is older than a lease. Then a new instance has no end that could be lost.

Ruled out: pauses of this VM (the call is dropped if it is sent over 300 ms after the decision), answers that overtake each other (a clock must go back by over 2 s), probes at growing intervals (workers with unacknowledged ends answer long polls at once, so ends would be seen late).

--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -49,6 +49,7 @@
 		return
 	}
 	s.touch(w)
+	w.noteStartAnswer(now, p, e)
 	if e.ClockMS != 0 {
 		w.noteAnswer(now, e.ClockMS)
 	}
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -155,16 +155,8 @@
 	Ack        int64 // ends up to this number are stored
 	Wait       time.Duration
 	DecidedAt  time.Time
-}
 
-// At returns the hold as it is to be sent now. An old acknowledgement is omitted:
-// this VM may have been paused and the worker restarted, in which case the number
-// refers to another end.
-func (h Hold) At(now time.Time) Hold {
-	if elapsed(now, h.DecidedAt) > maxAckAge {
-		h.Ack = 0
-	}
-	return h
+	MaxAckDelay time.Duration // after DecidedAt, in which Ack may be sent
 }
 
 // Start starts a run.
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -7,18 +7,16 @@
 func (s *Scheduler) sendHolds(now time.Time) {
 	for _, w := range s.dueHolds(now) {
 		h := Hold{Worker: w.ID, Address: w.Address, Epoch: s.Epoch, DecidedAt: now}
-		// A restarted worker numbers its ends from 1 again, so a number is sent once and
-		// only soon after an answer. Other workers are asked first.
 		ackDue := w.storedEnd > w.ackedEnd && w.unresponsiveSince.IsZero()
-		answeredRecently := elapsed(now, w.answeredAt) <= maxAckAge
-		if ackDue && answeredRecently {
-			h.Ack = w.storedEnd
+		delay, mayAck := s.mayAcknowledge(now, w)
+		if ackDue && mayAck {
+			h.Ack, h.MaxAckDelay = w.storedEnd, delay
 		}
 		if len(w.runs) > 0 && w.clockMS != 0 && w.unresponsiveSince.IsZero() { // leases on an unresponsive worker must be able to expire
 			h.DeadlineMS = w.minClock(now) + s.Settings.Lease.Milliseconds()
 			w.leaseDeadlineMS = max(w.leaseDeadlineMS, h.DeadlineMS)
 		}
-		if len(w.runs) > 0 && w.fenced && w.handledEnd == w.storedEnd && (answeredRecently || !ackDue) {
+		if len(w.runs) > 0 && w.fenced && w.handledEnd == w.storedEnd && (mayAck || !ackDue) {
 			h.Wait = s.pollWait(w)
 		}
 		w.holdInFlight = true
@@ -109,6 +107,7 @@
 	w.fenced = true
 	w.ackedEnd = max(w.ackedEnd, e.Ack)
 	w.noteAnswerTime(e)
+	w.clockWentBack = false
 	w.heardAt = now
 	s.handleEnds(now, w, e.Ends)
 	s.reconcileRuns(now, w, e)
--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -17,7 +17,6 @@
 	holdRetryDelay      = 400 * time.Millisecond  // before the next hold of a worker that did not answer
 	recoveryRetryDelay  = 100 * time.Millisecond  // the same while recovery waits for its answer
 	unstoredHoldDelay   = 800 * time.Millisecond  // before the next hold of a worker whose ends are not stored yet
-	maxAckAge           = 100 * time.Millisecond  // since the last answer was requested; a worker takes longer to restart and end a task
 	stopRetryDelay      = 600 * time.Millisecond  // before a stop without an answer is sent again
 	maxStopRetryDelay   = 2400 * time.Millisecond // the same after several
 	maxStopDoublings    = 2                       // of stopRetryDelay
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -22,6 +22,7 @@
 	stopSentAt      time.Time // time of the last stop
 	stopInFlight    bool
 	stopsSent       int
+	startOpen       bool  // its start has not been answered
 	startDeadlineMS int64 // by the worker's clock; a later start is refused
 	measure         int   // as last reported
 	pace            int   // percent confirmed by the worker, or unknownPace
@@ -48,6 +49,9 @@
 	holdSentAt        time.Time // time of the last hold
 	answeredAt        time.Time // earliest time at which the last answer to a hold can have been sent
 	heardAt           time.Time // when that answer was handled
+	openStarts        int       // starts without an answer
+	unansweredStartAt time.Time // when the answer to a start was last given up, else zero
+	clockWentBack     bool      // since that answer, the clock in another one showed a restart
 	answerClockMS     int64     // the worker's clock in that answer, 0 before the first
 	callFailedAt      time.Time // time of the last unanswered call, zero after an answer
 	unresponsiveSince time.Time // time of the first unanswered call since the last answer, else zero
@@ -148,6 +152,9 @@
 	if p.stopping {
 		w.stoppingRuns += n
 	}
+	if p.startOpen {
+		w.openStarts += n
+	}
 }
 
 func (w *worker) remove(p *placement) {
