commander: repeat a start without an answer instead of giving up its gang

A start without an answer was waited for for 2 s and then stopped with its whole gang, which could not start elsewhere for seconds. A hold without an answer made its worker unusable until a long poll of 1.9 s ended. A long poll that was open while the store trimmed the topic of jobs ended only with its wait, so the leader read no job for 1.2 s.

Change: a start is sent up to three times with the pacer's time-out; a worker that has the run answers that it runs. It counts as not sent only if no try was. While many calls get no answer it is sent once. A worker that missed one call is asked again at once and without a long poll. The leader's own long polls last 300 ms.

Ruled out: workers that are down.

--- a/internal/jobs/scheduler/answer_test.go
+++ b/internal/jobs/scheduler/answer_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -42,3 +43,24 @@
 		})
 	}
 }
+
+// A worker gets no new tasks from an unanswered call to its next answer. So it is asked
+// again at once and without a long poll: mostly just that call got lost.
+func TestWorkerWithoutAnswerIsAskedAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: now, LastInheritedOffset: -1}
+	need := placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}
+	s.Reduce(now, scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{ID: "w", Address: "w", Service: "s", Rack: "r", StartedMS: 1, Capacity: need}}})
+	s.Reduce(now, scheduler.HoldResult{Worker: "w", Sent: now, Outcome: scheduler.OutcomeDone, ClockMS: 5000, StartedMS: 1})
+	h := lastHold(t, s.Reduce(now, scheduler.Submitted{Job: scheduler.Job{
+		ID: "a", Queue: "q", QueueConfig: scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 3}, AcceptedMS: now.UnixMilli(),
+		Steps: []scheduler.Step{{Tasks: 1, Need: need, EstimateMS: 1000}},
+	}}))
+	is.True(h.Wait > 0)
+	h = lastHold(t, s.Reduce(now, scheduler.HoldResult{Worker: "w", Sent: now, Outcome: scheduler.OutcomeUnknown}))
+	is.Equal(h.Wait, time.Duration(0))
+	now = now.Add(time.Second)
+	f := s.Reduce(now, scheduler.HoldResult{Worker: "w", Sent: now, Outcome: scheduler.OutcomeUnknown}) // from now on there are pauses
+	is.True(!slices.ContainsFunc(f, func(f scheduler.Effect) bool { _, ok := f.(scheduler.Hold); return ok }))
+}
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -16,7 +16,7 @@
 			h.DeadlineMS = w.minClock(now) + s.Settings.Lease.Milliseconds()
 			w.leaseDeadlineMS = max(w.leaseDeadlineMS, h.DeadlineMS)
 		}
-		if len(w.runs) > 0 && w.fenced && w.handledEnd == w.storedEnd && (mayAck || !ackDue) {
+		if len(w.runs) > 0 && w.fenced && w.unresponsiveSince.IsZero() && w.handledEnd == w.storedEnd && (mayAck || !ackDue) {
 			h.Wait = s.pollWait(w)
 		}
 		w.holdInFlight = true
@@ -45,8 +45,11 @@
 	var at time.Time
 	if !w.callFailedAt.IsZero() {
 		pause := holdRetryDelay
-		if !w.fenced {
+		switch {
+		case !w.fenced:
 			pause = recoveryRetryDelay
+		case w.unresponsiveSince.Equal(w.callFailedAt):
+			pause = 0 // a single call may have got lost
 		}
 		at = w.callFailedAt.Add(pause)
 	}
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -105,7 +105,7 @@
 	}
 	a.store = a.relayer.StoreClient()
 	a.metrics = recorder.New()
-	a.executors = &platform.Executors{Client: a.client, GangTimeout: a.Settings.GangTimeout, CallFailed: a.recordCallFailure}
+	a.executors = &platform.Executors{Client: a.client, CallFailed: a.recordCallFailure}
 	a.registrar = registrar.New()
 	a.registrar.Malformed = a.logMalformed
 	a.electorEvents = make(chan electorEvent, electorQueueSize)
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -15,6 +15,7 @@
 
 const (
 	readWait         = time.Second            // of a long poll; the store may return one without records
+	leaderReadWait   = 300 * time.Millisecond // of a long poll by the leader: one that is open while the store trims the topic ends only with its wait
 	peersReadWait    = 15 * time.Second       // of a long poll for other VMs, which rarely change
 	minReadPause     = time.Second            // between two reads of jobs and of progress: half of the age that a count of pending jobs may have
 	workersReadPause = 350 * time.Millisecond // between two reads of the list of workers: each executor writes every 1.5 s
@@ -75,6 +76,9 @@
 	return &tailer.Tailer{
 		Newest: func(ctx context.Context) ([]accessor.Record, int64, error) { return a.store.Newest(ctx, topic) },
 		Read: func(ctx context.Context, from int64, wait time.Duration) ([]accessor.Record, int64, error) {
+			if a.leading.Load() {
+				wait = min(wait, leaderReadWait)
+			}
 			return a.store.Read(ctx, topic, from, wait)
 		},
 		Apply:        apply,
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -19,6 +19,7 @@
 	queueSize    = 1024                    // events; Post blocks while the queue is full
 	maxLooks     = 4096                    // concurrent holds: a long poll to each of a few thousand workers
 	crowdedWait  = 1900 * time.Millisecond // long poll of a hold while the leader is short of its link; the platform allows 2 s
+	startTries   = 3                       // of a start without an answer; with the shortest time-out, they take less than half of the time in which a gang must be complete
 	maxCommands  = 512                     // other concurrent effects; apart from the holds, so that no start waits for long polls
 )
 
@@ -29,8 +30,8 @@
 // called.
 type Commander struct {
 	Hold            func(ctx context.Context, h scheduler.Hold, margin time.Duration) scheduler.HoldResult
-	Start           func(context.Context, scheduler.Start) scheduler.StartResult
-	Stop            func(context.Context, scheduler.Stop) scheduler.StopResult
+	Start           func(ctx context.Context, s scheduler.Start, timeout time.Duration) scheduler.StartResult
+	Stop            func(ctx context.Context, s scheduler.Stop, timeout time.Duration) scheduler.StopResult
 	Pace            func(context.Context, scheduler.Pace) scheduler.PaceResult
 	Advise          func(context.Context, scheduler.Advise) scheduler.AdviceResult
 	ListMachines    func(context.Context) scheduler.MachinesListed
@@ -174,6 +175,40 @@
 	c.postResult(l, e, e.Outcome)
 }
 
+// StartRun starts a run. A start without an answer is sent again, as it may have been lost or
+// may be carried out late, which would hold up a whole gang: a worker that has the run
+// already answers that it runs. While many calls get no answer it is sent once, with a
+// longer time-out.
+func (c *Commander) StartRun(ctx context.Context, f scheduler.Start) scheduler.StartResult {
+	e := scheduler.StartResult{Start: f, Outcome: scheduler.OutcomeUnknown}
+	sent := false
+	for range startTries {
+		e = c.Start(ctx, f, c.margin())
+		c.observe(e.Outcome)
+		if e.Outcome == scheduler.OutcomeUnsent && sent {
+			e.Outcome = scheduler.OutcomeUnknown // an earlier one may have been carried out
+		}
+		sent = sent || e.Outcome != scheduler.OutcomeUnsent
+		if e.Outcome != scheduler.OutcomeUnknown || ctx.Err() != nil || c.crowded() {
+			break
+		}
+	}
+	return e
+}
+
+// margin returns the time that an answer may take at present.
+func (c *Commander) margin() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pacer.Margin()
+}
+
+func (c *Commander) crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pacer.Crowded()
+}
+
 func (c *Commander) observe(o scheduler.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -187,12 +222,11 @@
 		c.hold(l, f)
 	case scheduler.Start:
 		began := c.Now()
-		e := c.Start(l.ctx, f)
+		e := c.StartRun(l.ctx, f)
 		c.ObserveDuration("start", c.Now().Sub(began))
-		c.observe(e.Outcome)
 		c.postResult(l, e, e.Outcome)
 	case scheduler.Stop:
-		e := c.Stop(l.ctx, f)
+		e := c.Stop(l.ctx, f, c.margin())
 		c.observe(e.Outcome)
 		c.postResult(l, e, e.Outcome)
 	case scheduler.Pace:
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -37,7 +37,7 @@
 			}
 			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli(), StartedMS: 1}
 		},
-		Start: func(_ context.Context, s scheduler.Start) scheduler.StartResult {
+		Start: func(_ context.Context, s scheduler.Start, _ time.Duration) scheduler.StartResult {
 			started <- s.Task.Job
 			return scheduler.StartResult{Start: s, Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli()}
 		},
@@ -89,3 +89,30 @@
 	cancel()
 	is.True(<-ended != nil)
 }
+
+// A worker may leave a start unanswered and carry it out late, or its answer may get lost.
+// The start is then sent again and is not given up with its whole gang. That it was not
+// sent may be said only if no earlier one was.
+func TestStartWithoutAnswerIsRepeated(t *testing.T) {
+	for name, v := range map[string]struct{ answers, want []scheduler.Outcome }{
+		"answered at last": {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeDone}, []scheduler.Outcome{scheduler.OutcomeDone}},
+		"then unreachable": {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeUnsent, scheduler.OutcomeUnsent}, []scheduler.Outcome{scheduler.OutcomeUnknown}},
+		"never sent":       {[]scheduler.Outcome{scheduler.OutcomeUnsent}, []scheduler.Outcome{scheduler.OutcomeUnsent}},
+		"never answered":   {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeUnknown, scheduler.OutcomeUnknown}, []scheduler.Outcome{scheduler.OutcomeUnknown}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tries := 0
+			c := &commander.Commander{
+				Start: func(_ context.Context, s scheduler.Start, _ time.Duration) scheduler.StartResult {
+					o := v.answers[tries]
+					tries++
+					return scheduler.StartResult{Start: s, Outcome: o}
+				},
+				ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
+			}
+			is.Equal([]scheduler.Outcome{c.StartRun(t.Context(), scheduler.Start{}).Outcome}, v.want)
+			is.Equal(tries, len(v.answers))
+		})
+	}
+}
