platform: read the store in pages that fit through the VM's link

Cause: a VM with a link of 2 Mbit/s asked for pages of 1 MB, gave them up after 1.2 s and asked again.

While a quarter of the listed workers and at least eight seem silent, the leader probably does not hear them: it gives up work after three leases instead of one, and calls at most 32 of them at a time if many calls get no answer.

--- a/internal/jobs/scheduler/abandon.go
+++ b/internal/jobs/scheduler/abandon.go
@@ -1,5 +1,36 @@
 package scheduler
 
+import "time"
+
+// When many listed workers seem silent at once, it is probably this VM that does not hear
+// them, because it is short of processor time or its link is full. Their leases have
+// expired all the same, but their ends are only not read yet, so work is given up later.
+const (
+	minManySilent    = 8 // workers
+	manySilentShare  = 4 // more than one listed worker in manySilentShare
+	maxUnheardLeases = 3 // after which their work is given up nevertheless
+)
+
+// givesUpAfter returns the silence after which work is given up, given the time in which
+// the leases expire.
+func (s *Scheduler) givesUpAfter(expiry time.Duration) time.Duration {
+	silent := 0
+	for _, w := range s.tracking.unanswered {
+		if w.listed {
+			silent++
+		}
+	}
+	for _, w := range s.tracking.watched {
+		if w.listed && w.fenced && !w.unresponsiveSince.IsZero() {
+			silent++
+		}
+	}
+	if silent >= minManySilent && silent*manySilentShare > len(s.workerIDs) {
+		return maxUnheardLeases * expiry
+	}
+	return expiry
+}
+
 // maxUnacknowledgedEnds is the number of ends behind one that must not be acknowledged
 // at which a worker gets no new tasks: it lists at most 500 ends in a report.
 const maxUnacknowledgedEnds = 300
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -155,6 +155,7 @@
 	Ack        int64 // ends up to this number are stored
 	Wait       time.Duration
 	DecidedAt  time.Time
+	Unheard    bool // the worker has not answered yet, or not the last call
 
 	MaxAckDelay time.Duration // after DecidedAt, in which Ack may be sent
 }
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -6,7 +6,7 @@
 // not answered yet.
 func (s *Scheduler) sendHolds(now time.Time) {
 	for _, w := range s.dueHolds(now) {
-		h := Hold{Worker: w.ID, Address: w.Address, Epoch: s.Epoch, DecidedAt: now}
+		h := Hold{Worker: w.ID, Address: w.Address, Epoch: s.Epoch, DecidedAt: now, Unheard: !w.fenced || !w.unresponsiveSince.IsZero()}
 		ackDue := w.storedEnd > w.ackedEnd && w.unresponsiveSince.IsZero()
 		delay, mayAck := s.mayAcknowledge(now, w)
 		if ackDue && mayAck {
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -16,8 +16,8 @@
 	if !s.ticked && len(s.tracking.unanswered) > 0 || (len(s.workerIDs) == 0 && s.allListed(now)) {
 		return
 	}
-	limit := s.Settings.Lease*100/minClockRatePercent + s.Settings.leaseEndSlack()
-	timedOut := now.Sub(s.LeadingSince) > limit
+	expiry := s.Settings.Lease*100/minClockRatePercent + s.Settings.leaseEndSlack()
+	timedOut := now.Sub(s.LeadingSince) > s.givesUpAfter(expiry)
 	unanswered, anyLeft := false, false
 	for _, w := range s.tracking.unanswered {
 		unanswered = unanswered || !w.departed
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -213,10 +213,11 @@
 // runTimers performs the actions that depend on time alone.
 func (s *Scheduler) runTimers(now time.Time) {
 	watched := s.watchedWorkers(now)
+	unheard := s.givesUpAfter(s.Settings.Lease) - s.Settings.Lease
 	gone := false
 	for _, w := range watched {
 		s.touch(w)
-		s.expireLeases(now, w)
+		s.expireLeases(now, w, unheard)
 		s.retryStops(now, w)
 		s.dropOrphans(now, w)
 		if w.listed || w.holdInFlight || len(w.runs) > 0 || (s.recovering && !w.fenced) {
@@ -237,9 +238,13 @@
 }
 
 // expireLeases gives up the runs on a worker that has been silent until all its leases
-// have expired.
-func (s *Scheduler) expireLeases(now time.Time, w *worker) {
-	if len(w.runs) == 0 || w.unresponsiveSince.IsZero() || !w.leasesExpired(now, s.Settings.leaseEndSlack()) {
+// have expired, and for the given time after that if it is listed.
+func (s *Scheduler) expireLeases(now time.Time, w *worker, unheard time.Duration) {
+	slack := s.Settings.leaseEndSlack()
+	if w.listed {
+		slack += unheard
+	}
+	if len(w.runs) == 0 || w.unresponsiveSince.IsZero() || !w.leasesExpired(now, slack) {
 		return
 	}
 	s.logDecision(Decision{Message: "leases on an unresponsive worker have expired", Worker: w.ID, Details: Details{"silent-ms": now.Sub(w.unresponsiveSince).Milliseconds()}})
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -97,7 +97,7 @@
 	a.client = &platform.Client{Store: a.Settings.Store}
 	a.peers = &peers{self: a.Settings.Peers, seeds: a.Settings.Seeds}
 	a.relayer = &relayer.Relayer{
-		Direct:        (&platform.Store{Client: a.client, Address: a.Settings.Store}).StoreClient(),
+		Direct:        (&platform.Store{Client: a.client, Address: a.Settings.Store, LinkMbps: a.Settings.LinkMbps}).StoreClient(),
 		Peer:          a.peers.client,
 		Peers:         a.peers.list,
 		DirectChanged: a.logDirectAccess,
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -18,6 +18,7 @@
 	tickInterval = 100 * time.Millisecond  // the scheduler's deadlines are a few hundred milliseconds
 	queueSize    = 1024                    // events; Post blocks while the queue is full
 	maxLooks     = 4096                    // concurrent holds: a long poll to each of a few thousand workers
+	maxUnheard   = 32                      // concurrent holds to workers that did not answer, while the leader is short of its link: their answers may list hundreds of ends
 	crowdedWait  = 1900 * time.Millisecond // long poll of a hold while the leader is short of its link; the platform allows 2 s
 	startTries   = 3                       // of a start without an answer; with the shortest time-out, they take less than half of the time in which a gang must be complete
 	maxCommands  = 512                     // other concurrent effects; apart from the holds, so that no start waits for long polls
@@ -95,11 +96,10 @@
 		c.current = nil
 		c.mu.Unlock()
 	}()
-	looks, commands := pond.NewPool(maxLooks), pond.NewPool(maxCommands)
-	defer looks.Stop()
-	defer commands.Stop()
+	p := pools{looks: pond.NewPool(maxLooks), unheard: pond.NewPool(maxUnheard), commands: pond.NewPool(maxCommands)}
+	defer p.stop()
 	run := func(events []scheduler.Event, oldest time.Time) {
-		c.process(l, looks, commands, s, events, oldest)
+		c.process(l, p, s, events, oldest)
 	}
 	run(initial(), c.Now())
 	t := time.NewTicker(tickInterval)
@@ -136,9 +136,23 @@
 	}
 }
 
+// pools are the slots for concurrent effects. Each kind has its own, so that none waits for
+// another kind.
+type pools struct {
+	looks    pond.Pool
+	unheard  pond.Pool // looks at workers that did not answer, while many calls get no answer
+	commands pond.Pool
+}
+
+func (p pools) stop() {
+	p.looks.Stop()
+	p.unheard.Stop()
+	p.commands.Stop()
+}
+
 // process lets the scheduler handle events, the oldest of which was posted at the given
 // time, and begins to execute the effects.
-func (c *Commander) process(l *leadership, looks, commands pond.Pool, s *scheduler.Scheduler, events []scheduler.Event, oldest time.Time) {
+func (c *Commander) process(l *leadership, p pools, s *scheduler.Scheduler, events []scheduler.Event, oldest time.Time) {
 	began := c.Now()
 	effects := s.Reduce(began, events...)
 	now := c.Now()
@@ -150,13 +164,16 @@
 		case scheduler.Decision:
 			c.LogDecision(f)
 		case scheduler.Hold:
-			if f.Ack == 0 && f.Wait > 0 && delay > 0 {
-				time.AfterFunc(delay, func() { looks.Submit(func() { c.execute(l, f) }) })
-				continue
+			switch {
+			case f.Unheard && c.crowded():
+				p.unheard.Submit(func() { c.execute(l, f) })
+			case f.Ack == 0 && f.Wait > 0 && delay > 0:
+				time.AfterFunc(delay, func() { p.looks.Submit(func() { c.execute(l, f) }) })
+			default:
+				p.looks.Submit(func() { c.execute(l, f) })
 			}
-			looks.Submit(func() { c.execute(l, f) })
 		default:
-			commands.Submit(func() { c.execute(l, f) })
+			p.commands.Submit(func() { c.execute(l, f) })
 		}
 	}
 }
