scheduler: start nothing that is read after the leadership was released

Cause (operators' report on hand-overs): a leader that shuts down releases the leadership and leads on until another VM has claimed it. It took itself to be confirmed for 2.4 s after its last renewal, as others claim after 2.6 s of silence; but after a release they claim within 0.15 to 0.75 s. A job that was stored after the claim was new to both: both started it.

Change: before the release is appended, the scheduler has handled that it is about to be (commander.PostAndWait); jobs and restarted workers that are read later are left to the next leader. If the scheduler does not answer in time, nothing is released.

Ruled out: a lost or late renewal, and starts delayed on the old leader's link: a job that was read before the claim is inherited by the next leader, which asks all workers first.

The new script failed before: the old leader started the job.

--- a/internal/jobs/scheduler/confirm.go
+++ b/internal/jobs/scheduler/confirm.go
@@ -10,11 +10,17 @@
 // leadership.
 type Confirmed struct{ Sent time.Time }
 
+// Released reports that this VM is about to release the leadership. Another VM may lead
+// from then on, within less than confirmWindow, so this one starts nothing that it learns
+// of later. It continues with the rest until another VM leads.
+type Released struct{}
+
 func (Confirmed) isEvent() {}
+func (Released) isEvent()  {}
 
 // confirmLeadership records that this VM still led when a renewal was sent.
 func (s *Scheduler) confirmLeadership(e Confirmed) {
-	if !e.Sent.After(s.ConfirmedAt) {
+	if s.released || !e.Sent.After(s.ConfirmedAt) {
 		return
 	}
 	s.ConfirmedAt = e.Sent
@@ -36,7 +42,7 @@
 // the later one read first, or a restarted worker, which accepts commands of any
 // leader.
 func (s *Scheduler) unconfirmedSince(now time.Time) time.Time {
-	if elapsed(now, s.ConfirmedAt) > confirmWindow {
+	if s.released || elapsed(now, s.ConfirmedAt) > confirmWindow {
 		return now
 	}
 	return time.Time{}
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -24,6 +24,7 @@
 	jobs      map[string]*job
 	active    []*job // jobs that have not ended, by offset
 
+	released        bool  // another VM may lead already
 	ticked          bool  // the present call handles a tick
 	recovering      bool  // workers that have not answered yet may have runs of earlier leaders
 	lastRun         int64 // number of the last run
@@ -120,6 +121,8 @@
 		s.relocation.loans = maps.Clone(e.Loans)
 	case Stored:
 		s.handleStored(now)
+	case Released:
+		s.released = true
 	case Confirmed:
 		s.confirmLeadership(e)
 	}
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -80,6 +80,7 @@
 			w.unreadJob = ""
 			w.feed(e)
 		},
+		"release":    func() { w.feed(scheduler.Released{}) },
 		"unsure":     func() { w.renewalsLost = true },
 		"sure":       func() { w.renewalsLost = false },
 		"cut":        func(id string) { w.unreachable[id] = true },
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -200,6 +200,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	if err := a.commander.PostAndWait(ctx, scheduler.Released{}); err != nil {
+		a.log("elect").WithField("epoch", e.Epoch()).WithError(err).Warn("leadership is not released: jobs read meanwhile might start twice")
+		return
+	}
 	c := elector.Claim{Holder: a.Settings.VM, Instance: a.instance, Epoch: e.Epoch(), Released: true}
 	offset, err := a.appendClaim(ctx, c, e.NextOffset())
 	if err != nil {
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -62,7 +63,8 @@
 type postedEvent struct {
 	scheduler.Event
 
-	at time.Time
+	at      time.Time
+	handled chan<- struct{} // closed once the scheduler has handled it, nil if nobody waits
 }
 
 // Post queues an event for the scheduler. It drops the event if this VM is not the leader.
@@ -75,9 +77,36 @@
 	}
 }
 
+// PostAndWait queues an event and waits until the scheduler has handled it. It returns at
+// once if this VM is not the leader, and an error if the context ends before.
+func (c *Commander) PostAndWait(ctx context.Context, e scheduler.Event) error {
+	c.mu.Lock()
+	l := c.current
+	c.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	handled := make(chan struct{})
+	select {
+	case l.events <- postedEvent{e, c.Now(), handled}:
+	case <-l.ctx.Done():
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("queue an event for the scheduler: %w", ctx.Err())
+	}
+	select {
+	case <-handled:
+		return nil
+	case <-l.ctx.Done():
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait for the scheduler: %w", ctx.Err())
+	}
+}
+
 func (c *Commander) postTo(l *leadership, e scheduler.Event) {
 	select {
-	case l.events <- postedEvent{e, c.Now()}:
+	case l.events <- postedEvent{Event: e, at: c.Now()}:
 	case <-l.ctx.Done():
 	}
 }
@@ -98,10 +127,14 @@
 	}()
 	p := pools{looks: pond.NewPool(maxLooks), unheard: pond.NewPool(maxUnheard), commands: pond.NewPool(maxCommands)}
 	defer p.stop()
-	run := func(events []scheduler.Event, oldest time.Time) {
-		c.process(l, p, s, events, oldest)
+	run := func(first postedEvent) {
+		events, waiting := l.batch(first)
+		c.process(l, p, s, events, first.at)
+		for _, h := range waiting {
+			close(h)
+		}
 	}
-	run(initial(), c.Now())
+	c.process(l, p, s, initial(), c.Now())
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	pass := time.NewTimer(0)
@@ -114,24 +147,33 @@
 		case <-x.Done():
 			return context.Cause(x)
 		case e := <-l.events:
-			run(l.batch(e.Event), e.at)
+			run(e)
 		case <-t.C:
-			run(l.batch(scheduler.Ticked{}), c.Now())
+			run(postedEvent{Event: scheduler.Ticked{}, at: c.Now()})
 		case <-pass.C:
-			run(l.batch(nil), c.Now())
+			run(postedEvent{at: c.Now()})
 		}
 	}
 }
 
-// batch returns an event together with all queued events.
-func (l *leadership) batch(e scheduler.Event) []scheduler.Event {
-	all := []scheduler.Event{e}
+// batch returns an event together with all queued events, and what is to be closed once
+// they are handled.
+func (l *leadership) batch(first postedEvent) ([]scheduler.Event, []chan<- struct{}) {
+	var events []scheduler.Event
+	var waiting []chan<- struct{}
+	add := func(e postedEvent) {
+		events = append(events, e.Event)
+		if e.handled != nil {
+			waiting = append(waiting, e.handled)
+		}
+	}
+	add(first)
 	for {
 		select {
-		case n := <-l.events:
-			all = append(all, n.Event)
+		case e := <-l.events:
+			add(e)
 		default:
-			return all
+			return events, waiting
 		}
 	}
 }
