assembler: give the workers of a test addresses that executors can have

The test's entries had the address "a", which entries are refused for since they are checked: protocol addresses are HOST:PORT. What the test checks is unchanged.

--- a/internal/node/assembler/recentworkers_test.go
+++ b/internal/node/assembler/recentworkers_test.go
@@ -24,7 +24,7 @@
 		put := func(i int, value string) {
 			all = append(all, accessor.Record{Offset: int64(len(all)), Key: fmt.Sprintf("i-%02d", i), Value: []byte(value)})
 		}
-		const entry = `{"service":"s","address":"a","zone":"z","state":"ready","capacity":{"cpu":1},"labels":["a","r1"],"born":1}`
+		const entry = `{"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{"cpu":1},"labels":["a","r1"],"born":1}`
 		for range 3 * heartbeats {
 			for i := range workers {
 				put(i, entry)
