commander: take no refusal of a repeated start for one of the run itself

If the first try was carried out and only its answer lost, the run may have ended before the second, which the worker then refuses as obsolete: the run counted as lost, and its task started again although it had succeeded. If the first try is still to be carried out, a refusal for lack of room is true for the second only.

Change: after a try without an answer, obsolete means that the run was there (its end is listed), and a refusal that may pass means that the outcome is unknown, so the run is stopped before its task starts elsewhere.

Ruled out: a start that is too late after one without an answer: neither can be carried out any more.

--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -244,8 +244,8 @@
 	for range startTries {
 		e = c.Start(ctx, f, c.margin())
 		c.observe(e.Outcome)
-		if e.Outcome == scheduler.OutcomeUnsent && sent {
-			e.Outcome = scheduler.OutcomeUnknown // an earlier one may have been carried out
+		if sent {
+			e.Outcome = afterUnanswered(e.Outcome)
 		}
 		sent = sent || e.Outcome != scheduler.OutcomeUnsent
 		if e.Outcome != scheduler.OutcomeUnknown || ctx.Err() != nil || c.crowded() {
@@ -255,6 +255,19 @@
 	return e
 }
 
+// afterUnanswered returns the outcome of a start that follows one without an answer, given
+// the answer to it. The earlier one may have been carried out, or may still be.
+func afterUnanswered(o scheduler.Outcome) scheduler.Outcome {
+	switch o {
+	case scheduler.OutcomeObsolete: // the run has ended there already; its worker lists the end
+		return scheduler.OutcomeDone
+	case scheduler.OutcomeUnsent, scheduler.OutcomeFull, scheduler.OutcomeUnhealthy, scheduler.OutcomeTicket, scheduler.OutcomeInvalid:
+		return scheduler.OutcomeUnknown
+	default:
+		return o
+	}
+}
+
 // margin returns the time that an answer may take at present.
 func (c *Commander) margin() time.Duration {
 	c.mu.Lock()
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -98,6 +98,10 @@
 		"answered at last": {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeDone}, []scheduler.Outcome{scheduler.OutcomeDone}},
 		"then unreachable": {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeUnsent, scheduler.OutcomeUnsent}, []scheduler.Outcome{scheduler.OutcomeUnknown}},
 		"never sent":       {[]scheduler.Outcome{scheduler.OutcomeUnsent}, []scheduler.Outcome{scheduler.OutcomeUnsent}},
+		"ended meanwhile":  {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeObsolete}, []scheduler.Outcome{scheduler.OutcomeDone}},
+		"then no room":     {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeFull, scheduler.OutcomeFull}, []scheduler.Outcome{scheduler.OutcomeUnknown}},
+		"no room at once":  {[]scheduler.Outcome{scheduler.OutcomeFull}, []scheduler.Outcome{scheduler.OutcomeFull}},
+		"too late":         {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeLate}, []scheduler.Outcome{scheduler.OutcomeLate}},
 		"never answered":   {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeUnknown, scheduler.OutcomeUnknown}, []scheduler.Outcome{scheduler.OutcomeUnknown}},
 	} {
 		t.Run(name, func(t *testing.T) {
