claimer: let what a VM appends be there before the next VM of a test reads

Two VMs of a script whose stream is idle read in turn; whether the second saw the first one's mark depended on whether the first one's goroutine had appended yet, so the number of marks, and with it the ids that the script prints, varied.

Change: the script waits until the first VM's goroutines are blocked before the next reads.

--- a/claimer/script_test.go
+++ b/claimer/script_test.go
@@ -120,6 +120,7 @@
 		progress = false
 		for _, n := range w.names {
 			progress = w.vms[n].read(w) || progress
+			synctest.Wait() // what the VM appends is there before the next one reads
 		}
 	}
 	w.mu.Lock()
