scheduler: log crashes of workers and the runs that were on them

'run is lost' named neither the crash nor what else ran on the worker, so the logs could not tell a task that crashes its workers from workers that crash for other causes, nor show what a new leader never knew.

Adds 'worker has crashed' with its evidence and 'run was on a crashed worker' for each run, the age in 'run is lost', and the counter worker-crashes. No decision changes: the scheduler's tests pass unchanged.

Ruled out: bad workers, and starts carried out twice.

--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -191,6 +191,7 @@
 // Decision is a decision to be logged.
 type Decision struct {
 	Message string
+	Counter string // metric that counts such decisions, empty for none
 	Job     string
 	Worker  string
 	Task    TaskID // valid where Run is not 0
@@ -203,6 +204,7 @@
 
 // Keys of details that several decisions share.
 const (
+	detailAfterMS = "after-ms"
 	detailMachine = "machine"
 	detailOutcome = "outcome"
 	detailRuns    = "runs"
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -161,7 +161,7 @@
 // adopt takes over a run that an earlier leader started, or stops it if it is not
 // wanted.
 func (s *Scheduler) adopt(now time.Time, w *worker, r Running) {
-	p := &placement{task: r.Task, run: r.Run, confirmedAt: now, percent: r.Percent, measure: r.Measure, pace: unknownPace, progressedAt: now}
+	p := &placement{task: r.Task, run: r.Run, sentAt: now, confirmedAt: now, percent: r.Percent, measure: r.Measure, pace: unknownPace, progressedAt: now}
 	j, st, t := s.findTask(r.Task)
 	if t != nil {
 		p.need, p.serving, p.filler = st.Need, st.Serving, st.Filler
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -259,7 +259,7 @@
 	task := TaskID{u.job.ID, u.index, index}
 	deadlineMS := w.minClock(p.now) + s.Settings.startWindow().Milliseconds()
 	s.addRun(w, &placement{
-		task: task, run: run, need: u.step.Need, startDeadlineMS: deadlineMS, progressedAt: p.now, startOpen: true,
+		task: task, run: run, need: u.step.Need, startDeadlineMS: deadlineMS, sentAt: p.now, progressedAt: p.now, startOpen: true,
 		serving: u.step.Serving, filler: u.step.Filler, pace: fullPace,
 	})
 	w.leaseDeadlineMS = max(w.leaseDeadlineMS, deadlineMS)
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -38,7 +38,7 @@
 	if unanswered {
 		s.abandonInherited()
 	}
-	s.logDecision(Decision{Message: "recovery ended", Details: Details{"epoch": s.Epoch, "after-ms": now.Sub(s.LeadingSince).Milliseconds(), "timed-out": timedOut}})
+	s.logDecision(Decision{Message: "recovery ended", Details: Details{"epoch": s.Epoch, detailAfterMS: now.Sub(s.LeadingSince).Milliseconds(), "timed-out": timedOut}})
 }
 
 // allListed reports whether the list contains the workers of all machines that are
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -196,7 +196,7 @@
 	s.markDirty(j)
 	s.storeSoon = true
 	s.active = slices.DeleteFunc(s.active, func(o *job) bool { return o == j })
-	s.logDecision(Decision{Message: "job ended", Job: j.ID, Details: Details{"state": state, "reason": reason, "after-ms": now.Sub(j.acceptedAt).Milliseconds()}})
+	s.logDecision(Decision{Message: "job ended", Job: j.ID, Details: Details{"state": state, "reason": reason, detailAfterMS: now.Sub(j.acceptedAt).Milliseconds()}})
 	for _, r := range s.runsOf(j.ID) {
 		s.stopRun(now, r.worker, r.run)
 	}
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -13,6 +13,7 @@
 	task            TaskID
 	run             int64
 	need            placer.Resources
+	sentAt          time.Time // when its start was decided, or when this leader adopted it
 	confirmedAt     time.Time // when the worker first reported the run, zero before
 	orphanSince     time.Time // when the run of a job that has not been read was first reported; else zero
 	stopAnsweredAt  time.Time // when a stop was answered, zero before; a list requested later names the run if it still exists
@@ -53,6 +54,7 @@
 	unansweredStartAt time.Time // when the answer to a start was last given up, else zero
 	clockWentBack     bool      // since that answer, the clock in another one showed a restart
 	answerClockMS     int64     // the worker's clock in that answer, 0 before the first
+	crashNoted        bool      // the end of its last known instance was noted
 	callFailedAt      time.Time // time of the last unanswered call, zero after an answer
 	unresponsiveSince time.Time // time of the first unanswered call since the last answer, else zero
 	clockMS           int64     // of its monotonic clock
@@ -250,6 +252,8 @@
 // has listed its runs.
 func (s *Scheduler) workerRestarted(now time.Time, w *worker, born int64) {
 	s.logDecision(Decision{Message: "worker restarted", Worker: w.ID, Details: Details{"born": born, detailRuns: len(w.runs)}})
+	s.noteCrash(now, w, "it has started again")
+	w.crashNoted = w.crashNoted && w.StartedMS == born
 	w.StartedMS = born
 	w.fenced = false
 	w.unconfirmedSince = s.unconfirmedSince(now)
@@ -274,6 +278,7 @@
 // workerReplaced drops all runs of a worker whose address now belongs to another
 // one.
 func (s *Scheduler) workerReplaced(now time.Time, w *worker) {
+	s.noteCrash(now, w, "another worker has its address")
 	for _, p := range w.sortedRuns() {
 		s.loseRun(now, w, p, "another worker now has its address")
 	}
@@ -290,7 +295,7 @@
 	if t == nil || !st.removeRun(p.task.Index, w.ID, p.run) {
 		return
 	}
-	s.logDecision(Decision{Message: "run is lost", Job: j.ID, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"reason": reason}})
+	s.logDecision(Decision{Message: "run is lost", Job: j.ID, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"reason": reason, detailAfterMS: now.Sub(p.sentAt).Milliseconds()}})
 	if st.Gang {
 		s.stopGang(now, j, p.task.Step, p.run)
 	}
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -168,6 +168,9 @@
 		e = e.WithFields(logrus.Fields{"task": fmt.Sprintf("%d.%d", n.Task.Step, n.Task.Index), "run": n.Run})
 	}
 	e.WithFields(logrus.Fields(n.Details)).Info(n.Message)
+	if n.Counter != "" {
+		a.metrics.Count(n.Counter, 1)
+	}
 }
 
 func (a *Assembler) recordCallFailure(step, executor string, err error) {
