scheduler: reproduce a task that crashes each worker that starts it

The scripted world gets tasks that crash their worker some time after each start, and workers that are replaced at their address; it reports a violation when such a task is started three times more after three crashes.

--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -114,6 +114,8 @@
 		"tail": func(id string, milliseconds, perFiller int) {
 			w.workers[id].baseTail, w.workers[id].fillerDelay = milliseconds, perFiller
 		},
+		"deadly": func(job string, delay time.Duration) { w.deadly[job] = delay },
+		"crash":  w.crash,
 		"hang":   func(id string) { w.workers[id].stalled = true },
 		"unhang": func(id string) { w.workers[id].stalled = false },
 		"pause":  func(d time.Duration) { w.pausedUntil = w.now.Add(d) },
@@ -157,6 +159,12 @@
 		}
 		return nil
 	}
+	c["counted"] = func(counter string, want int) error {
+		if n := w.counters[counter]; n != want {
+			return fmt.Errorf("the counter is %d", n)
+		}
+		return nil
+	}
 	c["state"] = func(job, want string) error {
 		if got := w.stored[job].State; string(got) != want {
 			return fmt.Errorf("the stored state is %q", got)
--- a/internal/jobs/scheduler/worker_test.go
+++ b/internal/jobs/scheduler/worker_test.go
@@ -68,6 +68,7 @@
 		w.lastStarts[f.Task] = w.now
 		d := w.durations[baseJob(f.Task.Job)][f.Task.Step]
 		v.runs[f.Task] = &fakeRun{run: f.Run, remaining: d, total: d, pace: 100}
+		w.noteDeadlyStart(v, f.Task)
 	}
 	return e
 }
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -52,6 +52,12 @@
 	upkeepDone                []string // machines that have had their upkeep
 	down, maxDown, cutOffRuns int
 
+	deadly      map[string]time.Duration // jobs whose tasks 0 crash their workers that long after each start
+	crashes     map[scheduler.TaskID]int // workers that crashed under a deadly task
+	laterStarts map[scheduler.TaskID]int // starts of such a task after three crashes
+	replaced    map[string]bool          // workers whose address another worker has
+	counters    map[string]int           // of decisions
+
 	poweredOff      []scheduler.Machine // switched-off machines
 	unmovable       map[string]bool     // machines that the platform does not move
 	loans           scheduler.Loans     // as stored
@@ -75,7 +81,8 @@
 		durations: map[string][]time.Duration{}, starts: map[string]int{}, stored: map[string]scheduler.Progress{}, storeUp: true,
 		allowed: map[string]bool{}, ackedTasks: map[scheduler.TaskID]bool{}, lastStarts: map[scheduler.TaskID]time.Time{}, unreachable: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, answersLost: map[string]bool{},
 		config:    scheduler.Config{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Pools: map[string]bool{}},
-		unmovable: map[string]bool{},
+		unmovable: map[string]bool{}, deadly: map[string]time.Duration{}, crashes: map[scheduler.TaskID]int{}, laterStarts: map[scheduler.TaskID]int{},
+		replaced: map[string]bool{}, counters: map[string]int{},
 	}
 	w.began = w.now
 	w.startLeader()
@@ -192,7 +199,9 @@
 		w.loans = f.Loans
 	case scheduler.StoreWave:
 		w.waves[f.Number] = f
-	case scheduler.Decision, scheduler.DeleteJobs:
+	case scheduler.Decision:
+		w.counters[f.Counter]++
+	case scheduler.DeleteJobs:
 	}
 }
 
@@ -268,8 +277,49 @@
 	v.runs, v.ends, v.openHolds, v.lastOver = map[scheduler.TaskID]*fakeRun{}, nil, nil, map[scheduler.TaskID]int64{}
 }
 
+// crash ends a worker without notice. After three seconds another one is at its address.
+func (w *world) crash(id string) {
+	v := w.workers[id]
+	if v == nil || !v.alive {
+		return
+	}
+	v.alive = false
+	for range v.openHolds {
+		w.deliverAfter(worldStep, scheduler.HoldResult{Worker: id, Sent: w.now, Outcome: scheduler.OutcomeUnknown})
+	}
+	v.openHolds = nil
+	w.deliveries = append(w.deliveries, delivery{at: w.now.Add(3 * time.Second), do: func() {
+		delete(w.workers, id)
+		w.replaced[id] = true
+		w.addWorkerTo(v.info.Service, id+"'", v.info.Rack, v.info.Capacity.Accelerators)
+	}})
+}
+
+// noteDeadlyStart lets a deadly task crash its worker.
+func (w *world) noteDeadlyStart(v *fakeWorker, id scheduler.TaskID) {
+	delay, ok := w.deadly[baseJob(id.Job)]
+	if !ok || id.Index > 0 {
+		return
+	}
+	if w.crashes[id] >= 3 {
+		w.laterStarts[id]++
+	}
+	if w.laterStarts[id] >= 3 {
+		w.violation = fmt.Sprintf("task %v is started three times more after three workers have crashed under it", id)
+	}
+	w.deliveries = append(w.deliveries, delivery{at: w.now.Add(delay), do: func() {
+		if _, ok := v.runs[id]; ok && v.alive {
+			w.crashes[id]++
+			w.crash(v.info.ID)
+		}
+	}})
+}
+
 // reachable reports whether calls reach a worker.
 func (w *world) reachable(id string) (scheduler.Outcome, bool) {
+	if w.replaced[id] {
+		return scheduler.OutcomeReplaced, false
+	}
 	if v := w.workers[id]; v == nil || !v.alive || w.unreachable[id] {
 		return scheduler.OutcomeUnsent, false
 	}
