scheduler: end a recovery without workers whose address another one has

Cause: an answer of another worker at the address ends the instance for certain, but workerReplaced went through workerRestarted, which forgets a departure. So each call to the old id, every 100 ms, undid what the list of machines had just shown, and the recovery could only end in the moment of a list that covered all crashed workers.

Change: such a worker counts as departed, and is not called any more. A new start of the id still brings it back, as its entry then has a later start.

Evidence: the script fails before ('0 tasks are running' 3.5 s after the take-over) and passes now. Ruled out: the list of machines, which was right each time.

--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -39,7 +39,7 @@
 
 // nextHold returns when the next hold is due, or false if none is.
 func (w *worker) nextHold(recovering bool) (time.Time, bool) {
-	if !w.listed && len(w.runs) == 0 && (w.fenced || !recovering) {
+	if (!w.listed || w.departed) && len(w.runs) == 0 && (w.fenced || w.departed || !recovering) {
 		return time.Time{}, false
 	}
 	var at time.Time
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -43,7 +43,7 @@
 type worker struct {
 	WorkerInfo
 	listed   bool
-	departed bool // it left the list, and no machine runs it any more
+	departed bool // its instance has ended: no machine runs it any more, or another worker has its address
 
 	fenced            bool // it has answered a hold of this epoch
 	holdInFlight      bool
@@ -283,6 +283,7 @@
 		s.loseRun(now, w, p, "another worker now has its address")
 	}
 	s.workerRestarted(now, w, w.StartedMS)
+	w.departed = true
 	w.noteFailedCall(now)
 }
 
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -277,7 +277,8 @@
 	v.runs, v.ends, v.openHolds, v.lastOver = map[scheduler.TaskID]*fakeRun{}, nil, nil, map[scheduler.TaskID]int64{}
 }
 
-// crash ends a worker without notice. After three seconds another one is at its address.
+// crash ends a worker without notice. After three seconds another one is at its address; its
+// own entry expires later.
 func (w *world) crash(id string) {
 	v := w.workers[id]
 	if v == nil || !v.alive {
@@ -289,12 +290,23 @@
 	}
 	v.openHolds = nil
 	w.deliveries = append(w.deliveries, delivery{at: w.now.Add(3 * time.Second), do: func() {
-		delete(w.workers, id)
 		w.replaced[id] = true
 		w.addWorkerTo(v.info.Service, id+"'", v.info.Rack, v.info.Capacity.Accelerators)
+	}}, delivery{at: w.now.Add(4500 * time.Millisecond), do: func() {
+		delete(w.workers, id)
+		w.sendList()
 	}})
 }
 
+// refusalDelay returns the time until a call to an unreachable worker fails: at once if its
+// process is gone.
+func (w *world) refusalDelay(id string) time.Duration {
+	if w.replaced[id] {
+		return worldStep
+	}
+	return time.Second
+}
+
 // noteDeadlyStart lets a deadly task crash its worker.
 func (w *world) noteDeadlyStart(v *fakeWorker, id scheduler.TaskID) {
 	delay, ok := w.deadly[baseJob(id.Job)]
@@ -329,7 +341,7 @@
 func (w *world) hold(h scheduler.Hold) {
 	o, ok := w.reachable(h.Worker)
 	if !ok {
-		w.deliverAfter(time.Second, scheduler.HoldResult{Worker: h.Worker, Sent: w.now, Outcome: o})
+		w.deliverAfter(w.refusalDelay(h.Worker), scheduler.HoldResult{Worker: h.Worker, Sent: w.now, Outcome: o})
 		return
 	}
 	v := w.workers[h.Worker]
