scheduler: give up tasks that crash the workers that start them

Cause: only ends that a worker reports counted against a task. A run lost with its worker was placed again without limit, beside the same neighbours, and nothing was stored: two of three crashes of the timeline were known to no leader, as the leader had just been killed.

Change: internal/jobs/quarantiner decides from the crashes under a task where it may start next: apart from suspects of other jobs, then alone, then never. The end of a worker's instance is the only evidence, and only runs not seen running 2 s after their start are suspected; outages excuse the first crash. The record is stored with the job before a suspect is started again, and fresh runs on a worker that stops answering are stored for the next leader.

--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -62,13 +62,14 @@
 	s.logDecision(Decision{Message: "start failed", Job: e.Start.Task.Job, Task: e.Start.Task, Run: e.Start.Run, Worker: w.ID, Details: Details{detailOutcome: e.Outcome}})
 	switch e.Outcome {
 	case OutcomeUnknown:
-		w.noteFailedCall(now)
+		s.noteFailedCall(now, w)
 		if j, st, _ := s.findTask(p.task); st != nil && st.Gang {
 			s.stopGang(now, j, p.task.Step, p.run)
 		}
 		s.stopRun(now, w, p)
 	case OutcomeUnsent, OutcomeReplaced:
-		w.noteFailedCall(now)
+		p.crashed = false
+		s.noteFailedCall(now, w)
 		s.loseRun(now, w, p, "its start was not sent")
 	default:
 		if _, st, _ := s.findTask(p.task); st != nil && e.Outcome == OutcomeTicket {
@@ -77,6 +78,7 @@
 		if e.Outcome == OutcomeFull || e.Outcome == OutcomeUnhealthy || e.Outcome == OutcomeInvalid {
 			w.excludedUntil = now.Add(exclusionTime)
 		}
+		p.crashed = false
 		s.loseRun(now, w, p, "its start was refused")
 	}
 }
@@ -97,7 +99,7 @@
 	case OutcomeDone, OutcomeObsolete:
 		p.stopAnsweredAt = now
 	case OutcomeUnknown, OutcomeUnsent:
-		w.noteFailedCall(now)
+		s.noteFailedCall(now, w)
 	default:
 	}
 }
--- a/internal/jobs/scheduler/copies.go
+++ b/internal/jobs/scheduler/copies.go
@@ -58,7 +58,7 @@
 				continue
 			}
 			for k := range st.tasks {
-				if t := &st.tasks[k]; t.state == taskPlaced && !t.hadCopy && p.isSlow(TaskID{j.ID, i, k}, st, t) {
+				if t := &st.tasks[k]; t.state == taskPlaced && !t.hadCopy && !t.suspicion.Suspected() && p.isSlow(TaskID{j.ID, i, k}, st, t) {
 					p.startCopy(unit{j, i, st}, k)
 				}
 			}
--- a/internal/jobs/scheduler/ends.go
+++ b/internal/jobs/scheduler/ends.go
@@ -12,6 +12,7 @@
 			continue
 		}
 		e.Task = s.canonicalID(e.Task)
+		s.closeStart(e.Task, e.Run)
 		w.handledEnd = e.Number
 		s.storeSoon = true
 		s.placementDue = true
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/quarantiner"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
 
@@ -78,6 +79,8 @@
 	Checkpoints map[string]string  `json:"saved,omitempty"`    // newest checkpoints, by key of the task or gang
 	Abandoned   map[string]int64   `json:"given-up,omitempty"` // highest runs given up without proof of their end, by key of the task, gang or step
 	EndedMS     int64              `json:"ended-ms,omitempty"` // Unix time at which the job ended
+
+	Suspicions map[string]quarantiner.Record `json:"suspicions,omitempty"` // crashes of workers under a task, by its key
 }
 
 // Ended reports whether the state is final.
@@ -112,6 +115,8 @@
 	copyWorker string  // worker of a concurrent second run
 	copyRun    int64   // its number, 0 for none
 	hadCopy    bool
+	suspicion  quarantiner.Record // whether it crashes workers
+	apartSince time.Time          // when it first found no worker that suits its suspicion, else zero; of a gang, on its first task
 
 	preemptions int // how often its runs were stopped for urgent jobs
 }
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/quarantiner"
+)
 
 // sendHolds calls the workers that have runs or unacknowledged ends, or that have
 // not answered yet.
@@ -87,7 +91,7 @@
 		if w.unresponsiveSince.IsZero() {
 			s.logDecision(Decision{Message: "worker does not answer", Worker: w.ID, Details: Details{detailOutcome: e.Outcome, detailRuns: len(w.runs)}})
 		}
-		w.noteFailedCall(now)
+		s.noteFailedCall(now, w)
 		return
 	}
 	if e.StartedMS != 0 && e.StartedMS < w.StartedMS {
@@ -114,6 +118,7 @@
 	w.heardAt = now
 	s.handleEnds(now, w, e.Ends)
 	s.reconcileRuns(now, w, e)
+	s.closeOpenStarts(now, w)
 }
 
 // reconcileRuns compares the runs that a worker lists with the expected ones.
@@ -132,6 +137,10 @@
 			p.confirmedAt, p.progressedAt = now, now
 		}
 		p.listedAt, p.measure = now, r.Measure
+		p.crashed = false
+		if !p.outlived && w.answeredAt.Sub(p.confirmedAt) >= quarantiner.Window {
+			s.clearSuspicion(w, p)
+		}
 		if r.Percent != p.percent {
 			p.percent, p.progressedAt = r.Percent, now
 		}
@@ -165,6 +174,7 @@
 	j, st, t := s.findTask(r.Task)
 	if t != nil {
 		p.need, p.serving, p.filler = st.Need, st.Serving, st.Filler
+		p.level = t.suspicion.Level()
 	}
 	s.addRun(w, p)
 	if _, known := s.jobs[r.Task.Job]; !known {
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -168,6 +168,10 @@
 // possible.
 func (p *pass) placeTasks(u unit, waiting []int, r placer.Request) {
 	r.Adjacency = placer.AdjacencyNone
+	if waiting = p.placeSuspects(u, waiting); len(waiting) == 0 {
+		return
+	}
+	r.Tasks = len(waiting)
 	single := r
 	single.Tasks = 1
 	if p.knownNotToFit(u.job.queue.Service, single) {
@@ -217,6 +221,9 @@
 
 // placeGang starts a whole gang, or frees resources for it.
 func (p *pass) placeGang(u unit, waiting []int, r placer.Request) {
+	if p.placeSuspectGang(u, waiting, r) {
+		return
+	}
 	at, ok := p.findPlacement(u, r)
 	if !ok && r.Adjacency == placer.AdjacencyRack && p.mayCrossRacks(u, r) {
 		r.Adjacency = placer.AdjacencyNone
@@ -235,6 +242,11 @@
 		p.preemptOrReserve(u, r)
 		return
 	}
+	p.startGang(u, waiting, at)
+}
+
+// startGang starts all tasks of a gang in one run.
+func (p *pass) startGang(u unit, waiting []int, at placer.Placement) {
 	u.step.reserved = nil
 	u.step.blockedSince = time.Time{}
 	p.s.lastRun++
@@ -258,21 +270,42 @@
 	s, w := p.s, p.s.workers[id]
 	task := TaskID{u.job.ID, u.index, index}
 	deadlineMS := w.minClock(p.now) + s.Settings.startWindow().Milliseconds()
-	s.addRun(w, &placement{
-		task: task, run: run, need: u.step.Need, startDeadlineMS: deadlineMS, sentAt: p.now, progressedAt: p.now, startOpen: true,
-		serving: u.step.Serving, filler: u.step.Filler, pace: fullPace,
-	})
+	hold := u.step.mustHold(index)
+	r := &placement{
+		task: task, run: run, need: u.step.Need, startDeadlineMS: deadlineMS, sentAt: p.now, progressedAt: p.now, startOpen: !hold, held: hold,
+		serving: u.step.Serving, filler: u.step.Filler, pace: fullPace, level: u.step.tasks[index].suspicion.Level(),
+	}
+	s.addRun(w, r)
 	w.leaseDeadlineMS = max(w.leaseDeadlineMS, deadlineMS)
 	p.reduceFree(u.job.queue.Service, id, u.step.Need)
+	if w.aloneRuns > 0 {
+		p.withhold(u.job.queue.Service, id)
+	}
 	if u.job.urgent() {
 		p.urgentAccelerators[u.job.Organisation] += u.step.Need.Accelerators
 	}
 	s.markRunning(u.job)
-	s.emit(Start{
+	f := Start{
 		Worker: id, Address: w.Address, Epoch: s.Epoch, Task: task, Run: run,
 		Spec: u.job.Spec, DeadlineMS: deadlineMS, Checkpoint: u.step.primary(index).checkpoint,
 		Ticket: u.step.tickets[id].value,
-	})
+	}
+	if hold {
+		s.hold(f, w, r)
+		return
+	}
+	if v := u.step.tasks[index].suspicion.Open; v != nil {
+		s.closeStart(task, v.Run)
+	}
+	s.emit(f)
+}
+
+// withhold makes a worker unusable for the rest of the pass.
+func (p *pass) withhold(service, id string) {
+	v := p.workers[service]
+	if i, ok := slices.BinarySearchFunc(v, id, compareID); ok {
+		v[i].Free = placer.Resources{}
+	}
 }
 
 // reduceFree reduces the free resources of a worker for the rest of the pass.
--- a/internal/jobs/scheduler/progress.go
+++ b/internal/jobs/scheduler/progress.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/quarantiner"
 )
 
 // progress returns the progress to be stored.
@@ -16,6 +18,7 @@
 		p.Done = nil
 		return p
 	}
+	p.Suspicions = j.suspicions()
 	for i, s := range j.steps {
 		for k := range s.tasks {
 			if s.tasks[k].state == taskDone {
@@ -34,6 +37,19 @@
 	return p
 }
 
+// suspicions returns what is recorded of crashes under unfinished tasks, by key.
+func (j *job) suspicions() map[string]quarantiner.Record {
+	all := map[string]quarantiner.Record{}
+	for i, s := range j.steps {
+		for k := range s.tasks {
+			if r := s.tasks[k].suspicion; !r.IsZero() && s.tasks[k].state != taskDone {
+				all[taskKey(i, k)] = r
+			}
+		}
+	}
+	return all
+}
+
 // restore applies the progress that an earlier leader stored.
 func (j *job) restore(p Progress) {
 	if p.State != "" {
@@ -53,6 +69,7 @@
 		for k := range s.tasks {
 			key := taskKey(i, k)
 			s.tasks[k].failures = p.Failures[key]
+			s.tasks[k].suspicion = p.Suspicions[key]
 			s.tasks[k].checkpoint = p.Checkpoints[key]
 			if run := max(p.Abandoned[key], p.Abandoned[strconv.Itoa(i)]); run > 0 {
 				s.tasks[k].abandoned = abandonment{run: run, inherited: true}
--- /dev/null
+++ b/internal/jobs/scheduler/quarantine.go
@@ -0,0 +1,260 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/quarantiner"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// heldStart is a start that is sent once the record of it is stored, so that no leader can
+// miss a crash that it causes.
+type heldStart struct {
+	start     Start
+	run       *placement
+	startedMS int64 // of the worker's instance
+	storing   bool  // the store in flight covers the record
+}
+
+// placeSuspects starts the suspected tasks of a step that is no gang, each on the worker
+// with the fewest other runs that suits its level. It returns the tasks that may be placed
+// like all others: those not suspected, and those that have waited for quarantiner.Patience.
+func (p *pass) placeSuspects(u unit, waiting []int) []int {
+	if !u.step.suspected(waiting) {
+		return waiting
+	}
+	rest := make([]int, 0, len(waiting))
+	for _, i := range waiting {
+		t := &u.step.tasks[i]
+		level := t.suspicion.Level()
+		if level == quarantiner.Anywhere {
+			rest = append(rest, i)
+			continue
+		}
+		id, ok := p.leastShared(u, level)
+		switch {
+		case ok:
+			t.apartSince = time.Time{}
+			p.s.lastRun++
+			p.placeTask(u, i, id, p.s.lastRun)
+		case t.outOfPatience(p.now):
+			rest = append(rest, i)
+		}
+	}
+	return rest
+}
+
+// outOfPatience reports whether a suspected task that finds no worker for its level has
+// waited for long enough, and notes when it began to wait.
+func (t *task) outOfPatience(now time.Time) bool {
+	if t.apartSince.IsZero() {
+		t.apartSince = now
+	}
+	return now.Sub(t.apartSince) >= quarantiner.Patience
+}
+
+// suspected reports whether any of the tasks is suspected of crashing workers.
+func (s *step) suspected(tasks []int) bool {
+	return slices.ContainsFunc(tasks, func(i int) bool { return s.tasks[i].suspicion.Suspected() })
+}
+
+// suits reports whether a worker suits a task of a job at a level. Suspects of one job may
+// share a worker: if it crashes, the job is at fault whichever of them did it.
+func (w *worker) suits(job string, level quarantiner.Level) bool {
+	if level == quarantiner.Alone {
+		return w.hasOnly(job)
+	}
+	return w.suspectRuns == 0 || !slices.ContainsFunc(w.order, func(p *placement) bool {
+		return p.level > quarantiner.Anywhere && !p.outlived && p.task.Job != job
+	})
+}
+
+// leastShared returns the worker with the fewest runs of other jobs that suits a level and
+// has the resources for one task.
+func (p *pass) leastShared(u unit, level quarantiner.Level) (string, bool) {
+	best, fewest := "", 0
+	for _, v := range p.eligibleWorkers(u) {
+		w := p.s.workers[v.ID]
+		if placer.TasksThatFit(u.step.Need, v.Free) == 0 || !w.suits(u.job.ID, level) {
+			continue
+		}
+		if n := w.runsOfOthers(u.job.ID); best == "" || n < fewest {
+			best, fewest = v.ID, n
+		}
+	}
+	return best, best != ""
+}
+
+func (w *worker) runsOfOthers(job string) int {
+	n := 0
+	for _, p := range w.order {
+		if p.task.Job != job {
+			n++
+		}
+	}
+	return n
+}
+
+// findQuarantined searches a placement for a gang with suspected members. Those to be alone
+// get workers without other jobs, which no other member uses.
+func (p *pass) findQuarantined(u unit, waiting []int, r placer.Request) (placer.Placement, bool) {
+	var alone, others []int // positions in waiting
+	for k, i := range waiting {
+		if u.step.tasks[i].suspicion.Level() == quarantiner.Alone {
+			alone = append(alone, k)
+		} else {
+			others = append(others, k)
+		}
+	}
+	apart := p.suitable(u, quarantiner.Apart)
+	if len(alone) == 0 {
+		return placer.Place(r, apart)
+	}
+	empty := p.suitable(u, quarantiner.Alone)
+	racks := []string{""}
+	if r.Adjacency == placer.AdjacencyRack {
+		racks = racksOf(empty)
+	}
+	for _, rack := range racks {
+		first, rest := empty, apart
+		if rack != "" {
+			first, rest = inRack(empty, rack), inRack(apart, rack)
+		}
+		if at, ok := placeInParts(r, first, rest, alone, others); ok {
+			return at, true
+		}
+	}
+	return nil, false
+}
+
+// placeInParts places the tasks at the positions alone on some workers, and the others on
+// workers that these do not use.
+func placeInParts(r placer.Request, first, rest []placer.Worker, alone, others []int) (placer.Placement, bool) {
+	at := make(placer.Placement, len(alone)+len(others))
+	r.Adjacency = placer.AdjacencyNone
+	r.Tasks = len(alone)
+	a, ok := placer.Place(r, first)
+	if !ok {
+		return nil, false
+	}
+	for k, i := range alone {
+		at[i] = a[k]
+	}
+	if len(others) == 0 {
+		return at, true
+	}
+	rest = slices.DeleteFunc(slices.Clone(rest), func(v placer.Worker) bool { return slices.Contains(a, v.ID) })
+	r.Tasks = len(others)
+	b, ok := placer.Place(r, rest)
+	if !ok {
+		return nil, false
+	}
+	for k, i := range others {
+		at[i] = b[k]
+	}
+	return at, true
+}
+
+// suitable returns the eligible workers that suit a level.
+func (p *pass) suitable(u unit, level quarantiner.Level) []placer.Worker {
+	var out []placer.Worker
+	for _, v := range p.eligibleWorkers(u) {
+		if p.s.workers[v.ID].suits(u.job.ID, level) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// racksOf returns the racks of workers, each once.
+func racksOf(all []placer.Worker) []string {
+	var out []string
+	for _, v := range all {
+		if !slices.Contains(out, v.Rack) {
+			out = append(out, v.Rack)
+		}
+	}
+	return out
+}
+
+// placeSuspectGang starts a gang with suspected members where they suit, and reports whether
+// the gang is started or waits for such workers.
+func (p *pass) placeSuspectGang(u unit, waiting []int, r placer.Request) bool {
+	if !u.step.suspected(waiting) {
+		return false
+	}
+	at, ok := p.findQuarantined(u, waiting, r)
+	if !ok && r.Adjacency == placer.AdjacencyRack && p.mayCrossRacks(u, r) {
+		r.Adjacency = placer.AdjacencyNone
+		at, ok = p.findQuarantined(u, waiting, r)
+	}
+	if ok {
+		u.step.tasks[0].apartSince = time.Time{}
+		p.startGang(u, waiting, at)
+		return true
+	}
+	return !u.step.tasks[0].outOfPatience(p.now)
+}
+
+// mustHold reports whether the starts of a task are held until they are stored: it is
+// suspected, or a member of its gang is, which must not wait for it alone.
+func (s *step) mustHold(index int) bool {
+	if s.Gang {
+		return slices.ContainsFunc(s.tasks, func(t task) bool { return t.suspicion.Suspected() })
+	}
+	return s.tasks[index].suspicion.Suspected()
+}
+
+// hold keeps a start until the record of it is stored.
+func (s *Scheduler) hold(f Start, w *worker, p *placement) {
+	p.startDeadlineMS = 0 // set when it is sent
+	s.held = append(s.held, &heldStart{start: f, run: p, startedMS: w.StartedMS})
+	if j, _, t := s.findTask(p.task); t.suspicion.Suspected() {
+		s.recordOpenStart(w, p)
+	} else {
+		s.markDirty(j)
+		s.storeSoon = true
+	}
+}
+
+// noteStoring marks the held starts whose records the next store covers.
+func (s *Scheduler) noteStoring() {
+	for _, h := range s.held {
+		h.storing = true
+	}
+}
+
+// sendHeldStarts sends the starts whose records are stored.
+func (s *Scheduler) sendHeldStarts(now time.Time) {
+	held := s.held
+	s.held = nil
+	for _, h := range held {
+		w, ok := s.workers[h.start.Worker]
+		if !ok || w.runs[placementKey{h.start.Task, h.start.Run}] != h.run {
+			continue
+		}
+		switch {
+		case !h.storing:
+			s.held = append(s.held, h)
+		case h.run.stopping || !w.available(now) || w.StartedMS != h.startedMS:
+			s.loseRun(now, w, h.run, "its start was not sent")
+		default:
+			s.sendHeldStart(now, w, h)
+		}
+	}
+}
+
+func (s *Scheduler) sendHeldStart(now time.Time, w *worker, h *heldStart) {
+	p := h.run
+	w.adjustCounts(p, -1)
+	p.held, p.startOpen = false, true
+	w.adjustCounts(p, 1)
+	s.touch(w)
+	p.sentAt, p.progressedAt = now, now
+	p.startDeadlineMS = w.minClock(now) + s.Settings.startWindow().Milliseconds()
+	w.leaseDeadlineMS = max(w.leaseDeadlineMS, p.startDeadlineMS)
+	h.start.DeadlineMS, h.start.Address = p.startDeadlineMS, w.Address
+	s.emit(h.start)
+	s.logDecision(Decision{Message: "held start is sent", Job: p.task.Job, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"quarantine": p.level.String(), "other-runs": len(w.order) - 1}})
+}
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -78,7 +78,7 @@
 
 // markGoneWorkers marks workers that may have left and that no running machine has:
 // their runs have ended, so recovery need not wait for their leases.
-func (s *Scheduler) markGoneWorkers() {
+func (s *Scheduler) markGoneWorkers(now time.Time) {
 	if !s.recovering {
 		return
 	}
@@ -94,6 +94,7 @@
 			continue
 		}
 		w.departed = true
+		s.noteCrash(now, w, evidenceNoMachine)
 		s.touch(w)
 		s.logDecision(Decision{Message: "departed worker has no machine any more", Worker: id, Details: Details{"machines": len(s.machines), "listed": w.listed}})
 	}
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/quarantiner"
 )
 
 // Scheduler is the control state of the leading VM. Its exported fields are set
@@ -40,6 +42,9 @@
 	machinesListedAt time.Time // time of the last list
 	machinesInFlight bool      // a request for the list is in flight
 	relocation       relocation
+	held             []*heldStart
+	openStarts       map[string][]openStart // by worker
+	outage           quarantiner.Outage
 	meanWork         map[string]float64 // core-seconds of a job, by queue
 	adviceInFlight   bool
 	nextAdviceAt     time.Time // earliest time of the next call for advice
@@ -55,6 +60,7 @@
 		s.workers = map[string]*worker{}
 		s.jobs = map[string]*job{}
 		s.tracking = newTracking()
+		s.openStarts = map[string][]openStart{}
 		s.recovering = true
 		if s.ConfirmedAt.IsZero() {
 			s.ConfirmedAt = s.LeadingSince
@@ -173,6 +179,10 @@
 	case !j.state.Ended():
 		s.active = append(s.active, j)
 	}
+	s.inheritOpenStarts(j)
+	for _, c := range j.occurrences {
+		s.inheritOpenStarts(c)
+	}
 	s.adoptOrphans(now, j.ID)
 	if e.Cancelled {
 		s.cancel(now, j.ID)
@@ -253,6 +263,7 @@
 	s.logDecision(Decision{Message: "leases on an unresponsive worker have expired", Worker: w.ID, Details: Details{"silent-ms": now.Sub(w.unresponsiveSince).Milliseconds()}})
 	for _, p := range w.sortedRuns() {
 		s.abandonRun(w, p)
+		s.keepOpenStart(w, p)
 		s.loseRun(now, w, p, "its lease expired on an unresponsive worker")
 	}
 	w.fenced = false
@@ -312,6 +323,7 @@
 		s.markEndsStored()
 		return
 	}
+	s.noteStoring()
 	p := make(map[string]Progress, len(k.dirtyJobs))
 	k.storingJobs = k.storingJobs[:0]
 	for id, j := range k.dirtyJobs {
@@ -337,6 +349,7 @@
 		}
 	}
 	s.tracking.storingJobs = s.tracking.storingJobs[:0]
+	s.sendHeldStarts(now)
 }
 
 // markEndsStored records that all ends covered by the last batch are stored.
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -270,7 +270,7 @@
 	for _, m := range e.Machines {
 		s.machines[m.ID] = m
 	}
-	s.markGoneWorkers()
+	s.markGoneWorkers(now)
 	for _, v := range s.waves {
 		for id, u := range v.machines {
 			m, ok := s.machines[id]
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/quarantiner"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
 
@@ -17,6 +18,12 @@
 	confirmedAt     time.Time // when the worker first reported the run, zero before
 	orphanSince     time.Time // when the run of a job that has not been read was first reported; else zero
 	stopAnsweredAt  time.Time // when a stop was answered, zero before; a list requested later names the run if it still exists
+	held            bool      // its start is not sent yet
+	outlived        bool      // it was seen running long enough to crash no worker
+	crashed         bool      // its worker crashed when it was fresh: the task is suspected if the run is lost
+	alone           bool      // there were no runs of other jobs then
+	outage          bool      // other workers crashed then for another cause
+	level           quarantiner.Level
 	stopping        bool
 	serving         bool
 	filler          bool
@@ -67,6 +74,8 @@
 	used              placer.Resources
 	servingRuns       int       // number of serving runs
 	fillerRuns        int       // number of fillers
+	suspectRuns       int       // runs of suspected tasks that have not outlived the suspicion
+	aloneRuns         int       // those of them to which no run may be added
 	noFillersUntil    time.Time // no new fillers before
 	pacing            pacing    // of its fillers
 	evacuating        bool      // its machine goes down for upkeep or moves
@@ -157,6 +166,12 @@
 	if p.startOpen {
 		w.openStarts += n
 	}
+	if p.level > quarantiner.Anywhere && !p.outlived {
+		w.suspectRuns += n
+		if p.level == quarantiner.Alone {
+			w.aloneRuns += n
+		}
+	}
 }
 
 func (w *worker) remove(p *placement) {
@@ -184,7 +199,10 @@
 }
 
 // usable reports whether new tasks may be placed on the worker.
-func (w *worker) usable(now time.Time) bool {
+func (w *worker) usable(now time.Time) bool { return w.aloneRuns == 0 && w.available(now) }
+
+// available reports whether tasks may be started on the worker.
+func (w *worker) available(now time.Time) bool {
 	return w.listed && w.fenced && w.unconfirmedSince.IsZero() && w.orphanRuns == 0 &&
 		!w.listsTooManyEnds() && !w.Draining && !w.evacuating && w.unresponsiveSince.IsZero() && !now.Before(w.excludedUntil)
 }
@@ -237,6 +255,7 @@
 		s.touch(w)
 	}
 	slices.Sort(s.workerIDs)
+	s.checkAddresses(now)
 	for _, id := range s.workerIDs {
 		if w := s.workers[id]; w.listed && !inList[id] {
 			w.listed = false
@@ -252,7 +271,7 @@
 // has listed its runs.
 func (s *Scheduler) workerRestarted(now time.Time, w *worker, born int64) {
 	s.logDecision(Decision{Message: "worker restarted", Worker: w.ID, Details: Details{"born": born, detailRuns: len(w.runs)}})
-	s.noteCrash(now, w, "it has started again")
+	s.noteCrash(now, w, evidenceRestarted)
 	w.crashNoted = w.crashNoted && w.StartedMS == born
 	w.StartedMS = born
 	w.fenced = false
@@ -278,7 +297,7 @@
 // workerReplaced drops all runs of a worker whose address now belongs to another
 // one.
 func (s *Scheduler) workerReplaced(now time.Time, w *worker) {
-	s.noteCrash(now, w, "another worker has its address")
+	s.noteCrash(now, w, evidenceReplaced)
 	for _, p := range w.sortedRuns() {
 		s.loseRun(now, w, p, "another worker now has its address")
 	}
@@ -293,6 +312,11 @@
 	s.removeRun(w, p)
 	s.placementDue = true
 	j, st, t := s.findTask(p.task)
+	if p.crashed {
+		s.blame(now, p.task, p.run, w.ID, p.alone, p.outage)
+	} else {
+		s.closeStart(p.task, p.run)
+	}
 	if t == nil || !st.removeRun(p.task.Index, w.ID, p.run) {
 		return
 	}
