scheduler: start nothing on a worker that runs more than its capacity

A worker's capacity may now shrink while it runs (LIMIT). Each resource was compared by itself: a task that needs no accelerator started on a worker whose accelerators were over its capacity, and a start held until it was stored was sent without another look at the capacity.

Change: a worker over its capacity in any resource has no free resources, and a held start is given up if its worker has shrunk meanwhile. Runs that are being stopped keep counting, as before.

Not covered: a capacity that shrinks while the store is down, as the list is the only place that shows it.

--- a/internal/jobs/scheduler/quarantine.go
+++ b/internal/jobs/scheduler/quarantine.go
@@ -237,7 +237,7 @@
 		switch {
 		case !h.storing:
 			s.held = append(s.held, h)
-		case h.run.stopping || !w.available(now) || w.StartedMS != h.startedMS:
+		case h.run.stopping || !w.available(now) || !w.used.Fits(w.Capacity) || w.StartedMS != h.startedMS:
 			s.loseRun(now, w, h.run, "its start was not sent")
 		default:
 			s.sendHeldStart(now, w, h)
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -116,6 +116,7 @@
 		},
 		"deadly": func(job string, delay time.Duration) { w.deadly[job] = delay },
 		"crash":  w.crash,
+		"resize": w.resize,
 		"hang":   func(id string) { w.workers[id].stalled = true },
 		"unhang": func(id string) { w.workers[id].stalled = false },
 		"pause":  func(d time.Duration) { w.pausedUntil = w.now.Add(d) },
--- a/internal/jobs/scheduler/tracking.go
+++ b/internal/jobs/scheduler/tracking.go
@@ -110,7 +110,7 @@
 	if !usable {
 		return
 	}
-	n := placer.Worker{ID: w.ID, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.Capacity.Minus(w.used)}
+	n := placer.Worker{ID: w.ID, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.free()}
 	v := k.usable[w.Service]
 	i, ok := slices.BinarySearchFunc(v, w.ID, compareID)
 	if ok {
@@ -121,6 +121,17 @@
 	w.usableIn = w.Service
 }
 
+// free returns the free resources of a worker. If its capacity has shrunk below what runs
+// there, nothing is free: a task that needs none of the exceeded resource would start beyond
+// the capacity too.
+func (w *worker) free() placer.Resources {
+	f := w.Capacity.Minus(w.used)
+	if none := (placer.Resources{}); !none.Fits(f) {
+		return componentMin(f, none)
+	}
+	return f
+}
+
 // usableWorkers returns copies of the usable workers of each service for a pass, valid
 // until the next one.
 func (s *Scheduler) usableWorkers(now time.Time) map[string][]placer.Worker {
--- a/internal/jobs/scheduler/worker_test.go
+++ b/internal/jobs/scheduler/worker_test.go
@@ -25,6 +25,7 @@
 	endTimes     map[int64]time.Time // by number of the end
 	openHolds    []*scheduler.Hold
 	failing      bool
+	shrunk       bool // its runs exceeded its capacity when that changed: no start may add to them
 	stalled      bool // its runs make no progress
 	baseTail     int  // tail latency in milliseconds of a serving task without fillers
 	fillerDelay  int  // additional milliseconds per filler at full pace
@@ -69,6 +70,9 @@
 		d := w.durations[baseJob(f.Task.Job)][f.Task.Step]
 		v.runs[f.Task] = &fakeRun{run: f.Run, remaining: d, total: d, pace: 100}
 		w.noteDeadlyStart(v, f.Task)
+		if v.shrunk = v.shrunk && !w.used(v).Fits(v.info.Capacity); v.shrunk {
+			w.violation = fmt.Sprintf("task %v starts on %s, which runs %+v of %+v", f.Task, v.info.ID, w.used(v), v.info.Capacity)
+		}
 	}
 	return e
 }
