soak: play tasks that crash their workers, and workers that shrink and grow

The stand-in for executors runs tasks with the spec 'crash-20ms', which end its incarnation after that time. Each run of the soak submits two such jobs and changes the capacity of workers, drawn from a source of its own, so that the faults of the regression seeds stay what they were. Checked while it runs: no task is started three times more after three crashes, and no start leaves more runs than the capacity of the last 4.5 s allows; at the end: such jobs are shown as failed, and no other job is.

--- a/soak_test.go
+++ b/soak_test.go
@@ -26,7 +26,7 @@
 	soakRuns  = flag.Int("soak.runs", 1, "number of seeds to run")
 	soakVMs   = flag.Int("soak.vms", 3, "entry VMs per run")
 	soakSpan  = flag.Duration("soak.span", 5*time.Second, "how long each run injects faults")
-	soakBreak = flag.String("soak.break", "", "promise to break deliberately, to show that its check fails: twice, lost or refused")
+	soakBreak = flag.String("soak.break", "", "promise to break deliberately, to show that its check fails: twice, lost, refused, crash or capacity")
 )
 
 const (
@@ -96,7 +96,12 @@
 	configVersion     int
 	faults            []string
 
+	extraRand *rand.Rand // draws crashing jobs and capacities, so that these do not change the faults of a seed
+
 	mu           sync.Mutex
+	capacities   [soakExecutors]soakCapacity
+	crashes      map[string]int  // executors that a task has crashed
+	laterStarts  map[string]int  // its starts after three crashes
 	acknowledged map[string]bool // tasks whose success was acknowledged to their executor
 	jobs         map[string]*soakJob
 	problems     []string
@@ -114,13 +119,15 @@
 	accepted  bool
 	uncertain bool // a submission that was not accepted may have been stored
 	cancelled bool // a cancellation was or may have been stored
+	crashing  bool // its tasks crash the executors that start them
 	started   bool
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
 		t: t, faultRand: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), store: platformstandin.NewStore(),
-		acknowledged: map[string]bool{}, jobs: map[string]*soakJob{},
+		acknowledged: map[string]bool{}, jobs: map[string]*soakJob{}, extraRand: rand.New(rand.NewPCG(seed, 9)),
+		crashes: map[string]int{}, laterStarts: map[string]int{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -131,6 +138,8 @@
 		x.ClockPercent = soakClockRates[clocks.IntN(len(soakClockRates))]
 		x.Started = func(task string) { s.checkStart(i, task) }
 		x.EndReported = s.recordAcknowledged
+		x.Crashed = func(task string) { s.recordCrash(i, task) }
+		s.capacities[i] = soakCapacity{now: soakSlots, before: soakSlots}
 		s.executors = append(s.executors, x)
 		s.executorAddresses = append(s.executorAddresses, s.startLink(ctx, x))
 		s.listExecutor(i, "ready")
@@ -196,7 +205,7 @@
 }
 
 func (s *soak) listExecutor(i int, state string) {
-	s.store.PutExecutor(fmt.Sprintf("x%d", i), "s", s.executorAddresses[i], fmt.Sprintf("r1-%d", i%2), soakSlots, state, s.executors[i].Born())
+	s.store.PutExecutor(fmt.Sprintf("x%d", i), "s", s.executorAddresses[i], fmt.Sprintf("r1-%d", i%2), s.capacityOf(i), state, s.executors[i].Born())
 }
 
 func (s *soak) startVM(v *soakVM) {
@@ -265,9 +274,12 @@
 			}
 		}
 	}
-	if n := len(s.executors[i].Running()); n > soakSlots {
+	n := len(s.executors[i].Running())
+	if n > soakSlots {
 		s.problemf("x%d runs %d tasks but has only %d slots", i, n, soakSlots)
 	}
+	s.checkCapacity(i, task, n)
+	s.checkLaterStart(i, task)
 }
 
 func (s *soak) recordAcknowledged(task, how string) {
@@ -289,8 +301,10 @@
 		r := rand.New(rand.NewPCG(s.faultRand.Uint64(), uint64(i)))
 		callers.Go(func() { s.runCaller(r, i) })
 	}
+	s.runCrashingJobs(&callers)
 	for end := time.Now().Add(*soakSpan); time.Now().Before(end); {
 		s.injectFault()
+		s.changeCapacity()
 		time.Sleep(time.Duration(s.faultRand.IntN(400)) * time.Millisecond)
 	}
 	s.clearFaults()
@@ -368,6 +382,7 @@
 		s.controlLink(l, `{"state":{"x":"up"}}`)
 	}
 	for i := range s.executors {
+		s.setCapacity(i, soakSlots)
 		s.listExecutor(i, "ready")
 	}
 }
@@ -433,6 +448,9 @@
 			continue
 		}
 		want := []string{"completed"}
+		if j.crashing {
+			want = []string{"failed"}
+		}
 		if j.cancelled {
 			want = append(want, "cancelled")
 		}
