router: send a request to at most four executors whose connections end under it

The same class of fault as tasks that crash their workers, on the project's own path: an idempotent request that crashes the backend server that gets it was sent to the next, up to eight of them, as far as the retry budget of the service allowed. The caller got 'unknown' in the end, and everyone else's requests on these executors were cut off.

Cause: all failures of an attempt count alike, and a connection that ends with the request on it is not told apart from an executor that is away.

Change: such attempts are counted; after the fourth there is no other, and the refusal says so.

Ruled out: three attempts, as a hedge and a network fault may use two of them up; counting in the claims log, as non-idempotent requests are sent once anyway.

--- a/router/call.go
+++ b/router/call.go
@@ -11,6 +11,7 @@
 
 const (
 	maxAttempts             = 8 // of one request, without hedges; the retry budget limits retries and hedges of the service
+	maxLostConnections      = 4 // of one request, without hedges: it may be what crashes the executors
 	nonIdempotentWaitFactor = 5 // multiple of the time to its deadline that a non-idempotent attempt may run and hold its slot
 )
 
@@ -27,6 +28,7 @@
 	ended      time.Time
 	attempts   int
 	hedges     int // attempts that were hedges; included in attempts
+	lost       int // attempts whose connection ended while the executor had the request, without hedges
 	claimed    bool
 	mayHaveRun bool // an executor may have received part of the request
 }
@@ -164,6 +166,10 @@
 
 // waitToRetry reports whether the request may be retried, after the retry delay.
 func (c *call) waitToRetry(ctx context.Context, v attemptResult) bool {
+	if c.lost >= maxLostConnections {
+		v.refusal.Detail = "the connections to " + strconv.Itoa(c.lost) + " executors ended while they had the request"
+		return false
+	}
 	if c.attempts-c.hedges >= maxAttempts {
 		v.refusal.Detail = "the request reached the maximum number of attempts"
 		return false
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -60,6 +60,26 @@
 	})
 }
 
+// A request may be what crashes the executors that it is sent to.
+func TestRequestUnderWhichConnectionsEndIsSentToEveryExecutor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(8)
+		s := service()
+		s.RetryPercent = 100
+		r := newRouter(f, snapshot(s, executors(9, 2)))
+		for range 20 { // fills the retry budget
+			_, err := r.Do(t.Context(), request("etiquetar", "/proof", time.Millisecond))
+			is.NoErr(err)
+		}
+		before := f.attempts()
+		f.pendingResets = 100
+		_, err := r.Do(t.Context(), request("etiquetar", "/proof", short))
+		is.Equal(refusal(err), "connection-lost unknown")
+		is.Equal(f.attempts()-before, 4)
+	})
+}
+
 func TestRetryUsesAnotherZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/router/verdict.go
+++ b/router/verdict.go
@@ -46,6 +46,9 @@
 		e = &SendError{Code: CodeConnectionLost, MayHaveRun: true, Step: "send", Peer: x.ID, Err: err}
 	}
 	c.mayHaveRun = c.mayHaveRun || e.MayHaveRun
+	if e.Code == CodeConnectionLost && e.MayHaveRun {
+		c.lost++
+	}
 	refusal := &Refusal{Code: e.Code, Step: e.Step, Peer: x.ID, Err: e.Err}
 	if e.Code == CodeExecutorUnreachable {
 		refusal.RetryAfter = minRetryAfter
