scheduler: learn of a crashed worker from the list of machines

Callers whose tasks ran beside one that crashed the worker waited for another worker to appear at its address before their tasks started again: 3.5 s in the median, and as long for each crash until a job at fault was shown as failed.

Cause: a refused connection proves nothing, as the worker may be cut off, and the only proof in use was the next worker at the address.

Change: when a worker with runs refuses connections, the list of machines is requested, at most every 0.7 s. If no running machine names the worker in a list requested after it fell silent, its instance has ended: its runs are lost, the crash is counted, and a recovery does not wait for it. While such a worker is still listed it is called every 2 s, and an answer undoes the verdict.

Ruled out: taking a refused connection alone as evidence, since a cut link refuses too.

--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -62,14 +62,14 @@
 	s.logDecision(Decision{Message: "start failed", Job: e.Start.Task.Job, Task: e.Start.Task, Run: e.Start.Run, Worker: w.ID, Details: Details{detailOutcome: e.Outcome}})
 	switch e.Outcome {
 	case OutcomeUnknown:
-		s.noteFailedCall(now, w)
+		s.noteFailedCall(now, w, e.Outcome)
 		if j, st, _ := s.findTask(p.task); st != nil && st.Gang {
 			s.stopGang(now, j, p.task.Step, p.run)
 		}
 		s.stopRun(now, w, p)
 	case OutcomeUnsent, OutcomeReplaced:
 		p.crashed = false
-		s.noteFailedCall(now, w)
+		s.noteFailedCall(now, w, e.Outcome)
 		s.loseRun(now, w, p, "its start was not sent")
 	default:
 		if _, st, _ := s.findTask(p.task); st != nil && e.Outcome == OutcomeTicket {
@@ -99,7 +99,7 @@
 	case OutcomeDone, OutcomeObsolete:
 		p.stopAnsweredAt = now
 	case OutcomeUnknown, OutcomeUnsent:
-		s.noteFailedCall(now, w)
+		s.noteFailedCall(now, w, e.Outcome)
 	default:
 	}
 }
--- a/internal/jobs/scheduler/crash.go
+++ b/internal/jobs/scheduler/crash.go
@@ -115,9 +115,11 @@
 
 // noteFailedCall records that a call got no answer. The worker may have crashed, and the
 // leader may die before it knows, so the fresh runs there are stored for its successor.
-func (s *Scheduler) noteFailedCall(now time.Time, w *worker) {
+func (s *Scheduler) noteFailedCall(now time.Time, w *worker, o Outcome) {
 	first := w.unresponsiveSince.IsZero()
 	w.noteFailedCall(now)
+	w.refuses = w.refuses || o == OutcomeUnsent
+	s.requestMachinesFor(now, w)
 	if !first {
 		return
 	}
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -43,9 +43,12 @@
 
 // nextHold returns when the next hold is due, or false if none is.
 func (w *worker) nextHold(recovering bool) (time.Time, bool) {
-	if (!w.listed || w.departed) && len(w.runs) == 0 && (w.fenced || w.departed || !recovering) {
+	if !w.listed && len(w.runs) == 0 && (w.fenced || w.departed || !recovering) {
 		return time.Time{}, false
 	}
+	if w.departed {
+		return w.callFailedAt.Add(departedRetryDelay), true
+	}
 	var at time.Time
 	if !w.callFailedAt.IsZero() {
 		pause := holdRetryDelay
@@ -91,7 +94,7 @@
 		if w.unresponsiveSince.IsZero() {
 			s.logDecision(Decision{Message: "worker does not answer", Worker: w.ID, Details: Details{detailOutcome: e.Outcome, detailRuns: len(w.runs)}})
 		}
-		s.noteFailedCall(now, w)
+		s.noteFailedCall(now, w, e.Outcome)
 		return
 	}
 	if e.StartedMS != 0 && e.StartedMS < w.StartedMS {
@@ -103,6 +106,7 @@
 		}
 		w.StartedMS = e.StartedMS
 	}
+	w.departed, w.crashNoted = false, false
 	if !w.unresponsiveSince.IsZero() && w.fenced {
 		s.logDecision(Decision{Message: "worker answers again", Worker: w.ID, Details: Details{"silent-ms": now.Sub(w.unresponsiveSince).Milliseconds()}})
 	}
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -21,7 +21,7 @@
 	unanswered, anyLeft := false, false
 	for _, w := range s.tracking.unanswered {
 		unanswered = unanswered || !w.departed
-		anyLeft = anyLeft || w.mayHaveLeft()
+		anyLeft = anyLeft || w.mayHaveLeft() || (w.refuses && !w.departed)
 	}
 	if unanswered && !timedOut {
 		if anyLeft {
@@ -76,12 +76,19 @@
 	s.emit(ListMachines{})
 }
 
-// markGoneWorkers marks workers that may have left and that no running machine has:
-// their runs have ended, so recovery need not wait for their leases.
-func (s *Scheduler) markGoneWorkers(now time.Time) {
-	if !s.recovering {
-		return
+// requestMachinesFor asks for the list of machines if a worker with runs refuses
+// connections: a machine does not name a worker that has crashed, while one that is cut off
+// still runs.
+func (s *Scheduler) requestMachinesFor(now time.Time, w *worker) {
+	if s.Settings.Machines && w.refuses && !w.departed && len(w.runs) > 0 {
+		s.requestMachines(now)
 	}
+}
+
+// markGoneWorkers marks workers that no running machine has, if they refused connections
+// before the list was requested or may have left before the recovery: their runs have
+// ended, so nobody need wait for their leases.
+func (s *Scheduler) markGoneWorkers(now time.Time) {
 	up := map[string]bool{}
 	for _, m := range s.machines {
 		if m.Up {
@@ -90,12 +97,17 @@
 	}
 	for _, id := range s.workerIDs {
 		w := s.workers[id]
-		if !w.mayHaveLeft() || up[id] {
+		refused := w.refuses && !w.departed && w.unresponsiveSince.Before(s.machinesAskedAt)
+		left := s.recovering && w.mayHaveLeft()
+		if up[id] || (!refused && !left) {
 			continue
 		}
 		w.departed = true
+		s.logDecision(Decision{Message: "departed worker has no machine any more", Worker: id, Details: Details{"machines": len(s.machines), "listed": w.listed, detailRuns: len(w.runs)}})
 		s.noteCrash(now, w, evidenceNoMachine)
+		for _, p := range w.sortedRuns() {
+			s.loseRun(now, w, p, "no machine runs its worker any more")
+		}
 		s.touch(w)
-		s.logDecision(Decision{Message: "departed worker has no machine any more", Worker: id, Details: Details{"machines": len(s.machines), "listed": w.listed}})
 	}
 }
--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -16,6 +16,7 @@
 	manyBusyWorkers     = 256                     // more take longHoldWait
 	holdRetryDelay      = 400 * time.Millisecond  // before the next hold of a worker that did not answer
 	recoveryRetryDelay  = 100 * time.Millisecond  // the same while recovery waits for its answer
+	departedRetryDelay  = 2 * time.Second         // the same of one that is still listed although its instance has ended
 	unstoredHoldDelay   = 800 * time.Millisecond  // before the next hold of a worker whose ends are not stored yet
 	stopRetryDelay      = 600 * time.Millisecond  // before a stop without an answer is sent again
 	maxStopRetryDelay   = 2400 * time.Millisecond // the same after several
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -64,6 +64,7 @@
 	crashNoted        bool      // the end of its last known instance was noted
 	callFailedAt      time.Time // time of the last unanswered call, zero after an answer
 	unresponsiveSince time.Time // time of the first unanswered call since the last answer, else zero
+	refuses           bool      // a call since its last answer found no connection
 	clockMS           int64     // of its monotonic clock
 	clockAt           time.Time // when clockMS was received
 	leaseDeadlineMS   int64     // latest deadline sent, by its clock
@@ -117,6 +118,7 @@
 func (w *worker) noteAnswer(now time.Time, clockMS int64) {
 	w.callFailedAt = time.Time{}
 	w.unresponsiveSince = time.Time{}
+	w.refuses = false
 	if clockMS != 0 {
 		w.clockMS = clockMS
 		w.clockAt = now
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -301,7 +301,7 @@
 // refusalDelay returns the time until a call to an unreachable worker fails: at once if its
 // process is gone.
 func (w *world) refusalDelay(id string) time.Duration {
-	if w.replaced[id] {
+	if v := w.workers[id]; w.replaced[id] || v == nil || !v.alive {
 		return worldStep
 	}
 	return time.Second
