scheduler: blame no run of a worker's present instance for the crash of the last

Found while reading the code of the quarantine: a new leader that met a worker in a later instance, with a start that an earlier leader had recorded for the one before, went through the handling of a crash that happens now. Runs of the present instance would have been marked as lost in a crash, and suspected if they got lost for another cause.

Change: only the recorded starts are counted, and the crash is logged as an old one. Starts on workers that drain or go down for upkeep are not recorded, as their end is no crash.

Evidence: crash-while-no-vm-leads-is-not-counted plays the case without a list of machines; it fails if the recorded start is dropped instead ('the counter is 0'). The property test and all scripts pass.

--- a/internal/jobs/scheduler/crash.go
+++ b/internal/jobs/scheduler/crash.go
@@ -66,6 +66,12 @@
 	}
 }
 
+// logOldCrash logs a crash that happened before this leader heard the worker's present
+// instance.
+func (s *Scheduler) logOldCrash(w *worker, open int) {
+	s.logDecision(Decision{Message: "worker had crashed before", Counter: "worker-crashes", Worker: w.ID, Details: Details{"address": w.Address, "born": w.StartedMS, "open-starts": open}})
+}
+
 // hasOnly reports whether a worker has runs of no other job.
 func (w *worker) hasOnly(job string) bool {
 	return !slices.ContainsFunc(w.order, func(p *placement) bool { return p.task.Job != job })
@@ -133,7 +139,7 @@
 // recordOpenStart stores that the outcome of a start is unknown.
 func (s *Scheduler) recordOpenStart(w *worker, p *placement) {
 	j, _, t := s.findTask(p.task)
-	if t == nil || t.state != taskPlaced || t.run != p.run || j.state.Ended() {
+	if t == nil || t.state != taskPlaced || t.run != p.run || j.state.Ended() || w.left() {
 		return
 	}
 	t.suspicion = t.suspicion.WithOpen(quarantiner.Start{Run: p.run, Worker: w.ID, Address: w.Address, StartedMS: w.StartedMS, Alone: w.hasOnly(p.task.Job)})
@@ -170,19 +176,29 @@
 	}
 }
 
-// closeOpenStarts forgets the open starts on a worker that answers in the same instance:
-// its runs and ends tell the rest.
+// closeOpenStarts handles the open starts on a worker that answers. In the same instance,
+// its runs and ends tell the rest; a later one shows that it has crashed since.
 func (s *Scheduler) closeOpenStarts(now time.Time, w *worker) {
-	for _, v := range s.openStarts[w.ID] {
-		if v.StartedMS != 0 && w.StartedMS > v.StartedMS {
-			s.noteCrash(now, w, evidenceRestarted)
-			break
-		}
-		if _, ok := w.runs[placementKey{v.task, v.Run}]; !ok {
+	open := s.openStarts[w.ID]
+	if len(open) == 0 {
+		return
+	}
+	delete(s.openStarts, w.ID)
+	logged := false
+	for _, v := range open {
+		_, listed := w.runs[placementKey{v.task, v.Run}]
+		switch {
+		case listed:
+		case v.StartedMS != 0 && w.StartedMS > v.StartedMS:
+			if !logged {
+				logged = true
+				s.logOldCrash(w, len(open))
+			}
+			s.blame(now, v.task, v.Run, w.ID, v.Alone, false)
+		default:
 			s.closeStart(v.task, v.Run)
 		}
 	}
-	delete(s.openStarts, w.ID)
 }
 
 // checkAddresses looks for workers with open starts whose address another worker has.
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -114,9 +115,14 @@
 		"tail": func(id string, milliseconds, perFiller int) {
 			w.workers[id].baseTail, w.workers[id].fillerDelay = milliseconds, perFiller
 		},
-		"deadly": func(job string, delay time.Duration) { w.deadly[job] = delay },
-		"crash":  w.crash,
-		"resize": w.resize,
+		"deadly":        func(job string, delay time.Duration) { w.deadly[job] = delay },
+		"crash":         w.crash,
+		"resize":        w.resize,
+		"machines-down": func() { w.machinesDown = true },
+		"crash-unseen": func(id string) { // no worker follows at its address
+			w.crash(id)
+			w.deliveries = slices.DeleteFunc(w.deliveries, func(d delivery) bool { return d.do != nil && d.at.Sub(w.now) >= 3*time.Second })
+		},
 		"hang":   func(id string) { w.workers[id].stalled = true },
 		"unhang": func(id string) { w.workers[id].stalled = false },
 		"pause":  func(d time.Duration) { w.pausedUntil = w.now.Add(d) },
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -52,11 +52,12 @@
 	upkeepDone                []string // machines that have had their upkeep
 	down, maxDown, cutOffRuns int
 
-	deadly      map[string]time.Duration // jobs whose tasks 0 crash their workers that long after each start
-	crashes     map[scheduler.TaskID]int // workers that crashed under a deadly task
-	laterStarts map[scheduler.TaskID]int // starts of such a task after three crashes
-	replaced    map[string]bool          // workers whose address another worker has
-	counters    map[string]int           // of decisions
+	deadly       map[string]time.Duration // jobs whose tasks 0 crash their workers that long after each start
+	crashes      map[scheduler.TaskID]int // workers that crashed under a deadly task
+	laterStarts  map[scheduler.TaskID]int // starts of such a task after three crashes
+	replaced     map[string]bool          // workers whose address another worker has
+	machinesDown bool                     // the list of machines is not available
+	counters     map[string]int           // of decisions
 
 	poweredOff      []scheduler.Machine // switched-off machines
 	unmovable       map[string]bool     // machines that the platform does not move
@@ -181,7 +182,7 @@
 		w.adviceCalls++
 		w.deliverAfter(f.Limit, e)
 	case scheduler.ListMachines:
-		e := scheduler.MachinesListed{OK: true}
+		e := scheduler.MachinesListed{OK: !w.machinesDown}
 		for _, id := range slices.Sorted(maps.Keys(w.workers)) {
 			v := w.workers[id]
 			e.Machines = append(e.Machines, scheduler.Machine{
