scheduler: drop reservations on workers that have shrunk

Cause: what was freed for an urgent job stays reserved until it starts, and a reservation was dropped only if its worker became unusable. If the worker's capacity shrank between the choice and the start, the resources never came.

Change: a reserved worker is kept only while the tasks fit it: its capacity, less the runs that are not being stopped, for an urgent job; its whole capacity for a gang that waits for all runs. The missing part is chosen anew, as for a worker that fell silent.

Evidence: urgent-job-waits-for-a-reserved-worker-that-has-shrunk failed before (not started after 3 s), and so did the one with other runs when the capacity alone was compared; both pass now. Ruled out: dropping all reservations when a capacity changes, which would stop more runs each time.

--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -57,12 +57,18 @@
 	return true
 }
 
-// keepReserved drops the reserved workers of a unit that are not usable any more, or are
-// more than its tasks, and returns the number of tasks without a reserved worker.
+// keepReserved drops the reserved workers of a unit that are not usable any more, have
+// become too small, or are more than its tasks, and returns the number of tasks without a
+// reserved worker.
 func (p *pass) keepReserved(u unit, tasks int) int {
+	kept := map[string]int{}
 	u.step.reserved = slices.DeleteFunc(u.step.reserved, func(id string) bool {
 		w, ok := p.s.workers[id]
-		return !ok || !w.usable(p.now)
+		if !ok || !w.usable(p.now) || !u.step.Need.Times(kept[id]+1).Fits(w.freeable(u)) {
+			return true
+		}
+		kept[id]++
+		return false
 	})
 	if len(u.step.reserved) > tasks {
 		u.step.reserved = u.step.reserved[:tasks]
@@ -70,6 +76,21 @@
 	return tasks - len(u.step.reserved)
 }
 
+// freeable returns the resources of a worker that a unit may get: for an urgent one, what is
+// left once the runs that are being stopped have ended; another unit waits for all runs.
+func (w *worker) freeable(u unit) placer.Resources {
+	left := w.Capacity
+	if !u.job.urgent() {
+		return left
+	}
+	for _, p := range w.order {
+		if !p.stopping {
+			left = left.Minus(p.need)
+		}
+	}
+	return left
+}
+
 func (p *pass) reserve(u unit) {
 	for _, id := range u.step.reserved {
 		p.reduceFree(u.job.queue.Service, id, u.step.Need)
