scheduler: tell which runs were alone before any of them is given up

Found in the read-through: when the leases on a silent worker expire, its fresh runs are kept, in case the worker turns out to have crashed. Whether a run was alone was asked after the runs before it had been removed, so the last of several jobs counted as alone, which is half of the proof that it crashed the worker.

Change: all of them are recorded before the first is removed. A crash that was counted already is neither logged nor counted in the metrics again.

--- a/internal/jobs/scheduler/crash.go
+++ b/internal/jobs/scheduler/crash.go
@@ -84,11 +84,12 @@
 	if t == nil || t.state == taskDone || j.state.Ended() {
 		return
 	}
+	known := len(t.suspicion.Crashes)
 	t.suspicion = t.suspicion.WithCrash(run, alone, outage)
 	s.markDirty(j)
 	s.storeSoon = true
-	if !t.suspicion.Suspected() {
-		return
+	if len(t.suspicion.Crashes) == known {
+		return // excused, or counted before
 	}
 	level := t.suspicion.Level()
 	s.logDecision(Decision{
@@ -146,7 +147,7 @@
 	if t == nil || t.state != taskPlaced || t.run != p.run || j.state.Ended() || w.left() {
 		return
 	}
-	t.suspicion = t.suspicion.WithOpen(quarantiner.Start{Run: p.run, Worker: w.ID, Address: w.Address, StartedMS: w.StartedMS, Alone: w.hasOnly(p.task.Job)})
+	t.suspicion = t.suspicion.WithOpen(w.startOf(p))
 	s.markDirty(j)
 	s.storeSoon = true
 }
@@ -172,14 +173,21 @@
 	}
 }
 
-// keepOpenStart keeps the start of a run that is given up although its worker's fate is
-// unknown: evidence of a crash may come later.
-func (s *Scheduler) keepOpenStart(w *worker, p *placement) {
-	if p.fresh() && !w.left() {
-		s.openStarts[w.ID] = append(s.openStarts[w.ID], openStart{p.task, quarantiner.Start{Run: p.run, Worker: w.ID, Address: w.Address, StartedMS: w.StartedMS, Alone: w.hasOnly(p.task.Job)}})
+// keepOpenStarts keeps the starts of fresh runs that are about to be given up although their
+// worker's fate is unknown: evidence of a crash may come later.
+func (s *Scheduler) keepOpenStarts(w *worker) {
+	for _, p := range w.order {
+		if p.fresh() && !w.left() {
+			s.openStarts[w.ID] = append(s.openStarts[w.ID], openStart{p.task, w.startOf(p)})
+		}
 	}
 }
 
+// startOf returns the record of a run's start.
+func (w *worker) startOf(p *placement) quarantiner.Start {
+	return quarantiner.Start{Run: p.run, Worker: w.ID, Address: w.Address, StartedMS: w.StartedMS, Alone: w.hasOnly(p.task.Job)}
+}
+
 // closeOpenStarts handles the open starts on a worker that answers. In the same instance,
 // its runs and ends tell the rest; a later one shows that it has crashed since.
 func (s *Scheduler) closeOpenStarts(now time.Time, w *worker) {
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -261,9 +261,9 @@
 		return
 	}
 	s.logDecision(Decision{Message: "leases on an unresponsive worker have expired", Worker: w.ID, Details: Details{"silent-ms": now.Sub(w.unresponsiveSince).Milliseconds()}})
+	s.keepOpenStarts(w)
 	for _, p := range w.sortedRuns() {
 		s.abandonRun(w, p)
-		s.keepOpenStart(w, p)
 		s.loseRun(now, w, p, "its lease expired on an unresponsive worker")
 	}
 	w.fenced = false
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -202,6 +202,9 @@
 		w.waves[f.Number] = f
 	case scheduler.Decision:
 		w.counters[f.Counter]++
+		if n, ok := f.Details["alone"].(int); ok && n > 0 {
+			w.counters["suspects-alone"]++
+		}
 	case scheduler.DeleteJobs:
 	}
 }
