scheduler: let a suspect wait for a worker of its own at each start

A suspect that had started like others once, because no worker suited it for 1.2 s, did not wait any more: at its next starts it crashed workers with tasks of other jobs, and its fault could not be proven. Found in the read-through.

Cause: the time at which it began to wait was reset only by a start that suited its level.

Evidence: the script counts the starts 2.7 s after the first on a cluster without empty workers: four before, three now. Property test and scripts pass.

--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -261,6 +261,7 @@
 	t := &u.step.tasks[index]
 	u.step.setState(index, taskPlaced)
 	t.worker, t.run = id, run
+	t.apartSince = time.Time{}
 	p.startRun(u, index, id, run)
 	s.logDecision(Decision{Message: "task placed", Job: u.job.ID, Task: TaskID{u.job.ID, u.index, index}, Run: run, Worker: id, Details: Details{"waited-ms": p.now.Sub(u.job.acceptedAt).Milliseconds()}})
 }
--- a/internal/jobs/scheduler/quarantine.go
+++ b/internal/jobs/scheduler/quarantine.go
@@ -35,7 +35,6 @@
 		id, ok := p.leastShared(u, level)
 		switch {
 		case ok:
-			t.apartSince = time.Time{}
 			p.s.lastRun++
 			p.placeTask(u, i, id, p.s.lastRun)
 		case t.outOfPatience(p.now):
@@ -190,7 +189,6 @@
 		at, ok = p.findQuarantined(u, waiting, r)
 	}
 	if ok {
-		u.step.tasks[0].apartSince = time.Time{}
 		p.startGang(u, waiting, at)
 		return true
 	}
