scheduler: restart a long-running task during an outage of the store

Cause: since the quarantine, the start of a suspected task is held until the store has the record of it. The worker had restarted right after the task's start, so the task was suspected, and the store was down. The scripts had the case for other tasks, and it is intended there; long-running tasks serve users of their own and must run all the time.

Change: the start of a long-running task that has crashed one worker at most is sent after 0.5 s, stored or not.

Evidence: the test fails before and passes; so does the script long-running-task-waits-for- the-store-after-a-crash ('0 tasks are running'). All other scripts and the property test pass unchanged. Tried and reverted: sending all first suspects after 0.5 s, which loses two crashes if the leader dies in the outage (the property test found a third start after three crashes), and, with that, giving up inherited tasks one crash sooner, which gave up tasks that crash nothing (found by the property test as well).

--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -292,7 +292,7 @@
 		Ticket: u.step.tickets[id].value,
 	}
 	if hold {
-		s.hold(f, w, r)
+		s.hold(p.now, f, w, r)
 		return
 	}
 	if v := u.step.tasks[index].suspicion.Open; v != nil {
--- a/internal/jobs/scheduler/quarantine.go
+++ b/internal/jobs/scheduler/quarantine.go
@@ -8,13 +8,18 @@
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
 
+// maxHold is how long the start of a long-running task that has crashed one worker at most
+// waits for the store: such tasks must run through its outages too.
+const maxHold = 500 * time.Millisecond
+
 // heldStart is a start that is sent once the record of it is stored, so that no leader can
 // miss a crash that it causes.
 type heldStart struct {
 	start     Start
 	run       *placement
-	startedMS int64 // of the worker's instance
-	storing   bool  // the store in flight covers the record
+	startedMS int64     // of the worker's instance
+	storing   bool      // the store in flight covers the record
+	sendAt    time.Time // when it is sent without being stored, zero for never
 }
 
 // placeSuspects starts the suspected tasks of a step that is no gang, each on the worker
@@ -204,11 +209,21 @@
 	return s.tasks[index].suspicion.Suspected()
 }
 
+// mayStartUnstored reports whether the held start of a task may be sent without being stored.
+func (s *step) mayStartUnstored() bool {
+	return s.LongRunning && !slices.ContainsFunc(s.tasks, func(t task) bool { return t.suspicion.Level() > quarantiner.Apart })
+}
+
 // hold keeps a start until the record of it is stored.
-func (s *Scheduler) hold(f Start, w *worker, p *placement) {
+func (s *Scheduler) hold(now time.Time, f Start, w *worker, p *placement) {
 	p.startDeadlineMS = 0 // set when it is sent
-	s.held = append(s.held, &heldStart{start: f, run: p, startedMS: w.StartedMS})
-	if j, _, t := s.findTask(p.task); t.suspicion.Suspected() {
+	h := &heldStart{start: f, run: p, startedMS: w.StartedMS}
+	s.held = append(s.held, h)
+	j, st, t := s.findTask(p.task)
+	if st.mayStartUnstored() {
+		h.sendAt = now.Add(maxHold)
+	}
+	if t.suspicion.Suspected() {
 		s.recordOpenStart(w, p)
 	} else {
 		s.markDirty(j)
@@ -223,8 +238,9 @@
 	}
 }
 
-// sendHeldStarts sends the starts whose records are stored.
-func (s *Scheduler) sendHeldStarts(now time.Time) {
+// sendHeldStarts sends the starts whose records are stored, if the store in flight has just
+// been completed, and those that wait for it no longer.
+func (s *Scheduler) sendHeldStarts(now time.Time, stored bool) {
 	held := s.held
 	s.held = nil
 	for _, h := range held {
@@ -233,7 +249,7 @@
 			continue
 		}
 		switch {
-		case !h.storing:
+		case (!h.storing || !stored) && (h.sendAt.IsZero() || now.Before(h.sendAt)):
 			s.held = append(s.held, h)
 		case h.run.stopping || !w.available(now) || !w.used.Fits(w.Capacity) || w.StartedMS != h.startedMS:
 			s.loseRun(now, w, h.run, "its start was not sent")
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -244,6 +244,9 @@
 	if gone {
 		s.workerIDs = slices.DeleteFunc(s.workerIDs, func(id string) bool { return s.workers[id] == nil })
 	}
+	if len(s.held) > 0 {
+		s.sendHeldStarts(now, false)
+	}
 	s.vacateWorkers(now, watched)
 	s.advanceWaves(now)
 	s.relocateMachines(now)
@@ -349,7 +352,7 @@
 		}
 	}
 	s.tracking.storingJobs = s.tracking.storingJobs[:0]
-	s.sendHeldStarts(now)
+	s.sendHeldStarts(now, true)
 }
 
 // markEndsStored records that all ends covered by the last batch are stored.
