scheduler: start a suspect alone beside runs that are known to be harmless

A task that crashes nothing was given up beside many that do: found by the property test with another seed (158), on a cluster of six workers with five crashing jobs. It had been on four workers that crashed, each time beside other suspects.

Cause: a suspect that was to be alone waited 1.2 s for a worker without any run of another job. On a busy cluster there is none, so it started beside suspects all the same, and its four crashes proved nothing. A longer wait would hold up tasks on sites where each worker is used.

Change: only runs that have not outlived the suspicion keep a worker from being alone; the others are known to be harmless, and there are such workers within 2 s on any site. In exchange a task waits up to 5 s for one after its second crash.

Ruled out: no start beside suspects at all after the second crash, which has no bound where a label leaves one worker.

--- a/internal/jobs/quarantiner/quarantiner.go
+++ b/internal/jobs/quarantiner/quarantiner.go
@@ -4,7 +4,7 @@
 // The load that it answers: one task that crashes every worker that starts it, among the
 // tasks of others that run on the same workers and workers that crash for other causes. All
 // tasks of a crashed worker look alike at first, so a suspect is kept apart from other
-// suspects, then from all other jobs, until the crash of a worker tells about it alone. The
+// suspects, then from all fresh runs, until the crash of a worker tells about it alone. The
 // package performs no I/O and reads no clock.
 package quarantiner
 
@@ -17,12 +17,14 @@
 // that outlives it proves that its task can be started safely.
 const Window = 2 * time.Second
 
-// Patience is how long a suspect waits for a worker that suits its level. A queue with free
-// workers must not leave a task waiting for 3 s.
-const Patience = 1200 * time.Millisecond
+// How long a suspect waits for a worker that suits its level before it starts like others.
+const (
+	apartPatience = 1200 * time.Millisecond // a service with much free capacity must not leave a task waiting for 3 s
+	alonePatience = 5 * time.Second         // runs outlive Window on any worker meanwhile; a start beside fresh runs proves nothing
+)
 
 const (
-	aloneAfter    = 2 // crashes after which a task is started on a worker without other jobs
+	aloneAfter    = 2 // crashes after which a task is started alone
 	provenCrashes = 3 // crashes that prove the fault of a task if it was alone in provenAlone of them
 	provenAlone   = 2
 	maxCrashes    = 4 // after which the task is given up unproven: the platform forbids a third start after three crashes, and one crash may be known to no leader
@@ -35,10 +37,18 @@
 const (
 	Anywhere Level = iota
 	Apart          // on a worker without other suspects
-	Alone          // on a worker without runs of other jobs
+	Alone          // on a worker without fresh runs of other jobs, to which none is added
 	GivenUp        // nowhere: the task is at fault
 )
 
+// Patience returns for how long a task waits for a worker that suits the level.
+func (l Level) Patience() time.Duration {
+	if l == Alone {
+		return alonePatience
+	}
+	return apartPatience
+}
+
 // String implements fmt.Stringer.
 func (l Level) String() string {
 	return [...]string{"anywhere", "apart", "alone", "given-up"}[l]
@@ -50,14 +60,14 @@
 	Worker    string `json:"worker"`
 	Address   string `json:"address"`
 	StartedMS int64  `json:"started-ms"`      // start of the worker's instance, Unix milliseconds
-	Alone     bool   `json:"alone,omitempty"` // the worker had no runs of other jobs
+	Alone     bool   `json:"alone,omitempty"` // the worker had no fresh runs of other jobs
 }
 
 // Record is what is known of a task and the crashes under it. The zero value belongs to a
 // task that is not suspected. It is stored with the job, as its leaders change.
 type Record struct {
 	Crashes []int64 `json:"crashes,omitempty"` // runs under which a worker crashed since the last run that outlived Window
-	Alone   int     `json:"alone,omitempty"`   // how many of them were without runs of other jobs
+	Alone   int     `json:"alone,omitempty"`   // how many of them were without fresh runs of other jobs
 	Excused int64   `json:"excused,omitempty"` // run that was lost in an outage, 0 for none; it counts once another crash follows
 	Open    *Start  `json:"open,omitempty"`    // last start whose outcome is unknown
 }
@@ -75,7 +85,7 @@
 }
 
 // WithCrash returns the record after a worker has crashed under a run, which was alone if no
-// other job had runs there. Each run counts once, however often its crash is reported. The
+// other job had a fresh run there. Each run counts once, however often its crash is reported. The
 // first crash that is part of an outage is excused; a later one counts, but proves nothing.
 func (r Record) WithCrash(run int64, alone, outage bool) Record {
 	r = r.WithoutOpen(run)
--- a/internal/jobs/scheduler/crash.go
+++ b/internal/jobs/scheduler/crash.go
@@ -72,9 +72,9 @@
 	s.logDecision(Decision{Message: "worker had crashed before", Counter: "worker-crashes", Worker: w.ID, Details: Details{"address": w.Address, "born": w.StartedMS, "open-starts": open}})
 }
 
-// hasOnly reports whether a worker has runs of no other job.
+// hasOnly reports whether a worker has fresh runs of no other job.
 func (w *worker) hasOnly(job string) bool {
-	return !slices.ContainsFunc(w.order, func(p *placement) bool { return p.task.Job != job })
+	return !slices.ContainsFunc(w.order, func(p *placement) bool { return p.task.Job != job && !p.outlived })
 }
 
 // blame counts the crash of a worker against the task of a run that was lost with it, and
--- a/internal/jobs/scheduler/crash_property_test.go
+++ b/internal/jobs/scheduler/crash_property_test.go
@@ -14,7 +14,7 @@
 )
 
 func init() {
-	_ = flag.Set("rapid.seed", "20261205") // the same result in every run; the command line may override it
+	_ = flag.Set("rapid.seed", "158") // its first draw once gave up a neighbour of several crashing tasks; the command line may override it
 	_ = flag.Set("rapid.nofailfile", "true")
 }
 
--- a/internal/jobs/scheduler/quarantine.go
+++ b/internal/jobs/scheduler/quarantine.go
@@ -24,7 +24,7 @@
 
 // placeSuspects starts the suspected tasks of a step that is no gang, each on the worker
 // with the fewest other runs that suits its level. It returns the tasks that may be placed
-// like all others: those not suspected, and those that have waited for quarantiner.Patience.
+// like all others: those not suspected, and those that have waited for long enough.
 func (p *pass) placeSuspects(u unit, waiting []int) []int {
 	if !u.step.suspected(waiting) {
 		return waiting
@@ -42,7 +42,7 @@
 		case ok:
 			p.s.lastRun++
 			p.placeTask(u, i, id, p.s.lastRun)
-		case t.outOfPatience(p.now):
+		case t.outOfPatience(p.now, level):
 			rest = append(rest, i)
 		}
 	}
@@ -51,11 +51,11 @@
 
 // outOfPatience reports whether a suspected task that finds no worker for its level has
 // waited for long enough, and notes when it began to wait.
-func (t *task) outOfPatience(now time.Time) bool {
+func (t *task) outOfPatience(now time.Time, level quarantiner.Level) bool {
 	if t.apartSince.IsZero() {
 		t.apartSince = now
 	}
-	return now.Sub(t.apartSince) >= quarantiner.Patience
+	return now.Sub(t.apartSince) >= level.Patience()
 }
 
 // suspected reports whether any of the tasks is suspected of crashing workers.
@@ -101,7 +101,7 @@
 }
 
 // findQuarantined searches a placement for a gang with suspected members. Those to be alone
-// get workers without other jobs, which no other member uses.
+// get workers that suit them, and which no other member uses if there are enough.
 func (p *pass) findQuarantined(u unit, waiting []int, r placer.Request) (placer.Placement, bool) {
 	var alone, others []int // positions in waiting
 	for k, i := range waiting {
@@ -129,7 +129,7 @@
 			return at, true
 		}
 	}
-	return nil, false
+	return placer.Place(r, empty)
 }
 
 // placeInParts places the tasks at the positions alone on some workers, and the others on
@@ -197,7 +197,16 @@
 		p.startGang(u, waiting, at)
 		return true
 	}
-	return !u.step.tasks[0].outOfPatience(p.now)
+	return !u.step.tasks[0].outOfPatience(p.now, u.step.highestLevel())
+}
+
+// highestLevel returns the most restrictive level of the tasks.
+func (s *step) highestLevel() quarantiner.Level {
+	level := quarantiner.Anywhere
+	for i := range s.tasks {
+		level = max(level, s.tasks[i].suspicion.Level())
+	}
+	return level
 }
 
 // mustHold reports whether the starts of a task are held until they are stored: it is
@@ -211,7 +220,7 @@
 
 // mayStartUnstored reports whether the held start of a task may be sent without being stored.
 func (s *step) mayStartUnstored() bool {
-	return s.LongRunning && !slices.ContainsFunc(s.tasks, func(t task) bool { return t.suspicion.Level() > quarantiner.Apart })
+	return s.LongRunning && s.highestLevel() <= quarantiner.Apart
 }
 
 // hold keeps a start until the record of it is stored.
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -21,7 +21,7 @@
 	held            bool      // its start is not sent yet
 	outlived        bool      // it was seen running long enough to crash no worker
 	crashed         bool      // its worker crashed when it was fresh: the task is suspected if the run is lost
-	alone           bool      // there were no runs of other jobs then
+	alone           bool      // there were no fresh runs of other jobs then
 	outage          bool      // other workers crashed then for another cause
 	level           quarantiner.Level
 	stopping        bool
