--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -22,6 +22,7 @@
 	"ends":      runEnds,
 	"wave":      runWave,
 	"recurring": runRecurring,
+	"deleted":   runDeleted,
 }
 
 func main() {
--- a/review/_harness/recurring.go
+++ b/review/_harness/recurring.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
-	"strings"
 	"time"
 )
 
@@ -48,7 +46,7 @@
 		for _, v := range w.vms {
 			w.kill(v)
 		}
-		w.ageEnds(aged)
+		w.ageEnds(aged, isOccurrence)
 		for _, v := range w.vms {
 			if err := w.start(v); err != nil {
 				return err
@@ -85,26 +83,3 @@
 	}
 	return n
 }
-
-// ageEnds moves the times at which occurrences have ended, as the program stored them, into
-// the past.
-func (w *world) ageEnds(by time.Duration) {
-	const topic = "keyed.progress"
-	w.store.mu.Lock()
-	newest := map[string][]byte{}
-	for _, r := range w.store.topic(topic).records {
-		newest[r.key] = r.value
-	}
-	w.store.mu.Unlock()
-	for key, value := range newest {
-		var p map[string]json.RawMessage
-		var ms int64
-		if !strings.Contains(key, "#") || json.Unmarshal(value, &p) != nil || json.Unmarshal(p["ended-ms"], &ms) != nil {
-			continue
-		}
-		p["ended-ms"], _ = json.Marshal(ms - by.Milliseconds())
-		b, _ := json.Marshal(p)
-		w.store.put(topic, key, b)
-		w.logf("time passes: %s of %s, was %s", b, key, value)
-	}
-}
