--- a/review/_harness/executor.go
+++ b/review/_harness/executor.go
@@ -240,7 +240,9 @@
 
 func (x *executor) start(w http.ResponseWriter, o order) {
 	spec, checkpoints := strings.CutSuffix(o.Spec, " saves")
-	work, err := time.ParseDuration(spec)
+	times := strings.Split(spec, "/")
+	_, n := jobOf(o.Task)
+	work, err := time.ParseDuration(times[min(n, len(times)-1)])
 	v, there := x.runs[o.Task]
 	switch {
 	case err != nil:
@@ -259,18 +261,18 @@
 		x.reject(w, "old")
 		return
 	}
-	n := &taskRun{number: o.Run, began: time.Now(), work: work, need: x.observer.need(o.Task), checkpoint: o.Checkpoint}
+	t := &taskRun{number: o.Run, began: time.Now(), work: work, need: x.observer.need(o.Task), checkpoint: o.Checkpoint}
 	if !checkpoints {
-		n.checkpoint = "-"
+		t.checkpoint = "-"
 	}
-	n.timer = time.AfterFunc(work, func() {
+	t.timer = time.AfterFunc(work, func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		if x.runs[o.Task] == n {
+		if x.runs[o.Task] == t {
 			x.end(o.Task, "done")
 		}
 	})
-	x.runs[o.Task] = n
+	x.runs[o.Task] = t
 	x.observer.started(x, o.Task, o.Run, x.used())
 	answer(w, http.StatusOK, map[string]int64{"clockMs": x.clock()})
 }
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -23,6 +23,8 @@
 	"wave":      runWave,
 	"recurring": runRecurring,
 	"deleted":   runDeleted,
+	"cap":       runCap,
+	"large":     runLarge,
 }
 
 func main() {
