--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -25,6 +25,8 @@
 	"deleted":   runDeleted,
 	"cap":       runCap,
 	"large":     runLarge,
+	"memory":    runMemory,
+	"hopeless":  runHopeless,
 }
 
 func main() {
