--- a/review/_harness/executor.go
+++ b/review/_harness/executor.go
@@ -70,6 +70,7 @@
 	last      map[string]int64 // highest run that was stopped or has ended, by task
 	endNotice chan struct{}
 	seq       int
+	refused   int64 // starts answered with 400
 }
 
 // observer learns what happens on executors. Its functions are called with the executor
@@ -246,7 +247,8 @@
 	v, there := x.runs[o.Task]
 	switch {
 	case err != nil:
-		w.WriteHeader(http.StatusBadRequest)
+		x.refused++
+		answer(w, http.StatusBadRequest, map[string]int64{"clockMs": x.clock()})
 		return
 	case there && v.number == o.Run:
 		answer(w, http.StatusOK, map[string]int64{"clockMs": x.clock()})
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -27,6 +27,7 @@
 	"large":     runLarge,
 	"memory":    runMemory,
 	"hopeless":  runHopeless,
+	"invalid":   runInvalid,
 }
 
 func main() {
