--- a/review/_harness/cap.go
+++ b/review/_harness/cap.go
@@ -36,7 +36,7 @@
 		orders++
 		if orders == 1 {
 			if w.trouble {
-				w.killAfter(leader)
+				w.kill(leader)
 			}
 			close(first)
 		}
--- a/review/_harness/cloud.go
+++ b/review/_harness/cloud.go
@@ -9,10 +9,7 @@
 	"time"
 )
 
-const (
-	upkeepTime   = 2 * time.Second
-	upkeepAnswer = 100 * time.Millisecond // from the begin of an upkeep to the answer, which no page bounds
-)
+const upkeepTime = 2 * time.Second
 
 // machine is a machine of the platform.
 type machine struct {
@@ -84,7 +81,6 @@
 	}
 	fence, _ := strconv.ParseInt(r.Header.Get("X-Lacewingdoor-Fencing-Token"), 10, 64)
 	status, reason := c.upkeep(q.Machine, q.Wave, fence)
-	time.Sleep(upkeepAnswer)
 	c.w.logf("POST /machine-upkeep %s of wave %d by %s with token %d: %d %s", q.Machine, q.Wave, r.Header.Get("X-Lacewingdoor-Duty-Holder"), fence, status, reason)
 	answer(w, status, map[string]string{"reason": reason})
 }
@@ -110,8 +106,12 @@
 	m.state = "upkeep"
 	old := m.executor
 	old.leave()
-	c.w.store.put("keyed.servers", old.id, nil)
 	m.executor = nil
+	go func() {
+		for !c.w.store.put("keyed.servers", old.id, nil) { // while the store is down
+			time.Sleep(heartbeat / 3)
+		}
+	}()
 	c.w.logf("upkeep of %s begins, %s has ended", id, old.id)
 	time.AfterFunc(upkeepTime, func() {
 		c.mu.Lock()
--- a/review/_harness/executor.go
+++ b/review/_harness/executor.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -70,6 +72,7 @@
 	last      map[string]int64 // highest run that was stopped or has ended, by task
 	endNotice chan struct{}
 	seq       int
+	life      int
 	refused   int64 // starts answered with 400
 }
 
@@ -80,6 +83,7 @@
 	started func(x *executor, task string, run int64, used size)
 	ended   func(x *executor, e taskEnd)
 	noted   func(x *executor, e taskEnd) // an end is taken note of
+	crashed func(x *executor)
 }
 
 func newExecutor(id, service, machine, rack string, capacity size, o observer) *executor {
@@ -141,6 +145,31 @@
 	x.runs = map[string]*taskRun{}
 }
 
+// restart ends the executor's life and starts the next one under the same id. Connections of
+// the old life end with their next order.
+func (x *executor) restart() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, r := range x.runs {
+		r.timer.Stop()
+	}
+	x.observer.crashed(x)
+	x.life++
+	x.born, x.fence, x.deadline, x.endCount, x.seq = time.Now(), 0, 0, 0, 0
+	x.runs, x.ends, x.last = map[string]*taskRun{}, nil, map[string]int64{}
+	close(x.endNotice)
+	x.endNotice = make(chan struct{})
+}
+
+// lifeKey is the context key of the life that accepted a connection.
+type lifeKey struct{}
+
+func (x *executor) connContext(ctx context.Context, _ net.Conn) context.Context {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return context.WithValue(ctx, lifeKey{}, x.life)
+}
+
 func (x *executor) isGone() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -206,7 +235,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.gone {
+	if life, ok := r.Context().Value(lifeKey{}).(int); x.gone || ok && life != x.life {
 		panic(http.ErrAbortHandler)
 	}
 	if id := r.Header.Get("X-Lacewingdoor-Expect-Instance"); id != "" && id != x.id {
@@ -300,7 +329,7 @@
 		}
 		x.mu.Lock()
 	}
-	if x.gone {
+	if life, ok := r.Context().Value(lifeKey{}).(int); x.gone || ok && life != x.life {
 		panic(http.ErrAbortHandler)
 	}
 	running := make([][]any, 0, len(x.runs))
--- a/review/_harness/hopeless.go
+++ b/review/_harness/hopeless.go
@@ -5,13 +5,16 @@
 	"time"
 )
 
-// runHopeless lets urgent jobs come for 45 s, of which one in twenty asks for more than any
-// executor has. After this traffic batch jobs are handed in.
+// runHopeless lets urgent jobs come for 64 s. In spans of 3 s, 1 s apart, one in twenty of them
+// asks for more than any executor has. After this traffic batch jobs are handed in.
 func runHopeless(w *world) error {
 	const (
-		previews = 360
-		interval = 125 * time.Millisecond
+		interval = 75 * time.Millisecond
+		spans    = 16
+		inSpan   = 40 // urgent jobs in 3 s
+		between  = 13 // urgent jobs in the second after it
 		oneIn    = 20 // share 0.05
+		previews = spans * (inSpan + between)
 		batch    = 5
 		limit    = 20 * time.Second // more than finish_s and the 3 s of the rule
 	)
@@ -28,7 +31,7 @@
 		next := time.Now().Add(interval)
 		id := fmt.Sprintf("5c0e7a21d94c%04x", i)
 		s := step{Count: 3, CPU: 15000, MemMB: 39000, GPU: 1, EstimateMS: 500}
-		if i%oneIn == oneIn-1 {
+		if k := i % (inSpan + between); k < inSpan && k%oneIn == oneIn-1 {
 			if !w.trouble {
 				time.Sleep(time.Until(next))
 				continue
@@ -42,7 +45,7 @@
 		time.Sleep(time.Until(next))
 	}
 	time.Sleep(3 * time.Second)
-	w.logf("%d urgent jobs were accepted, %d of them can never be done; %d runs have started and %d are done: nothing runs now", previews-previews/oneIn+hopeless, hopeless, w.tasks.startCount(), w.tasks.doneCount())
+	w.logf("%d urgent jobs were accepted, %d of them can never be done; %d runs have started and %d are done: nothing runs now", previews-spans*inSpan/oneIn+hopeless, hopeless, w.tasks.startCount(), w.tasks.doneCount())
 	ids := []string{}
 	for i := range batch {
 		id := fmt.Sprintf("5c0e7a21d94b%04x", i)
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -28,6 +28,8 @@
 	"memory":    runMemory,
 	"hopeless":  runHopeless,
 	"invalid":   runInvalid,
+	"shrink":    runShrink,
+	"freeze":    runFreeze,
 }
 
 func main() {
--- a/review/_harness/world.go
+++ b/review/_harness/world.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -79,7 +78,11 @@
 	if err != nil {
 		return "", err
 	}
-	go func() { _ = http.Serve(l, h) }()
+	n := &http.Server{Handler: h}
+	if x, ok := h.(*executor); ok {
+		n.ConnContext = x.connContext
+	}
+	go func() { _ = n.Serve(l) }()
 	return l.Addr().String(), nil
 }
 
@@ -154,7 +157,7 @@
 }
 
 func (w *world) addExecutor(id, machine, rack string, capacity size) (*executor, error) {
-	x := newExecutor(id, service, machine, rack, capacity, observer{need: w.needOf, started: w.taskStarted, ended: w.taskEnded, noted: w.endNoted})
+	x := newExecutor(id, service, machine, rack, capacity, observer{need: w.needOf, started: w.taskStarted, ended: w.taskEnded, noted: w.endNoted, crashed: w.executorCrashed})
 	var err error
 	if x.address, err = serve(x); err != nil {
 		return nil, err
@@ -262,17 +265,6 @@
 	_ = v.process.Wait()
 }
 
-// killAfter ends the process of a VM with SIGKILL, killDelay after the call, or KILL_AFTER_MS
-// after it if that is set to measure how late the trouble may come.
-func (w *world) killAfter(v *vm) {
-	const killDelay = 50 * time.Millisecond
-	d := killDelay
-	if ms, err := strconv.Atoi(os.Getenv("KILL_AFTER_MS")); err == nil {
-		d = time.Duration(ms) * time.Millisecond
-	}
-	time.AfterFunc(d, func() { w.kill(v) })
-}
-
 // terminate ends the process of a VM as planned: SIGTERM, and SIGKILL after graceS.
 func (w *world) terminate(v *vm) {
 	w.logf("terminate %s", v.name)
@@ -319,13 +311,14 @@
 	return nil
 }
 
+// until waits until something is met, and reports whether it was within the limit.
 func (*world) until(limit time.Duration, met func() bool) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if met() {
 			return true
 		}
 	}
-	return false
+	return met()
 }
 
 // step is a step of a job as its client sends it.
@@ -499,6 +492,18 @@
 	}
 }
 
+// executorCrashed forgets the runs on an executor that has crashed.
+func (w *world) executorCrashed(x *executor) {
+	l := &w.tasks
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for task, at := range l.running {
+		if at == x.id {
+			delete(l.running, task)
+		}
+	}
+}
+
 func (w *world) endNoted(x *executor, e taskEnd) {
 	l := &w.tasks
 	l.mu.Lock()
