--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -55,7 +55,8 @@
 		limit = 5 * time.Minute
 	}
 	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // else the entry VMs would stay if nobody reads the output
 	ended := make(chan error, 1)
 	go func() { ended <- do(w) }()
 	select {
