Log why ready tasks wait

Callers saw accepted jobs stand for up to 51 s although the service had room, and no line, counter or metric said what the leader was waiting for. A step whose ready tasks wait for over a second now gets a line with the condition that holds it, since when, the room that it needs and the room that there is on usable and unusable workers, and the reasons why workers are unusable; again when the condition changes, and every 10 s. At most 20 lines each half second. No decision changes: placement reads none of it.

--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -56,7 +56,7 @@
 // mayRun reports whether the label, the tickets and the other runs of a worker allow
 // the step there.
 func (p *pass) mayRun(u unit, w *worker) bool {
-	if u.step.Label != "" && !slices.Contains(w.Labels, u.step.Label) {
+	if !w.hasLabel(u.step.Label) {
 		return false
 	}
 	if u.job.queue.Advice != nil && !u.step.hasTicket(p.now, w) {
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -137,6 +137,7 @@
 	rackFits       bool              // at rackCheckedAt, an empty rack was large enough for it
 	rackCheckedAt  time.Time
 	blockedSince   time.Time // when it first found too few resources, else zero
+	wait           wait
 }
 
 // job is a job with the leader's state of it.
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -46,6 +46,7 @@
 	units := s.runnableUnits(now)
 	if len(units) == 0 && !s.anyStalled(now) && !s.anySpeculative() {
 		s.recordStarvation(now, nil)
+		s.reportWaits(now, nil)
 		return
 	}
 	p := &pass{s: s, now: now, workers: s.usableWorkers(now), urgentAccelerators: s.urgentAccelerators(), postponed: map[string]bool{}, borrowers: map[string][]placer.Borrower{}}
@@ -72,6 +73,7 @@
 		s.nextPassAt = now.Add(passInterval)
 	}
 	s.recordStarvation(now, units)
+	s.reportWaits(now, p)
 }
 
 // runnableUnits returns the unfinished steps whose dependencies have succeeded, in
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -32,6 +32,7 @@
 	lastRun         int64 // number of the last run
 	placementDue    bool
 	nextPassAt      time.Time // earliest time of the next placement pass
+	waitsReportedAt time.Time
 	storeInFlight   bool
 	storedAt        time.Time
 	storeSoon       bool // a worker or caller waits for the next store
