Reproduce jobs that stand although there is room

Four scripts in virtual time fail on the present code, each for a wait that nothing bounds: a gang that prefers one rack (beside long-running tasks, and beside long batch tasks), a job with a label whose few workers all failed it, and a batch job behind urgent jobs that no worker can hold.

--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -48,6 +48,14 @@
 		"fixed":     func(machine string) { w.unmovable[machine] = true },
 		"guarantee": func(org string, gpus int) { w.config.Guaranteed[org] = gpus },
 		"job":       w.submitJob,
+		"hopeless": func(count int, queue, organisation string, words ...string) error {
+			for i := range count {
+				if err := w.submitJob(fmt.Sprintf("hopeless-%d", i), queue, organisation, words...); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
 		"scheduled": func(times int, delay, interval time.Duration, id, queue, organisation string, words ...string) error {
 			w.schedule.times, w.schedule.delay, w.schedule.interval = times, delay, interval
 			return w.submitJob(id, queue, organisation, words...)
