A job gives up its preferences where there is ample room

Cause: a preference was treated as a condition. A gang that prefers one rack waited for a rack that would be large enough if it were empty, whatever ran there; a job avoided the workers on which it had failed without limit, also if no others had its label; a unit waited behind resources reserved for others, or behind the searches of urgent units. Each wait ended with an event that nothing bounded.

Now a unit that has not been placed for 2 s while less than half of its service is in use and it fits twice over is placed without regard to racks, avoided workers, postponed searches and what is reserved for units that are not urgent. Labels, tickets, limits per worker, capacity, quarantine and the leader's own certainty stay conditions: they have ends of their own.

Ruled out: crossing racks at once, which makes tasks take three times as long for a wait that often ends sooner; a bound without regard to the room, as on a full service the spread gang takes resources of three others.

--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -33,12 +33,7 @@
 		return all
 	}
 	avoidFailed := len(u.step.failedWorkers)*2 <= len(all) && (u.step.blockedSince.IsZero() || p.now.Sub(u.step.blockedSince) < avoidFailedTime)
-	on := map[string]int{}
-	for i := range u.step.tasks {
-		if t := &u.step.tasks[i]; t.state == taskPlaced {
-			on[t.worker]++
-		}
-	}
+	placed := u.step.placedByWorker()
 	var out []placer.Worker
 	for _, v := range all {
 		w := p.s.workers[v.ID]
@@ -46,7 +41,7 @@
 			continue
 		}
 		if limit := u.step.PerWorker; limit > 0 {
-			v.Free = componentMin(v.Free, u.step.Need.Times(max(0, limit-on[v.ID])))
+			v.Free = componentMin(v.Free, u.step.Need.Times(max(0, limit-placed[v.ID])))
 		}
 		out = append(out, v)
 	}
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -137,6 +137,8 @@
 	rackFits       bool              // at rackCheckedAt, an empty rack was large enough for it
 	rackCheckedAt  time.Time
 	blockedSince   time.Time // when it first found too few resources, else zero
+	ampleSince     time.Time // since when there has been ample room for it, else zero
+	roomCheckedAt  time.Time // when the room for it was last examined
 	wait           wait
 }
 
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -60,6 +60,9 @@
 			p.placeUnit(u)
 		}
 	}
+	if s.ticked {
+		p.placeStanding(units)
+	}
 	waiting := map[string]bool{}
 	for _, u := range units {
 		if u.step.waiting > 0 && !waiting[u.job.queue.Service] {
@@ -262,6 +265,7 @@
 	s := p.s
 	t := &u.step.tasks[index]
 	u.step.setState(index, taskPlaced)
+	u.step.ampleSince = time.Time{}
 	t.worker, t.run = id, run
 	t.apartSince = time.Time{}
 	p.startRun(u, index, id, run)
--- /dev/null
+++ b/internal/jobs/scheduler/standing.go
@@ -0,0 +1,172 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+// Preferences of a unit, such as one rack for a gang or workers on which it has not failed,
+// and reservations of other units hold it back for a limited time while there is ample room
+// for it: the platform forbids that a job stands for 3 s then.
+const (
+	maxStandingTime  = 2 * time.Second // leaves a second for the start
+	ampleRoomFactor  = 2               // times the unit must fit on the workers that may run it
+	maxStandingUnits = 32              // examined per pass
+)
+
+// placeStanding places units that have found no resources for maxStandingTime although there
+// was ample room, without regard to their preferences and to what is reserved for other units
+// that are not urgent.
+func (p *pass) placeStanding(units []unit) {
+	lightlyUsed := map[string]bool{}
+	var waiting []unit
+	for _, u := range units {
+		if u.step.waiting == 0 {
+			continue
+		}
+		service := u.job.queue.Service
+		light, known := lightlyUsed[service]
+		if !known {
+			light = p.s.usage(service).underHalf()
+			lightlyUsed[service] = light
+		}
+		if !light {
+			u.step.ampleSince = time.Time{}
+			continue
+		}
+		waiting = append(waiting, u)
+	}
+	if len(waiting) > maxStandingUnits { // those examined last are examined again in a later pass
+		slices.SortStableFunc(waiting, func(a, b unit) int { return a.step.roomCheckedAt.Compare(b.step.roomCheckedAt) })
+		waiting = waiting[:maxStandingUnits]
+	}
+	reserved := urgentReservations(units)
+	for _, u := range waiting {
+		u.step.roomCheckedAt = p.now
+		p.placeIfStanding(u, reserved)
+	}
+}
+
+// placeIfStanding places a unit if it has stood for long enough.
+func (p *pass) placeIfStanding(u unit, reserved map[string]placer.Resources) {
+	waiting := p.placeableTasks(u)
+	workers := p.standingWorkers(u, reserved)
+	r := placer.Request{Tasks: u.step.tasksAtOnce(), PerTask: u.step.Need, Adjacency: placer.AdjacencyNone}
+	if len(waiting) < r.Tasks || totalFitting(r, workers) < ampleRoomFactor*r.Tasks {
+		u.step.ampleSince = time.Time{}
+		return
+	}
+	if u.step.ampleSince.IsZero() {
+		u.step.ampleSince = p.now
+	}
+	if p.now.Sub(u.step.ampleSince) < maxStandingTime {
+		return
+	}
+	if !u.step.Gang {
+		r.Tasks = min(len(waiting), totalFitting(r, workers))
+	}
+	at, ok := placer.Place(r, workers)
+	if !ok {
+		return
+	}
+	p.s.logDecision(Decision{
+		Message: "standing tasks are placed regardless of preferences", Counter: "standing-units-placed", Job: u.job.ID,
+		Details: Details{"step": u.index, "tasks": r.Tasks, "stood-ms": p.now.Sub(u.step.ampleSince).Milliseconds(), "condition": u.step.wait.condition},
+	})
+	if u.step.Gang {
+		p.startGang(u, waiting, at)
+		return
+	}
+	for k, id := range at {
+		p.s.lastRun++
+		p.placeTask(u, waiting[k], id, p.s.lastRun)
+	}
+}
+
+// placeableTasks returns the waiting tasks of a unit that no suspicion holds back, none for
+// the rest of a gang that is being stopped.
+func (p *pass) placeableTasks(u unit) []int {
+	waiting := u.step.waitingTasks()
+	if u.step.Gang {
+		if len(waiting) < len(u.step.tasks) || u.step.suspected(waiting) && !u.step.tasks[0].outOfPatience(p.now, u.step.highestLevel()) {
+			return nil
+		}
+		return waiting
+	}
+	return slices.DeleteFunc(waiting, func(i int) bool {
+		t := &u.step.tasks[i]
+		return t.suspicion.Suspected() && !t.outOfPatience(p.now, t.suspicion.Level())
+	})
+}
+
+// standingWorkers returns the workers that may run a unit, with the resources that are
+// neither in use nor reserved for urgent units. Workers that are excluded for the failures on
+// them are among them only if the others have no ample room.
+func (p *pass) standingWorkers(u unit, reserved map[string]placer.Resources) []placer.Worker {
+	var sound, all []placer.Worker
+	placed := u.step.placedByWorker()
+	for _, id := range p.s.workerIDs {
+		w := p.s.workers[id]
+		if w.Service != u.job.queue.Service || w.aloneRuns > 0 || !w.reachable() || !p.mayRun(u, w) {
+			continue
+		}
+		v := placer.Worker{ID: id, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.free().Minus(reserved[id])}
+		if limit := u.step.PerWorker; limit > 0 {
+			v.Free = componentMin(v.Free, u.step.Need.Times(max(0, limit-placed[id])))
+		}
+		all = append(all, v)
+		if w.available(p.now) {
+			sound = append(sound, v)
+		}
+	}
+	r := placer.Request{Tasks: u.step.tasksAtOnce(), PerTask: u.step.Need}
+	if totalFitting(r, sound) >= ampleRoomFactor*r.Tasks {
+		return sound
+	}
+	return all
+}
+
+// placedByWorker returns how many tasks of a step with a limit per worker are placed on each.
+func (s *step) placedByWorker() map[string]int {
+	n := map[string]int{}
+	if s.PerWorker == 0 {
+		return n
+	}
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.state == taskPlaced {
+			n[t.worker]++
+		}
+	}
+	return n
+}
+
+// urgentReservations returns the resources that are reserved for urgent units, by worker.
+func urgentReservations(units []unit) map[string]placer.Resources {
+	n := map[string]placer.Resources{}
+	for _, u := range units {
+		if !u.job.urgent() {
+			continue
+		}
+		for _, id := range u.step.reserved {
+			n[id] = n[id].Plus(u.step.Need)
+		}
+	}
+	return n
+}
+
+// totalFitting returns how many tasks fit on the workers, counting each worker separately.
+func totalFitting(r placer.Request, all []placer.Worker) int {
+	n := 0
+	for i := range all {
+		n += min(placer.TasksThatFit(r.PerTask, all[i].Free), maxRoom)
+	}
+	return n
+}
+
+// underHalf reports whether less than half of the resources are in use by any measure.
+func (n serviceUsage) underHalf() bool {
+	light := func(used, capacity int) bool { return capacity > 0 && 2*used < capacity }
+	return light(n.used.MilliCores, n.capacity.MilliCores) || light(n.used.Accelerators, n.capacity.Accelerators) || n.percent() < fullPercent/2
+}
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -204,9 +204,12 @@
 func (w *worker) usable(now time.Time) bool { return w.aloneRuns == 0 && w.available(now) }
 
 // available reports whether tasks may be started on the worker.
-func (w *worker) available(now time.Time) bool {
+func (w *worker) available(now time.Time) bool { return w.reachable() && !now.Before(w.excludedUntil) }
+
+// reachable reports whether the worker would carry out a start, whatever it failed lately.
+func (w *worker) reachable() bool {
 	return w.listed && w.fenced && w.unconfirmedSince.IsZero() && w.orphanRuns == 0 &&
-		!w.listsTooManyEnds() && !w.Draining && !w.evacuating && w.unresponsiveSince.IsZero() && !now.Before(w.excludedUntil)
+		!w.listsTooManyEnds() && !w.Draining && !w.evacuating && w.unresponsiveSince.IsZero()
 }
 
 // countFailure counts a failed run against the worker, once per job: a job may fail
