A gang does not wait for room that long-running tasks hold

Callers saw gangs stand on a service that is more than half in use, without an end: nothing bounds that wait. Cause: a rack counted as large enough if it would be once empty, and a reserved worker as one that will be free, with long-running tasks on both, which end only when they are cancelled. Such a reservation also withheld the worker from all later units.

What waits for runs to end now leaves long-running ones out: the check of empty racks and what keeps a reservation. The search for runs to wait for left them out already.

--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -108,8 +108,8 @@
 }
 
 // mayCrossRacks reports whether a gang that prefers one rack may be spread over
-// several: no rack is large enough even when empty, or an urgent job has waited for
-// urgentRackWait.
+// several: no rack is large enough even when nothing but long-running tasks runs there, or
+// an urgent job has waited for urgentRackWait.
 func (p *pass) mayCrossRacks(u unit, r placer.Request) bool {
 	if u.job.urgent() && !u.step.blockedSince.IsZero() && p.now.Sub(u.step.blockedSince) >= urgentRackWait {
 		return true
@@ -117,7 +117,7 @@
 	if u.step.rackCheckedAt.IsZero() || p.now.Sub(u.step.rackCheckedAt) >= rackCheckInterval {
 		empty := slices.Clone(p.eligibleWorkers(u))
 		for i := range empty {
-			empty[i].Free = empty[i].Capacity
+			empty[i].Free = p.s.freeable(p.s.workers[empty[i].ID], false)
 		}
 		_, u.step.rackFits = placer.Place(r, empty)
 		u.step.rackCheckedAt = p.now
--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -64,7 +64,7 @@
 	kept := map[string]int{}
 	u.step.reserved = slices.DeleteFunc(u.step.reserved, func(id string) bool {
 		w, ok := p.s.workers[id]
-		if !ok || !w.usable(p.now) || !u.step.Need.Times(kept[id]+1).Fits(w.freeable(u)) {
+		if !ok || !w.usable(p.now) || !u.step.Need.Times(kept[id]+1).Fits(p.s.freeable(w, u.job.urgent())) {
 			return true
 		}
 		kept[id]++
@@ -77,20 +77,24 @@
 }
 
 // freeable returns the resources of a worker that a unit may get: for an urgent one, what is
-// left once the runs that are being stopped have ended; another unit waits for all runs.
-func (w *worker) freeable(u unit) placer.Resources {
+// left once the runs that are being stopped have ended; another unit waits for all runs that
+// end by themselves.
+func (s *Scheduler) freeable(w *worker, urgent bool) placer.Resources {
 	left := w.Capacity
-	if !u.job.urgent() {
-		return left
-	}
 	for _, p := range w.order {
-		if !p.stopping {
+		if !p.stopping && (urgent || s.isLongRunning(p)) {
 			left = left.Minus(p.need)
 		}
 	}
 	return left
 }
 
+// isLongRunning reports whether a run ends only when it is stopped.
+func (s *Scheduler) isLongRunning(p *placement) bool {
+	_, st, _ := s.findTask(p.task)
+	return st != nil && st.LongRunning
+}
+
 func (p *pass) reserve(u unit) {
 	for _, id := range u.step.reserved {
 		p.reduceFree(u.job.queue.Service, id, u.step.Need)
