Urgent jobs that no worker can hold search for no runs to stop

Callers saw batch jobs stand on idle workers while urgent jobs waited that fit on no worker: each of these searched for runs to stop, three a pass, and while one more had to wait for its search no other job of the service was placed. With 14 or more of them some search is always postponed.

A unit that would not fit on idle workers now searches for nothing, so it postpones nothing. The search itself could not have found a victim for such a unit, so no placement changes.

--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -49,6 +49,10 @@
 	if !u.step.searchFailedAt.IsZero() && p.now.Sub(u.step.searchFailedAt) < searchRetryDelay {
 		return false
 	}
+	if !p.fitsWhenIdle(u) {
+		u.step.searchFailedAt = p.now
+		return false
+	}
 	if p.victimSearches >= maxVictimSearches {
 		p.postponed[u.job.queue.Service] = true
 		return false
@@ -57,6 +61,20 @@
 	return true
 }
 
+// fitsWhenIdle reports whether the tasks of a unit would fit on the workers that may run them
+// if nothing ran there. A unit that would not has no runs to stop or to wait for.
+func (p *pass) fitsWhenIdle(u unit) bool {
+	idle := slices.Clone(p.eligibleWorkers(u))
+	for i := range idle {
+		idle[i].Free = idle[i].Capacity
+		if u.step.PerWorker > 0 {
+			idle[i].Free = componentMin(idle[i].Free, u.step.Need.Times(u.step.PerWorker))
+		}
+	}
+	r := placer.Request{Tasks: u.step.tasksAtOnce(), PerTask: u.step.Need}
+	return totalFitting(r, idle) >= r.Tasks
+}
+
 // keepReserved drops the reserved workers of a unit that are not usable any more, have
 // become too small, or are more than its tasks, and returns the number of tasks without a
 // reserved worker.
