A worker takes tasks again when its upkeep turns out to be over

Callers saw jobs stand although workers of their kind were idle: after a leader had died between the order of a machine's upkeep and the store of it, its successor ordered the upkeep again, got "done", and waited for another worker of the machine than the one it had evacuated, which had come back already.

A machine that is listed as up with the same worker half a second after its upkeep was confirmed has had it before: it counts as complete and its worker takes tasks again. The same holds for a machine that turns out not to belong to the wave. A machine that is listed as in upkeep counts against the limit of the wave, whoever began it.

Evidence: worker-gets-no-tasks-after-upkeep-that-an-earlier-leader-began failed before (the wave stays at its first machine) and passes now. The limit under a new leader is not shown by a script here: in virtual time the successor always chose the same machine first.

--- a/internal/jobs/scheduler/relocation.go
+++ b/internal/jobs/scheduler/relocation.go
@@ -280,11 +280,7 @@
 // again.
 func (s *Scheduler) handleMoveFailure(now time.Time, e MoveResult) {
 	v := &s.relocation
-	if w, ok := s.workers[v.pendingMachine.Worker]; ok {
-		w.evacuating = false
-		s.touch(w)
-		s.placementDue = true
-	}
+	s.endEvacuation(v.pendingMachine.Worker)
 	if v.failedAt == nil {
 		v.failedAt, v.refusedMoves = map[string]time.Time{}, map[poolPair]bool{}
 	}
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -35,7 +35,9 @@
 			w.config.Queues[name] = scheduler.Queue{Service: service, Priority: priority, MaxAttempts: attempts, Stretch: 3, ObjectiveMS: 1000}
 			w.feed(scheduler.ConfigChanged{Config: w.config})
 		},
-		"worker-of": w.addWorkerTo,
+		"waves-lost": func() { w.wavesLost = true },
+		"waves-kept": func() { w.wavesLost = false },
+		"worker-of":  w.addWorkerTo,
 		"pool": func(name string) {
 			w.config.Pools[name] = false
 			w.feed(scheduler.ConfigChanged{Config: w.config})
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -13,6 +13,7 @@
 	listInterval      = 700 * time.Millisecond // between requests for the list of machines while a wave is in progress
 	evacuationTimeout = 3 * time.Second        // for which runs without checkpoints may continue on a machine before its upkeep
 	upkeepRetryDelay  = 500 * time.Millisecond // before a call without an answer is sent again
+	upkeepBeginTime   = 500 * time.Millisecond // after which a machine whose upkeep was requested is listed as in upkeep
 )
 
 // Wave is a request for the upkeep of machines.
@@ -27,10 +28,12 @@
 
 // Machine is a machine as the platform lists it.
 type Machine struct {
-	ID     string
-	Up     bool
-	Down   bool   // switched off or failed
-	Worker string // its current worker, empty for none
+	ID   string
+	Up   bool
+	Down bool // switched off or failed
+
+	InUpkeep bool
+	Worker   string // its current worker, empty for none
 
 	Pool     string // service that its worker belongs to
 	Capacity placer.Resources
@@ -254,6 +257,7 @@
 		s.emit(StoreWave{Number: v.Number, Started: v.Started})
 	case OutcomeObsolete:
 		u.phase = phaseDone
+		s.endEvacuation(u.worker)
 	default:
 		u.since = now
 	}
@@ -273,11 +277,37 @@
 	s.markGoneWorkers(now)
 	for _, v := range s.waves {
 		for id, u := range v.machines {
-			m, ok := s.machines[id]
-			returned := u.phase == phaseDown && m.Up && m.Worker != u.worker
-			if !ok || returned {
-				u.phase = phaseDone
-			}
+			s.updateUpkeep(now, v, id, u)
 		}
 	}
 }
+
+// updateUpkeep updates the upkeep of a machine after a list of machines.
+func (s *Scheduler) updateUpkeep(now time.Time, v *wave, id string, u *upkeep) {
+	m, ok := s.machines[id]
+	switch {
+	case u.phase == phaseDone || v.Completed:
+	case !ok:
+		u.phase = phaseDone
+	case m.InUpkeep && u.phase == phaseWaiting: // an earlier leader began it
+		u.phase, u.since, u.worker = phaseDown, now, m.Worker
+		v.Started = append(v.Started, id)
+		s.emit(StoreWave{Number: v.Number, Started: v.Started})
+	case u.phase != phaseDown || !m.Up:
+	case m.Worker != u.worker:
+		u.phase = phaseDone
+	case s.machinesAskedAt.Sub(u.since) > upkeepBeginTime: // it was over before it was requested again
+		u.phase = phaseDone
+		s.logDecision(Decision{Message: "upkeep of a machine was complete already", Worker: u.worker, Details: Details{detailMachine: id, detailWave: v.Number}})
+		s.endEvacuation(u.worker)
+	}
+}
+
+// endEvacuation lets a worker whose machine stays up take tasks again.
+func (s *Scheduler) endEvacuation(id string) {
+	if w, ok := s.workers[id]; ok && w.evacuating {
+		w.evacuating = false
+		s.touch(w)
+		s.placementDue = true
+	}
+}
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -49,6 +49,7 @@
 
 	waves                     map[int]scheduler.StoreWave // as stored
 	knownWaves                []scheduler.Wave
+	wavesLost                 bool     // the progress of waves is not stored
 	upkeepDone                []string // machines that have had their upkeep
 	down, maxDown, cutOffRuns int
 
@@ -186,7 +187,7 @@
 		for _, id := range slices.Sorted(maps.Keys(w.workers)) {
 			v := w.workers[id]
 			e.Machines = append(e.Machines, scheduler.Machine{
-				ID: "m-" + machineOf(id), Up: v.alive, Worker: id, Pool: v.info.Service, Capacity: v.info.Capacity, Labels: v.info.Labels,
+				ID: "m-" + machineOf(id), Up: v.alive, InUpkeep: !v.alive && slices.Contains(w.upkeepDone, "m-"+machineOf(id)), Worker: id, Pool: v.info.Service, Capacity: v.info.Capacity, Labels: v.info.Labels,
 			})
 		}
 		e.Machines = append(e.Machines, w.poweredOff...)
@@ -199,7 +200,9 @@
 	case scheduler.StoreLoans:
 		w.loans = f.Loans
 	case scheduler.StoreWave:
-		w.waves[f.Number] = f
+		if !w.wavesLost {
+			w.waves[f.Number] = f
+		}
 	case scheduler.Decision:
 		w.counters[f.Counter]++
 		if n, ok := f.Details["alone"].(int); ok && n > 0 {
