No job stands for a preference in a service that is over half in use either

Callers would see a gang wait for a rack until runs of others end.

In a service that is half in use or more, a gang or one task of a job that has nothing running, and long-running tasks, now give up their preferences after 2 s too; further tasks of a job that runs keep waiting in order, as they would take what is reserved for gangs.

Evidence: gang-that-prefers-a-rack-stands-in-a-service-that-is-over-half-in-use failed before (0 of 7 running) and passes now.

--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -18,7 +18,8 @@
 
 // placeStanding places units that have found no resources for maxStandingTime although there
 // was ample room, without regard to their preferences and to what is reserved for other units
-// that are not urgent.
+// that are not urgent. In a service that is half in use or more, only what must not stand is
+// placed so: a gang or one task of a job that has nothing running, and long-running tasks.
 func (p *pass) placeStanding(units []unit) {
 	lightlyUsed := map[string]bool{}
 	var waiting []unit
@@ -32,7 +33,7 @@
 			light = p.s.usage(service).underHalf()
 			lightlyUsed[service] = light
 		}
-		if !light {
+		if !light && !u.step.LongRunning && p.s.runs(u.job) {
 			u.step.ampleSince = time.Time{}
 			continue
 		}
@@ -45,12 +46,18 @@
 	reserved := urgentReservations(units)
 	for _, u := range waiting {
 		u.step.roomCheckedAt = p.now
-		p.placeIfStanding(u, reserved)
+		p.placeIfStanding(u, reserved, lightlyUsed[u.job.queue.Service])
 	}
 }
 
-// placeIfStanding places a unit if it has stood for long enough.
-func (p *pass) placeIfStanding(u unit, reserved map[string]placer.Resources) {
+// runs reports whether a task of a job is placed.
+func (*Scheduler) runs(j *job) bool {
+	return slices.ContainsFunc(j.steps, func(s *step) bool { return s.waiting+s.succeeded < len(s.tasks) })
+}
+
+// placeIfStanding places a unit if it has stood for long enough; of a step that is no gang,
+// all tasks that fit in a lightly used service, else one.
+func (p *pass) placeIfStanding(u unit, reserved map[string]placer.Resources, light bool) {
 	waiting := p.placeableTasks(u)
 	workers := p.standingWorkers(u, reserved)
 	r := placer.Request{Tasks: u.step.tasksAtOnce(), PerTask: u.step.Need, Adjacency: placer.AdjacencyNone}
@@ -64,7 +71,7 @@
 	if p.now.Sub(u.step.ampleSince) < maxStandingTime {
 		return
 	}
-	if !u.step.Gang {
+	if !u.step.Gang && (light || u.step.LongRunning) {
 		r.Tasks = min(len(waiting), totalFitting(r, workers))
 	}
 	at, ok := placer.Place(r, workers)
