--- a/internal/jobs/scheduler/advice.go
+++ b/internal/jobs/scheduler/advice.go
@@ -101,10 +101,10 @@
 	s.adviceInFlight = false
 	if e.Outcome != OutcomeDone {
 		s.nextAdviceAt = now.Add(adviceRetryDelay)
-		s.logDecision(Decision{Message: "advice call failed", Job: e.Advise.Job, Details: Details{"step": e.Advise.Step, detailOutcome: e.Outcome}})
+		s.logDecision(Decision{Message: "advice call failed", Job: e.Advise.Job, Details: Details{detailStep: e.Advise.Step, detailOutcome: e.Outcome}})
 		return
 	}
-	s.logDecision(Decision{Message: "advice received", Job: e.Advise.Job, Details: Details{"step": e.Advise.Step, "asked": len(e.Advise.Workers), "allowed": len(e.Tickets)}})
+	s.logDecision(Decision{Message: "advice received", Job: e.Advise.Job, Details: Details{detailStep: e.Advise.Step, "asked": len(e.Advise.Workers), "allowed": len(e.Tickets)}})
 	j, ok := s.jobs[e.Advise.Job]
 	if !ok || e.Advise.Step >= len(j.steps) {
 		return
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -23,6 +23,11 @@
 func (w *world) commands() scripter.Commands {
 	c := scripter.Commands{
 		"worker": w.addWorker,
+		"workers": func(count, perRack, gpus int) {
+			for i := range count {
+				w.addWorker(fmt.Sprintf("w%02d", i+1), fmt.Sprintf("r%d", i/perRack+1), gpus)
+			}
+		},
 		"wave": func(number, most int, machines ...string) {
 			w.knownWaves = append(w.knownWaves, scheduler.Wave{Number: number, Machines: machines, MaxDown: most, Duration: time.Minute})
 			w.feed(scheduler.WavesChanged{Waves: w.knownWaves})
@@ -99,6 +104,7 @@
 		"deafen":     func(id string) { w.answersLost[id] = true },
 		"undeafen":   func(id string) { delete(w.answersLost, id) },
 		"fail":       func(id string) { w.workers[id].failing = true },
+		"doomed":     func(job string) { w.doomed[job] = true },
 		"recover":    func(id string) { w.workers[id].failing = false },
 		"store-down": func() { w.storeUp = false },
 		"store-up":   func() { w.storeUp = true },
@@ -182,6 +188,12 @@
 		}
 		return nil
 	}
+	c["logged"] = func(want int, words ...string) error {
+		if n := w.logged[strings.Join(words, " ")]; n != want {
+			return fmt.Errorf("it was logged %d times", n)
+		}
+		return nil
+	}
 	c["state"] = func(job, want string) error {
 		if got := w.stored[job].State; string(got) != want {
 			return fmt.Errorf("the stored state is %q", got)
--- a/internal/jobs/scheduler/worker_test.go
+++ b/internal/jobs/scheduler/worker_test.go
@@ -135,7 +135,7 @@
 			v.end(w, id, scheduler.EndReasonLeaseExpired)
 		case !r.stopAt.IsZero() && !w.now.Before(r.stopAt):
 			v.end(w, id, scheduler.EndReasonStopped)
-		case v.failing:
+		case v.failing || w.doomed[baseJob(id.Job)]:
 			v.end(w, id, scheduler.EndReasonFailed)
 		case done || (r.remaining <= 0 && !w.taskStep(id).Gang):
 			v.end(w, id, scheduler.EndReasonDone)
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -53,12 +53,14 @@
 	upkeepDone                []string // machines that have had their upkeep
 	down, maxDown, cutOffRuns int
 
+	doomed       map[string]bool          // jobs whose tasks fail wherever they start
 	deadly       map[string]time.Duration // jobs whose tasks 0 crash their workers that long after each start
 	crashes      map[scheduler.TaskID]int // workers that crashed under a deadly task
 	laterStarts  map[scheduler.TaskID]int // starts of such a task after three crashes
 	replaced     map[string]bool          // workers whose address another worker has
 	machinesDown bool                     // the list of machines is not available
 	counters     map[string]int           // of decisions
+	logged       map[string]int           // decisions, by message
 
 	poweredOff      []scheduler.Machine // switched-off machines
 	unmovable       map[string]bool     // machines that the platform does not move
@@ -83,8 +85,8 @@
 		durations: map[string][]time.Duration{}, starts: map[string]int{}, stored: map[string]scheduler.Progress{}, storeUp: true,
 		allowed: map[string]bool{}, ackedTasks: map[scheduler.TaskID]bool{}, lastStarts: map[scheduler.TaskID]time.Time{}, unreachable: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, answersLost: map[string]bool{},
 		config:    scheduler.Config{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Pools: map[string]bool{}},
-		unmovable: map[string]bool{}, deadly: map[string]time.Duration{}, crashes: map[scheduler.TaskID]int{}, laterStarts: map[scheduler.TaskID]int{},
-		replaced: map[string]bool{}, counters: map[string]int{},
+		unmovable: map[string]bool{}, doomed: map[string]bool{}, deadly: map[string]time.Duration{}, crashes: map[scheduler.TaskID]int{}, laterStarts: map[scheduler.TaskID]int{},
+		replaced: map[string]bool{}, counters: map[string]int{}, logged: map[string]int{},
 	}
 	w.began = w.now
 	w.startLeader()
@@ -205,6 +207,7 @@
 		}
 	case scheduler.Decision:
 		w.counters[f.Counter]++
+		w.logged[f.Message]++
 		if n, ok := f.Details["alone"].(int); ok && n > 0 {
 			w.counters["suspects-alone"]++
 		}
