Fillers are stopped only where the serving task may run

A serving task with a label stood while the fillers of one worker after another were stopped: the search for a worker took the first one with fillers and room, whether it had the label or not, and after 3 s the fillers were back there. The limit per worker and tickets count too, as they do when the task is placed. The line is logged once, not in each pass until the fillers have ended.

--- a/internal/jobs/scheduler/lasting.go
+++ b/internal/jobs/scheduler/lasting.go
@@ -76,18 +76,30 @@
 // evictFillers stops the fillers on one worker with room for a serving task, which
 // found no worker without fillers.
 func (s *Scheduler) evictFillers(now time.Time, j *job, st *step) {
+	placed := st.placedByWorker()
 	for _, id := range s.workerIDs {
 		w := s.workers[id]
-		if w.Service != j.queue.Service || !w.usable(now) || w.fillerRuns == 0 || !st.Need.Fits(w.Capacity.Minus(w.used)) {
+		if w.Service != j.queue.Service || !w.usable(now) || w.fillerRuns == 0 || !st.Need.Fits(w.Capacity.Minus(w.used)) ||
+			!w.hasLabel(st.Label) || (st.PerWorker > 0 && placed[id] >= st.PerWorker) || (j.queue.Advice != nil && !st.hasTicket(now, w)) {
 			continue
 		}
-		s.logDecision(Decision{Message: "fillers are stopped for a serving task", Job: j.ID, Worker: id})
-		w.noFillersUntil = now.Add(fillerExclusionTime)
-		for _, p := range w.sortedRuns() {
-			if _, other, t := s.findTask(p.task); t != nil && other.Filler {
-				s.stopRun(now, w, p)
-			}
-		}
+		s.stopFillers(now, j, w)
 		return
 	}
 }
+
+// stopFillers stops the fillers on a worker and keeps others away from it for a while.
+func (s *Scheduler) stopFillers(now time.Time, j *job, w *worker) {
+	w.noFillersUntil = now.Add(fillerExclusionTime)
+	logged := false
+	for _, p := range w.sortedRuns() {
+		if !p.filler || p.stopping {
+			continue
+		}
+		if !logged {
+			logged = true
+			s.logDecision(Decision{Message: "fillers are stopped for a serving task", Job: j.ID, Worker: w.ID})
+		}
+		s.stopRun(now, w, p)
+	}
+}
