A filler that made way for a serving task starts again within 3 s

With one worker, fillers that are stopped for a serving task were kept off it for 3 s after the last pass in which they still ended, so nothing of their job ran for over 3 s although a filler needs no processor of its own: at 2.9 s after the serving task was submitted the script found none running. The exclusion only has to last until the serving task has started, which takes a few hundred milliseconds, so 2 s, the same as colocationDelay, are enough. The tail latency still decides whether fillers join a serving task.

--- a/internal/jobs/scheduler/lasting.go
+++ b/internal/jobs/scheduler/lasting.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	fillerExclusionTime = 3 * time.Second         // for which a worker gets no new fillers after its fillers were stopped
+	fillerExclusionTime = 2 * time.Second         // for which a worker gets no new fillers after its fillers were stopped; a filler with nothing else to go to must not stand for 3 s
 	drainSlack          = 1500 * time.Millisecond // time that a draining worker often stays beyond the announced one
 )
 
