Work that no machine can hold keeps no machine from its pool

A pool whose first waiting task needs more than any machine has got no machine at all: only that task was recorded as the reason for a move, so no machine was large enough, and jobs behind it stood although machines were switched off (script: none moved in 8 s; without the large job one is moved after 4 s, as another script shows). The first work that some machine could hold is recorded now. Each kind of need is compared with the machines once per pass.

--- a/internal/jobs/scheduler/relocation.go
+++ b/internal/jobs/scheduler/relocation.go
@@ -58,6 +58,13 @@
 	label string           // required label of a worker, empty for none
 }
 
+// starvedNeed identifies equal work of a pool.
+type starvedNeed struct {
+	pool  string
+	need  placer.Resources
+	label string
+}
+
 // relocation is the state of the moves of machines between pools.
 type relocation struct {
 	starvedPools   map[string]starvation // by pool
@@ -82,20 +89,48 @@
 		return
 	}
 	found := map[string]starvation{}
+	helped := map[string]bool{}
+	tried := map[starvedNeed]bool{}
 	for _, u := range units {
 		pool := u.job.queue.Service
-		if _, ok := found[pool]; ok || len(u.step.waitingTasks()) == 0 || u.job.queue.Advice != nil || u.step.Filler {
+		if helped[pool] || len(u.step.waitingTasks()) == 0 || u.job.queue.Advice != nil || u.step.Filler {
 			continue // more machines may not help
 		}
+		k := starvedNeed{pool, u.step.Need, u.step.Label}
+		if tried[k] {
+			continue
+		}
+		tried[k] = true
 		n := starvation{since: now, need: u.step.Need, label: u.step.Label}
 		if old, ok := s.relocation.starvedPools[pool]; ok {
 			n.since = old.since
 		}
-		found[pool] = n
+		// Work that no machine can hold counts only if there is no other: the list of
+		// machines, which is requested then, may be old.
+		helped[pool] = s.anyMachineHolds(pool, n)
+		if _, ok := found[pool]; !ok || helped[pool] {
+			found[pool] = n
+		}
 	}
 	s.relocation.starvedPools = found
 }
 
+// anyMachineHolds reports whether a machine of another pool has the resources and the label
+// for a task.
+func (s *Scheduler) anyMachineHolds(pool string, n starvation) bool {
+	for _, m := range s.machines {
+		if m.Pool != pool && m.holds(n) {
+			return true
+		}
+	}
+	return false
+}
+
+// holds reports whether a machine has the resources and the label for a task.
+func (m *Machine) holds(n starvation) bool {
+	return n.need.Fits(m.Capacity) && (n.label == "" || slices.Contains(m.Labels, n.label))
+}
+
 // relocateMachines moves machines to pools whose work has found too few resources
 // for starvationTime, and returns them once they are idle there. They come from
 // pools that are switched off or mostly idle. Each move is charged, so only one is
@@ -156,7 +191,7 @@
 	var idle *Machine
 	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
 		m := s.machines[id]
-		if m.Pool == pool || s.relocation.refusedMoves[poolPair{m.Pool, pool}] || !n.need.Fits(m.Capacity) || (n.label != "" && !slices.Contains(m.Labels, n.label)) || s.awaitsUpkeep(id) || now.Sub(s.relocation.failedAt[id]) < moveRetryDelay {
+		if m.Pool == pool || s.relocation.refusedMoves[poolPair{m.Pool, pool}] || !m.holds(n) || s.awaitsUpkeep(id) || now.Sub(s.relocation.failedAt[id]) < moveRetryDelay {
 			continue
 		}
 		if s.config.Pools[m.Pool] && (m.Up || m.Down) {
