Advice is asked for what can be placed, also on reserved and excluded workers

Three ways in which a job whose queue needs advice stood with ample room, each shown by a script that fails before: gangs that no set of workers can hold renewed their tickets again and again and left no turn to the job behind them, as the service answers one call at a time; no advice was asked about workers whose room was reserved for a gang, so the rule of ample room, which needs tickets, did not apply; and none about workers that were excluded for failures of other jobs. A unit that would not fit on the workers that are not denied to it asks nothing now, and where no usable worker has room, all reachable ones with free resources are named.

--- a/internal/jobs/scheduler/advice.go
+++ b/internal/jobs/scheduler/advice.go
@@ -62,26 +62,17 @@
 	if s.adviceInFlight || p.now.Before(s.nextAdviceAt) {
 		return
 	}
-	var candidates []placer.Worker
-	free := map[string]int{}
-	for _, v := range p.workers[u.job.queue.Service] {
-		n := min(placer.TasksThatFit(r.PerTask, v.Free), r.Tasks)
-		if n <= 0 || u.step.deniedWorkers[v.ID] || u.step.hasTicket(p.now, s.workers[v.ID]) {
-			continue
-		}
-		candidates = append(candidates, v)
-		free[v.Rack] += n
-	}
-	if len(candidates) == 0 && u.job.urgent() { // it may preempt other runs
-		for _, v := range p.workers[u.job.queue.Service] {
-			if !u.step.deniedWorkers[v.ID] && !u.step.hasTicket(p.now, s.workers[v.ID]) && r.PerTask.Fits(v.Capacity) {
-				candidates = append(candidates, v)
-			}
-		}
+	if !p.fitsUnlessDenied(u) {
+		return // the service answers one call at a time, and others wait for it
 	}
+	candidates := p.adviceCandidates(u, r)
 	if len(candidates) == 0 {
 		return
 	}
+	free := map[string]int{}
+	for _, v := range candidates {
+		free[v.Rack] += max(0, min(placer.TasksThatFit(r.PerTask, v.Free), r.Tasks))
+	}
 	slices.SortStableFunc(candidates, func(a, b placer.Worker) int {
 		return cmp.Or(cmp.Compare(free[b.Rack], free[a.Rack]), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
 	})
@@ -95,6 +86,54 @@
 	s.emit(e)
 }
 
+// adviceCandidates returns the workers without a ticket or a denial that may have room for a
+// task of a unit.
+func (p *pass) adviceCandidates(u unit, r placer.Request) []placer.Worker {
+	lacking := func(all []placer.Worker, fits func(placer.Worker) bool) []placer.Worker {
+		var out []placer.Worker
+		for _, v := range all {
+			if fits(v) && !u.step.deniedWorkers[v.ID] && !u.step.hasTicket(p.now, p.s.workers[v.ID]) {
+				out = append(out, v)
+			}
+		}
+		return out
+	}
+	usable := p.workers[u.job.queue.Service]
+	isFree := func(v placer.Worker) bool { return placer.TasksThatFit(r.PerTask, v.Free) > 0 }
+	all := lacking(usable, isFree)
+	if len(all) == 0 { // it may be placed regardless of reservations and failures there, see placeStanding
+		all = lacking(p.reachableWorkers(u), isFree)
+	}
+	if len(all) == 0 && u.job.urgent() { // it may preempt other runs
+		all = lacking(usable, func(v placer.Worker) bool { return r.PerTask.Fits(v.Capacity) })
+	}
+	return all
+}
+
+// reachableWorkers returns the workers of a unit's service that would carry out a start, with
+// the resources that are not in use.
+func (p *pass) reachableWorkers(u unit) []placer.Worker {
+	var out []placer.Worker
+	for _, id := range p.s.workerIDs {
+		if w := p.s.workers[id]; w.Service == u.job.queue.Service && w.aloneRuns == 0 && w.reachable() && w.hasLabel(u.step.Label) {
+			out = append(out, placer.Worker{ID: id, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.free()})
+		}
+	}
+	return out
+}
+
+// fitsUnlessDenied reports whether the tasks that a unit needs at once would fit on the
+// reachable workers that are not denied to it, if nothing ran there.
+func (p *pass) fitsUnlessDenied(u unit) bool {
+	need, n := u.step.tasksAtOnce(), 0
+	for _, v := range p.reachableWorkers(u) {
+		if !u.step.deniedWorkers[v.ID] {
+			n += u.step.tasksOn(v.Capacity)
+		}
+	}
+	return n >= need
+}
+
 // handleAdviceResult records which workers may run a step. The set does not change
 // later.
 func (s *Scheduler) handleAdviceResult(now time.Time, e AdviceResult) {
