The stop of an unread run is logged once

The runs of a job that is not read in time are stopped, and the line about it was repeated in each tick until the worker listed the end: 19 times in 2 s in the script, in which the worker does not answer. Only runs that are not being stopped yet are looked at now; the stop itself is repeated elsewhere, as before.

--- a/internal/jobs/scheduler/stray.go
+++ b/internal/jobs/scheduler/stray.go
@@ -81,7 +81,7 @@
 		return
 	}
 	for _, p := range w.sortedRuns() {
-		if !p.orphanSince.IsZero() && timedOut(p.orphanSince) {
+		if !p.orphanSince.IsZero() && !p.stopping && timedOut(p.orphanSince) {
 			s.logDecision(Decision{Message: "unwanted run is stopped", Job: p.task.Job, Task: p.task, Run: p.run, Worker: w.ID})
 			s.stopRun(now, w, p)
 		}
