Scripts of the lines about waiting tasks

Each condition is provoked once and checked by its name, its fields and its counter: recovery, unconfirmed jobs and workers, the store, gangs that stop, tasks that are too large or find no resources, unusable workers, advice, colocation, avoided workers, racks, reservations, postponed searches and suspects. The counts of unusable workers and the room are right after a change of the leader as well. With 300 waiting jobs each is logged once in 10 s, and no line exceeds 400 bytes.

--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -194,6 +194,25 @@
 		}
 		return nil
 	}
+	c["logged-at-most"] = func(most int, words ...string) error {
+		if n := w.logged[strings.Join(words, " ")]; n > most {
+			return fmt.Errorf("it was logged %d times", n)
+		}
+		return nil
+	}
+	// "waits JOB CONDITION [FIELD VALUE ...]" checks the last line about a waiting job.
+	c["waits"] = func(job, condition string, fields ...string) error {
+		d := w.waits[job]
+		for i, f := range append([]string{"condition", condition}, fields...) {
+			if i%2 == 1 {
+				continue
+			}
+			if got, want := fmt.Sprint(d[f]), append([]string{"condition", condition}, fields...)[i+1]; got != want {
+				return fmt.Errorf("field %s is %s in %v", f, got, d)
+			}
+		}
+		return nil
+	}
 	c["state"] = func(job, want string) error {
 		if got := w.stored[job].State; string(got) != want {
 			return fmt.Errorf("the stored state is %q", got)
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -53,14 +53,15 @@
 	upkeepDone                []string // machines that have had their upkeep
 	down, maxDown, cutOffRuns int
 
-	doomed       map[string]bool          // jobs whose tasks fail wherever they start
-	deadly       map[string]time.Duration // jobs whose tasks 0 crash their workers that long after each start
-	crashes      map[scheduler.TaskID]int // workers that crashed under a deadly task
-	laterStarts  map[scheduler.TaskID]int // starts of such a task after three crashes
-	replaced     map[string]bool          // workers whose address another worker has
-	machinesDown bool                     // the list of machines is not available
-	counters     map[string]int           // of decisions
-	logged       map[string]int           // decisions, by message
+	doomed       map[string]bool              // jobs whose tasks fail wherever they start
+	deadly       map[string]time.Duration     // jobs whose tasks 0 crash their workers that long after each start
+	crashes      map[scheduler.TaskID]int     // workers that crashed under a deadly task
+	laterStarts  map[scheduler.TaskID]int     // starts of such a task after three crashes
+	replaced     map[string]bool              // workers whose address another worker has
+	machinesDown bool                         // the list of machines is not available
+	counters     map[string]int               // of decisions
+	logged       map[string]int               // decisions, by message
+	waits        map[string]scheduler.Details // last line about waiting tasks, by job
 
 	poweredOff      []scheduler.Machine // switched-off machines
 	unmovable       map[string]bool     // machines that the platform does not move
@@ -86,7 +87,7 @@
 		allowed: map[string]bool{}, ackedTasks: map[scheduler.TaskID]bool{}, lastStarts: map[scheduler.TaskID]time.Time{}, unreachable: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, answersLost: map[string]bool{},
 		config:    scheduler.Config{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Pools: map[string]bool{}},
 		unmovable: map[string]bool{}, doomed: map[string]bool{}, deadly: map[string]time.Duration{}, crashes: map[scheduler.TaskID]int{}, laterStarts: map[scheduler.TaskID]int{},
-		replaced: map[string]bool{}, counters: map[string]int{}, logged: map[string]int{},
+		replaced: map[string]bool{}, counters: map[string]int{}, logged: map[string]int{}, waits: map[string]scheduler.Details{},
 	}
 	w.began = w.now
 	w.startLeader()
@@ -208,6 +209,7 @@
 	case scheduler.Decision:
 		w.counters[f.Counter]++
 		w.logged[f.Message]++
+		w.noteWait(f)
 		if n, ok := f.Details["alone"].(int); ok && n > 0 {
 			w.counters["suspects-alone"]++
 		}
@@ -215,6 +217,20 @@
 	}
 }
 
+// maxWaitLine is the size of a line about waiting tasks: hundreds may wait at once.
+const maxWaitLine = 400
+
+// noteWait keeps the last line about the waiting tasks of a job.
+func (w *world) noteWait(d scheduler.Decision) {
+	if d.Message != "tasks wait" {
+		return
+	}
+	w.waits[d.Job] = d.Details
+	if n := len(fmt.Sprint(d.Details)); n > maxWaitLine {
+		w.violation = fmt.Sprintf("the line about job %s has %d bytes: %v", d.Job, n, d.Details)
+	}
+}
+
 func (w *world) store(f scheduler.Store) {
 	if !w.storeUp {
 		epoch := w.epoch
