A cancellation is reported after its job

Two goroutines of a VM apply the topic of jobs: the one that follows it, and callers or a new leader that read it to its end. One added a job to the registrar and had not yet reported it when the other applied the job's cancellation and reported that. The scheduler ignores the cancellation of a job that it does not know, and the report of the job, made before, does not say that it is cancelled: a cancelled job then ran to its end, or until another VM led. The new test shows it (it failed with cancelled, submitted).

Applying and reporting are now one critical section. It cannot block a new term: a report to an ended term returns at once, and the scheduler's loop takes only the inner lock.

--- a/internal/jobs/registrar/registrar.go
+++ b/internal/jobs/registrar/registrar.go
@@ -66,6 +66,7 @@
 	Submitted func(Entry)                               // called for each new job, in log order
 	Cancelled func(id string)                           // called for each new cancellation
 
+	order            sync.Mutex // held while jobs and cancellations are applied and reported; never taken after mu
 	mu               sync.Mutex
 	jobs             map[string]*Entry
 	unmatched        map[string]unmatched // progress of occurrences, and of jobs whose submission was not read yet
@@ -86,8 +87,11 @@
 	}
 }
 
-// ApplyJobs applies records of TopicJobs.
+// ApplyJobs applies records of TopicJobs. A cancellation is reported after its job, even if
+// another goroutine has applied the record of the job.
 func (r *Registrar) ApplyJobs(b tailer.Batch) {
+	r.order.Lock()
+	defer r.order.Unlock()
 	r.mu.Lock()
 	var submitted []Entry
 	var cancelled []string
--- a/internal/jobs/registrar/registrar_test.go
+++ b/internal/jobs/registrar/registrar_test.go
@@ -43,3 +43,36 @@
 	is.Equal(submitted, 1)
 	is.Equal(len(malformed), 5)
 }
+
+// A leader ignores the cancellation of a job that it has not been told of, so two readers of
+// the topic must not report a job and its cancellation in the wrong order.
+func TestCancellationReadByAnotherReaderIsReportedAfterItsJob(t *testing.T) {
+	is := is.New(t)
+	r := registrar.New()
+	reporting, goOn := make(chan struct{}), make(chan struct{})
+	var reported []string
+	r.Submitted = func(registrar.Entry) {
+		close(reporting)
+		<-goOn
+		reported = append(reported, "submitted")
+	}
+	r.Cancelled = func(string) { reported = append(reported, "cancelled") }
+	first, second := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(first)
+		r.ApplyJobs(tailer.Batch{Records: []accessor.Record{{Key: "job/j", Value: []byte(`{"id":"j","steps":[{"tasks":1}]}`)}}, Next: 1})
+	}()
+	<-reporting
+	go func() {
+		defer close(second)
+		r.ApplyJobs(tailer.Batch{Records: []accessor.Record{{Offset: 1, Key: "cancel/j", Value: []byte("1")}}, Next: 2})
+	}()
+	select {
+	case <-second:
+	case <-time.After(100 * time.Millisecond): // the second reader waits for the first one
+	}
+	close(goOn)
+	<-first
+	<-second
+	is.Equal(reported, []string{"submitted", "cancelled"})
+}
