A failed release of the leadership is repeated

A leaving leader appended its release once. If that append failed (an outage, a lost call, or an end of the topic that differed because an earlier renewal was stored without an answer), the VM went on renewing until its process ended, while its scheduler, told of the release, started no job that it read from then on. New jobs stood for the shutdown (2.3 s, up to the grace period) and for the leader's time-out after it. The same VM kept, and renewed, a leadership whose claim was carried out only after it had begun to leave.

The elector now returns an action for the release: a leaving leader renews no more and releases every 0.2 s until the topic shows it; after an offset mismatch it reads the topic first. Before, the new tests fail: the topic still shows an unreleased leadership of the VM when its process has ended.

--- /dev/null
+++ b/internal/node/assembler/handover_test.go
@@ -0,0 +1,46 @@
+package assembler_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/node/elector"
+)
+
+// newestClaim returns the newest record of the leadership topic.
+func (s *cluster) newestClaim() elector.Claim {
+	var c elector.Claim
+	if err := json.Unmarshal(s.store.Get("keyed.leader", "leader"), &c); err != nil {
+		s.t.Errorf("newest claim: %v", err)
+	}
+	return c
+}
+
+// A leaving leader starts no job that it reads from then on, so it must not stay the leader
+// because a single append has failed.
+func TestLeadershipIsReleasedAfterAFailedRelease(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newCluster(t, 1, 2)
+	s.waitFor("a VM leads", func() bool { return s.store.Get("keyed.leader", "leader") != nil })
+	leader := s.vms[0]
+	if s.newestClaim().Holder != leader.settings.VM {
+		leader = s.vms[1]
+	}
+	for _, v := range s.vms {
+		v.storeProxy.Unavailable.Store(true)
+	}
+	leader.cancel()
+	time.Sleep(outage)
+	for _, v := range s.vms {
+		v.storeProxy.Unavailable.Store(false)
+	}
+	<-leader.done
+	c := s.newestClaim()
+	is.True(c.Released || c.Holder != leader.settings.VM)
+}
+
+const outage = 300 * time.Millisecond // a small part of the time that a VM takes to shut down
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -59,7 +59,6 @@
 		case <-shutdown:
 			shutdown = nil
 			e.Leave()
-			a.release(ctx, e)
 		case v := <-a.electorEvents:
 			a.applyElectorEvent(e, v)
 		case <-t.C:
@@ -69,6 +68,8 @@
 			a.claim(ctx, e, 0)
 		case elector.Renew:
 			a.claim(ctx, e, e.Epoch())
+		case elector.Release:
+			a.release(ctx, e)
 		case elector.NoAction:
 		}
 		if l := e.Leader(); l != leader {
@@ -195,9 +196,6 @@
 
 // release tells the other VMs that they may claim the leadership.
 func (a *Assembler) release(ctx context.Context, e *elector.Elector) {
-	if !e.Leading() {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	if err := a.commander.PostAndWait(ctx, scheduler.Released{}); err != nil {
@@ -206,8 +204,11 @@
 	}
 	c := elector.Claim{Holder: a.Settings.VM, Instance: a.instance, Epoch: e.Epoch(), Released: true}
 	offset, err := a.appendClaim(ctx, c, e.NextOffset())
+	if errors.Is(err, accessor.ErrOffsetMismatch) {
+		a.readClaims(ctx, e) // a renewal or the release itself was stored without an answer
+	}
 	if err != nil {
-		a.log("elect").WithField("epoch", e.Epoch()).WithError(err).Warn("can't release the leadership")
+		a.log("elect").WithField("epoch", e.Epoch()).WithError(err).Warn("can't release the leadership; retrying")
 		return
 	}
 	e.Apply(a.Now(), offset, c)
--- a/internal/node/elector/elector.go
+++ b/internal/node/elector/elector.go
@@ -17,6 +17,7 @@
 	vacantSpread   = 300 * time.Millisecond
 	largestVMCores = 0.8                    // CPU share of the largest VMs, in cores
 	claimInterval  = 500 * time.Millisecond // between two claims by one VM
+	releaseRetry   = 200 * time.Millisecond // between two attempts to release
 )
 
 // Claim is a record of the leadership topic: a claim, a renewal or a release. The epoch
@@ -58,6 +59,7 @@
 	NoAction Action = iota
 	MakeClaim
 	Renew
+	Release
 )
 
 // Elector tracks the leadership topic for one VM.
@@ -73,6 +75,7 @@
 	actedAt    time.Time // when Decide last returned an action
 	storeDown  bool
 	leaving    bool
+	triedAt    time.Time // when Decide last returned Release
 }
 
 // Apply applies a record of the topic. A record of an older epoch only moves the end.
@@ -105,7 +108,8 @@
 	e.storeDown = !up
 }
 
-// Leave records that the VM is shutting down; it makes no further claims.
+// Leave records that the VM is shutting down. It makes no further claims, renews no more, and
+// releases the leadership if it has it or turns out to have claimed it.
 func (e *Elector) Leave() { e.leaving = true }
 
 // NextOffset returns the offset at which the topic must end for an append to succeed.
@@ -134,11 +138,7 @@
 		return NoAction
 	}
 	if e.Leading() {
-		if e.latest.Released || now.Sub(e.actedAt) < renewInterval {
-			return NoAction
-		}
-		e.actedAt = now
-		return Renew
+		return e.decideAsLeader(now)
 	}
 	if e.leaving || now.Sub(e.actedAt) < claimInterval || now.Sub(e.heardAt) < e.claimDelay() {
 		return NoAction
@@ -147,6 +147,26 @@
 	return MakeClaim
 }
 
+// decideAsLeader returns the action of the leader. An append may get lost, so a release is
+// repeated until the topic shows it.
+func (e *Elector) decideAsLeader(now time.Time) Action {
+	switch {
+	case e.latest.Released:
+		return NoAction
+	case e.leaving:
+		if now.Sub(e.triedAt) < releaseRetry {
+			return NoAction
+		}
+		e.triedAt = now
+		return Release
+	case now.Sub(e.actedAt) < renewInterval:
+		return NoAction
+	default:
+		e.actedAt = now
+		return Renew
+	}
+}
+
 // claimDelay returns how long the leader must have been silent before this VM claims.
 func (e *Elector) claimDelay() time.Duration {
 	h := fnv.New32a()
--- a/internal/node/elector/elector_test.go
+++ b/internal/node/elector/elector_test.go
@@ -114,3 +114,33 @@
 	e.Apply(now, 2, elector.Claim{Holder: "b", Instance: "1", Epoch: 3})
 	is.True(!e.Leading())
 }
+
+// The append of a release may get lost, or a renewal may have been stored without an answer.
+func TestReleaseIsRepeatedUntilItIsStored(t *testing.T) {
+	is := is.New(t)
+	now := startTime()
+	e := elector.Elector{Self: "a", Instance: "1"}
+	e.CaughtUp(now, 1)
+	e.Apply(now, 0, elector.Claim{Holder: "a", Instance: "1", Epoch: 1})
+	e.Leave()
+	is.Equal(e.Decide(now), elector.Release)
+	for range 10 {
+		is.Equal(e.Decide(now.Add(time.Millisecond)), elector.NoAction)
+		now = now.Add(time.Second)
+		is.Equal(e.Decide(now), elector.Release) // and no renewal, which would keep the others from claiming
+	}
+	e.Apply(now, 1, elector.Claim{Holder: "a", Instance: "1", Epoch: 1, Released: true})
+	is.Equal(e.Decide(now.Add(pastTimeout)), elector.NoAction)
+}
+
+// A claim may be carried out after its VM has begun to shut down.
+func TestLateClaimOfLeavingVMIsReleased(t *testing.T) {
+	is := is.New(t)
+	now := startTime()
+	e := elector.Elector{Self: "a", Instance: "1"}
+	e.CaughtUp(now, 0)
+	e.Leave()
+	is.Equal(e.Decide(now.Add(pastTimeout)), elector.NoAction)
+	e.Apply(now, 0, elector.Claim{Holder: "a", Instance: "1", Epoch: 1})
+	is.Equal(e.Decide(now.Add(pastTimeout)), elector.Release)
+}
