A release during the takeover also holds for the scheduler that follows

A VM that was told to shut down while it still read progress and jobs as the new leader released the leadership, but its scheduler, which did not exist yet, was not told. It then started jobs that it read after the release, while another VM could already lead and not expect that: such a job could run twice.

The release is now noted before the running scheduler is told, and a scheduler that begins later gets it as its first event: the commander accepts events before the first ones are collected, so one of the two ways always applies.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -53,6 +53,7 @@
 	storeDownSince atomic.Int64 // Unix time in milliseconds when the current outage of the store began, 0 if there is none
 	leaving        atomic.Bool
 	leading        atomic.Bool
+	releasing      atomic.Bool // this process has begun to release the leadership
 	electorEvents  chan electorEvent
 	claimNumber    int64                     // number of claims and renewals sent
 	unconfirmed    map[int64]time.Time       // send times of claims and renewals that are not known to be stored, by number
--- a/internal/node/assembler/handover_test.go
+++ b/internal/node/assembler/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"testing"
 	"time"
 
@@ -43,4 +44,29 @@
 	is.True(c.Released || c.Holder != leader.settings.VM)
 }
 
+// A VM may begin to shut down while it takes over. Another one may lead from its release on,
+// so it must not start what it reads later.
+func TestReleaseDuringTheTakeoverHoldsForItsScheduler(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newCluster(t, 1, 1)
+	s.waitFor("the first VM leads", func() bool { return s.store.Get("keyed.leader", "leader") != nil })
+	s.startVM("vm1")
+	progress := "keyed.progress"
+	s.vms[0].cancel()
+	for _, v := range s.vms { // the new leader can't end its takeover
+		v.storeProxy.ReadOnly.Store(&progress)
+	}
+	s.waitFor("the second VM leads", func() bool { return s.newestClaim().Holder == "vm1" })
+	s.vms[1].cancel()
+	s.waitFor("the second VM has released", func() bool { return s.newestClaim().Released })
+	for _, v := range s.vms {
+		v.storeProxy.ReadOnly.Store(nil)
+	}
+	status, _ := s.vms[1].call(http.MethodPost, "/slow/"+jobID, "key", jobBody("100ms", 1))
+	is.Equal(status, http.StatusOK)
+	<-s.vms[1].done
+	is.Equal(len(s.executors[0].Starts()), 0)
+}
+
 const outage = 300 * time.Millisecond // a small part of the time that a VM takes to shut down
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -198,6 +198,7 @@
 func (a *Assembler) release(ctx context.Context, e *elector.Elector) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	a.releasing.Store(true)
 	if err := a.commander.PostAndWait(ctx, scheduler.Released{}); err != nil {
 		a.log("elect").WithField("epoch", e.Epoch()).WithError(err).Warn("leadership is not released: jobs read meanwhile might start twice")
 		return
@@ -254,6 +255,9 @@
 // initialEvents returns the configuration and all known jobs as events.
 func (a *Assembler) initialEvents() []scheduler.Event {
 	var all []scheduler.Event
+	if a.releasing.Load() {
+		all = append(all, scheduler.Released{}) // there was no scheduler yet that release could tell
+	}
 	if c := a.config.Load(); c != nil {
 		all = append(all, scheduler.ConfigChanged{Config: c.SchedulerConfig()})
 	}
