A leader whose scheduler has ended leads anew instead of renewing for ever

The scheduler of a leader ends when a worker, the machine service or the store rejects its epoch as too old. The elector did not learn of it and renewed on: if the topic of claims showed no newer leader, all VMs saw a leader, none could claim, and nothing was scheduled until that process ended.

The end of the scheduler now ends the leadership, and the VM claims a new one at the expected end of the topic. If another VM does lead, that claim fails and reads the other's, so nothing changes in the usual case. By the code an epoch above the newest claim can't come from our own claims, as each is an offset of the topic; a machine service that knows a higher token of somebody else can cause it, as can a failure to encode progress.

--- a/internal/node/assembler/handover_test.go
+++ b/internal/node/assembler/handover_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,4 +71,23 @@
 	is.Equal(len(s.executors[0].Starts()), 0)
 }
 
+// The scheduler of a leader ends when it is told of a newer leader. If there is none, the VM
+// must not stay a leader that starts nothing.
+func TestLeaderWhoseSchedulerHasEndedLeadsAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newCluster(t, 1, 2)
+	s.waitFor("a VM leads", func() bool { return s.store.Get("keyed.leader", "leader") != nil })
+	newer := fmt.Sprintf(`{"fencingToken":%d,"ackCursor":0}`, s.newestClaim().Epoch+epochsAhead)
+	a, err := http.Post("http://"+s.addresses[0]+"/hold", "application/json", strings.NewReader(newer))
+	is.NoErr(err)
+	is.NoErr(a.Body.Close())
+	status, _ := s.vms[0].call(http.MethodPost, "/slow/"+jobID, "key", jobBody("100ms", 1))
+	is.Equal(status, http.StatusOK)
+	s.waitFor("the job is completed", func() bool { return s.vms[1].state(jobID) == "completed" })
+	is.Equal(len(s.executors[0].Starts()), 1)
+}
+
+const epochsAhead = 3
+
 const outage = 300 * time.Millisecond // a small part of the time that a VM takes to shut down
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -97,7 +97,12 @@
 // updateLeadership starts or ends a leadership to match the elector's state.
 func (a *Assembler) updateLeadership(ctx context.Context, e *elector.Elector, l leadership) leadership {
 	if e.Leading() && l.stop != nil && l.epoch == e.Epoch() {
-		return l
+		select {
+		case <-l.done: // the others see a leader, but nothing schedules
+			e.End(l.epoch)
+		default:
+			return l
+		}
 	}
 	l.end()
 	if !e.Leading() {
--- a/internal/node/elector/elector.go
+++ b/internal/node/elector/elector.go
@@ -75,6 +75,7 @@
 	actedAt    time.Time // when Decide last returned an action
 	storeDown  bool
 	leaving    bool
+	endedEpoch int64     // leadership of this process that has ended without a newer one
 	triedAt    time.Time // when Decide last returned Release
 }
 
@@ -112,6 +113,10 @@
 // releases the leadership if it has it or turns out to have claimed it.
 func (e *Elector) Leave() { e.leaving = true }
 
+// End records that the scheduler of this process's leadership has ended although the topic
+// shows no newer one. The VM claims a new one at once instead of renewing it.
+func (e *Elector) End(epoch int64) { e.endedEpoch = epoch }
+
 // NextOffset returns the offset at which the topic must end for an append to succeed.
 func (e *Elector) NextOffset() int64 { return e.nextOffset }
 
@@ -128,16 +133,17 @@
 
 // Leading reports whether this process is the leader. After a release it remains the
 // leader until another VM has claimed the leadership.
-func (e *Elector) Leading() bool {
-	return e.latest.Holder == e.Self && e.latest.Instance == e.Instance
-}
+func (e *Elector) Leading() bool { return e.holds() && e.latest.Epoch != e.endedEpoch }
+
+// holds reports whether the newest claim is this process's own.
+func (e *Elector) holds() bool { return e.latest.Holder == e.Self && e.latest.Instance == e.Instance }
 
 // Decide returns the action to take now.
 func (e *Elector) Decide(now time.Time) Action {
 	if !e.caughtUp || e.storeDown {
 		return NoAction
 	}
-	if e.Leading() {
+	if e.Leading() || (e.leaving && e.holds()) {
 		return e.decideAsLeader(now)
 	}
 	if e.leaving || now.Sub(e.actedAt) < claimInterval || now.Sub(e.heardAt) < e.claimDelay() {
@@ -176,7 +182,7 @@
 		permille += int64(1000 * max(0, 1-e.Cores/largestVMCores))
 	}
 	if e.latest.Holder == e.Self {
-		return 0 // an earlier process of this VM, which has ended
+		return 0 // an earlier process or an earlier leadership of this VM, which has ended
 	}
 	if e.latest.Holder == "" || e.latest.Released {
 		return vacantDelay + time.Duration(permille*int64(vacantSpread)/1000)
--- a/internal/node/elector/elector_test.go
+++ b/internal/node/elector/elector_test.go
@@ -144,3 +144,24 @@
 	e.Apply(now, 0, elector.Claim{Holder: "a", Instance: "1", Epoch: 1})
 	is.Equal(e.Decide(now.Add(pastTimeout)), elector.Release)
 }
+
+// A VM that renewed on after its scheduler has ended would keep all others from leading.
+func TestLeadershipWithoutSchedulerIsClaimedAnew(t *testing.T) {
+	is := is.New(t)
+	now := startTime()
+	e := elector.Elector{Self: "a", Instance: "1"}
+	e.CaughtUp(now, 1)
+	e.Apply(now, 0, elector.Claim{Holder: "a", Instance: "1", Epoch: 1})
+	is.Equal(e.Decide(now), elector.Renew)
+	e.End(1)
+	is.True(!e.Leading())
+	now = now.Add(time.Second)
+	is.Equal(e.Decide(now), elector.MakeClaim)
+	e.Apply(now, 1, elector.Claim{Holder: "a", Instance: "1", Epoch: 1}) // a late renewal
+	is.True(!e.Leading())
+	e.Apply(now, 2, elector.Claim{Holder: "a", Instance: "1", Epoch: 3})
+	is.True(e.Leading())
+	e.End(3)
+	e.Leave()
+	is.Equal(e.Decide(now.Add(time.Second)), elector.Release)
+}
