A step that asks for advice again lets all others ask first

One call for advice is in flight at a time, and each pass gave it to the first waiting step that had free workers without a valid ticket. Tickets expire, so steps that could not start, gangs that never fit above all, asked for the same workers again and again; once their calls took as long as a ticket is valid, no step behind them got any ticket and its job stood in an idle service. A step for which the advice service fails held all others up in the same way.

A pass now collects the requests and sends one: those of steps that would fit if all workers were permitted go first, then those of the step that repeated a call longest ago; a step that names only new workers has repeated none. The order of urgency decides between steps that ask for the first time.

The cost stays bounded: a step that can't go first is left out before its workers are looked at, and there is no search while a call is in flight.

--- a/internal/jobs/scheduler/advice.go
+++ b/internal/jobs/scheduler/advice.go
@@ -54,59 +54,114 @@
 	return ok && t.born == w.StartedMS && now.Add(ticketMargin).Before(t.until)
 }
 
+// adviceRequest is the next call for advice.
+type adviceRequest struct {
+	Advise
+
+	step   *step
+	fits   bool // what waits would fit if all named workers were permitted
+	repeat bool // it names a worker that an earlier call has named
+}
+
+// precedes reports whether a request goes before another one of the same pass. A step that
+// asks again, as its tickets have expired unused, lets all others go first; one that would
+// not fit in any case has no use for advice now.
+func (a *adviceRequest) precedes(b *adviceRequest) bool {
+	if b == nil || a.fits != b.fits {
+		return b == nil || a.fits
+	}
+	return a.step.askedAgainAt.Before(b.step.askedAgainAt)
+}
+
 // requestAdvice asks which further workers may run a step that did not fit on the
 // permitted ones. It names workers with free resources that have not been denied,
-// rack by rack.
+// rack by rack. One request of a pass is sent.
 func (p *pass) requestAdvice(u unit, r placer.Request) {
 	s := p.s
-	if s.adviceInFlight || p.now.Before(s.nextAdviceAt) {
+	if d := s.adviceDue; s.adviceInFlight || p.now.Before(s.nextAdviceAt) || (d != nil && d.fits && !u.step.askedAgainAt.Before(d.step.askedAgainAt)) {
 		return
 	}
-	var candidates []placer.Worker
-	free := map[string]int{}
-	for _, v := range p.workers[u.job.queue.Service] {
-		n := min(placer.TasksThatFit(r.PerTask, v.Free), r.Tasks)
-		if n <= 0 || u.step.deniedWorkers[v.ID] || u.step.hasTicket(p.now, s.workers[v.ID]) {
-			continue
-		}
-		candidates = append(candidates, v)
-		free[v.Rack] += n
-	}
-	if len(candidates) == 0 && u.job.urgent() { // it may preempt other runs
-		for _, v := range p.workers[u.job.queue.Service] {
-			if !u.step.deniedWorkers[v.ID] && !u.step.hasTicket(p.now, s.workers[v.ID]) && r.PerTask.Fits(v.Capacity) {
-				candidates = append(candidates, v)
-			}
-		}
-	}
+	candidates, fitting := p.workersToAskFor(u, r)
 	if len(candidates) == 0 {
 		return
 	}
+	free := map[string]int{}
+	for _, v := range candidates {
+		free[v.Rack] += min(placer.TasksThatFit(r.PerTask, v.Free), r.Tasks)
+	}
 	slices.SortStableFunc(candidates, func(a, b placer.Worker) int {
 		return cmp.Or(cmp.Compare(free[b.Rack], free[a.Rack]), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
 	})
-	e := Advise{Job: u.job.ID, Step: u.index}
+	e := &adviceRequest{Advise: Advise{Job: u.job.ID, Step: u.index}, step: u.step, fits: u.job.urgent() || !u.step.Gang || fitting >= r.Tasks}
 	for _, v := range candidates[:min(len(candidates), maxAdvisedWorkers)] {
 		e.Workers = append(e.Workers, v.ID)
+		_, again := u.step.tickets[v.ID]
+		e.repeat = e.repeat || again
 	}
 	a := u.job.queue.Advice
 	e.Limit = time.Duration(a.DecideMS+a.PeriodMS*len(e.Workers)) * time.Millisecond
+	if e.precedes(s.adviceDue) {
+		s.adviceDue = e
+	}
+}
+
+// workersToAskFor returns the workers without a decision on the step that have room for it,
+// and how many of its tasks fit on them and on the permitted ones.
+func (p *pass) workersToAskFor(u unit, r placer.Request) ([]placer.Worker, int) {
+	var candidates []placer.Worker
+	fitting := 0
+	open := func(v placer.Worker) bool { return !u.step.hasTicket(p.now, p.s.workers[v.ID]) }
+	for _, v := range p.workers[u.job.queue.Service] {
+		n := placer.TasksThatFit(r.PerTask, v.Free)
+		if n <= 0 || u.step.deniedWorkers[v.ID] {
+			continue
+		}
+		fitting += n
+		if open(v) {
+			candidates = append(candidates, v)
+		}
+	}
+	if len(candidates) > 0 || !u.job.urgent() {
+		return candidates, fitting
+	}
+	for _, v := range p.workers[u.job.queue.Service] { // it may preempt other runs
+		if !u.step.deniedWorkers[v.ID] && open(v) && r.PerTask.Fits(v.Capacity) {
+			candidates = append(candidates, v)
+		}
+	}
+	return candidates, fitting
+}
+
+// sendAdviceRequest sends the request that goes first among those of a pass.
+func (s *Scheduler) sendAdviceRequest(now time.Time) {
+	e := s.adviceDue
+	if e == nil {
+		return
+	}
+	if e.repeat {
+		e.step.askedAgainAt = now
+	}
+	s.adviceDue = nil
 	s.adviceInFlight = true
-	s.emit(e)
+	s.emit(e.Advise)
 }
 
 // handleAdviceResult records which workers may run a step. The set does not change
 // later.
 func (s *Scheduler) handleAdviceResult(now time.Time, e AdviceResult) {
 	s.adviceInFlight = false
+	j, ok := s.jobs[e.Advise.Job]
+	known := ok && e.Advise.Step < len(j.steps)
 	if e.Outcome != OutcomeDone {
 		s.nextAdviceAt = now.Add(adviceRetryDelay)
-		s.logDecision(Decision{Message: "advice call failed", Job: e.Advise.Job, Details: Details{"step": e.Advise.Step, detailOutcome: e.Outcome}})
+		if known {
+			j.steps[e.Advise.Step].askedAgainAt = now
+		}
+		s.logDecision(Decision{Message: "advice call failed", Job: e.Advise.Job, Details: Details{detailStep: e.Advise.Step, detailOutcome: e.Outcome}})
 		return
 	}
-	s.logDecision(Decision{Message: "advice received", Job: e.Advise.Job, Details: Details{"step": e.Advise.Step, "asked": len(e.Advise.Workers), "allowed": len(e.Tickets)}})
-	j, ok := s.jobs[e.Advise.Job]
-	if !ok || e.Advise.Step >= len(j.steps) {
+	s.logDecision(Decision{Message: "advice received", Job: e.Advise.Job, Details: Details{detailStep: e.Advise.Step, "asked": len(e.Advise.Workers), "allowed": len(e.Tickets)}})
+	if !known {
 		return
 	}
 	st := j.steps[e.Advise.Step]
--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -72,8 +72,8 @@
 		s.noteFailedCall(now, w, e.Outcome)
 		s.loseRun(now, w, p, "its start was not sent")
 	default:
-		if _, st, _ := s.findTask(p.task); st != nil && e.Outcome == OutcomeTicket {
-			delete(st.tickets, w.ID)
+		if _, st, _ := s.findTask(p.task); st != nil && st.tickets != nil && e.Outcome == OutcomeTicket {
+			st.tickets[w.ID] = ticket{} // to be asked for again
 		}
 		if e.Outcome == OutcomeFull || e.Outcome == OutcomeUnhealthy || e.Outcome == OutcomeInvalid {
 			w.excludedUntil = now.Add(exclusionTime)
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -208,6 +208,7 @@
 	detailMachine = "machine"
 	detailOutcome = "outcome"
 	detailRuns    = "runs"
+	detailStep    = "step"
 	detailWave    = "wave"
 )
 
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -130,6 +130,7 @@
 	succeeded      int               // number of completed tasks
 	failedWorkers  []string          // workers on which a run of it failed
 	tickets        map[string]ticket // by worker, in a queue with advice
+	askedAgainAt   time.Time         // time of the last call for advice that failed or named a worker again, else zero
 	deniedWorkers  map[string]bool   // workers that may not run it
 	searchFailedAt time.Time         // when a search for runs to stop or to wait for last found none, else zero
 	reserved       []string          // workers on which resources are being freed for a gang or urgent tasks
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -48,7 +48,8 @@
 	outage           quarantiner.Outage
 	meanWork         map[string]float64 // core-seconds of a job, by queue
 	adviceInFlight   bool
-	nextAdviceAt     time.Time // earliest time of the next call for advice
+	adviceDue        *adviceRequest // found by the present pass
+	nextAdviceAt     time.Time      // earliest time of the next call for advice
 	tracking         tracking
 	effects          []Effect
 }
@@ -77,6 +78,7 @@
 	if s.placementDue && !now.Before(s.nextPassAt) {
 		s.placementDue = false
 		s.place(now)
+		s.sendAdviceRequest(now)
 	}
 	s.sendHolds(now)
 	s.storeProgress(now)
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -69,6 +69,7 @@
 			}
 			w.feed(scheduler.ConfigChanged{Config: w.config})
 		},
+		"advice-fails": func(id string) { w.unadvised = id },
 		"allow": func(ids ...string) {
 			for _, id := range ids {
 				w.allowed[id] = true
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -41,6 +41,7 @@
 	starts         map[string]int  // started runs, by job
 	allowed        map[string]bool // workers that get tickets
 	ticketLifetime time.Duration
+	unadvised      string // job for which every call for advice fails
 	adviceCalls    int
 	paceChanges    int
 	ackedTasks     map[scheduler.TaskID]bool // tasks whose success was acknowledged
@@ -180,6 +181,9 @@
 				e.Tickets[id] = w.now.Add(w.ticketLifetime).Format(time.RFC3339Nano)
 			}
 		}
+		if f.Job == w.unadvised {
+			e.Outcome = scheduler.OutcomeUnhealthy
+		}
 		w.adviceCalls++
 		w.deliverAfter(f.Limit, e)
 	case scheduler.ListMachines:
