Property test: no job stands in calm while there is ample room

The check knows only what the simulated workers know: what runs where, their capacity and the ends they reported.

--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -79,8 +79,11 @@
 			v.info.Labels = append(v.info.Labels, label)
 			w.sendList()
 		},
-		"cancel": func(id string) { w.feed(scheduler.Cancelled{Job: id}) },
-		"lead":   w.startLeader,
+		"cancel": func(id string) {
+			w.cancelled[id] = true
+			w.feed(scheduler.Cancelled{Job: id})
+		},
+		"lead": w.startLeader,
 		"lead-without": func(id string) {
 			w.unreadJob = id
 			w.startLeader()
@@ -91,7 +94,10 @@
 			w.unreadJob = ""
 			w.feed(e)
 		},
-		"release":    func() { w.feed(scheduler.Released{}) },
+		"release": func() {
+			w.releasedEpoch = w.epoch
+			w.feed(scheduler.Released{})
+		},
 		"unsure":     func() { w.renewalsLost = true },
 		"sure":       func() { w.renewalsLost = false },
 		"cut":        func(id string) { w.unreachable[id] = true },
@@ -160,6 +166,7 @@
 		},
 	}
 	w.addChecks(c)
+	w.addStandingCommands(c)
 	return c
 }
 
@@ -244,6 +251,28 @@
 	}
 }
 
+// setAmount applies an option of the form NAME:NUMBER to a step.
+func setAmount(s *scheduler.Step, option string) error {
+	name, amount, _ := strings.Cut(option, ":")
+	n, err := strconv.Atoi(amount)
+	if err != nil {
+		return fmt.Errorf("unknown option %q", option)
+	}
+	switch name {
+	case "cores":
+		s.Need.MilliCores = 1000 * n
+	case "memory": // in GB
+		s.Need.MemoryMB = 1000 * n
+	case "per-worker":
+		s.PerWorker = n
+	case "may-miss":
+		s.MaxUnavailable = n
+	default:
+		return fmt.Errorf("unknown option %q", option)
+	}
+	return nil
+}
+
 // submitJob submits a job: "job ID QUEUE ORGANISATION TASKS GPUS SECONDS [option
 // ...]". The word "/" begins another step, which depends on the previous one.
 func (w *world) submitJob(id, queue, organisation string, words ...string) error {
@@ -293,8 +322,12 @@
 				s.Label = "special"
 			case "data-r2":
 				s.DataRack = "r2"
+			case "fails":
+				w.faulty[id] = true
 			default:
-				return fmt.Errorf("unknown option %q", o)
+				if err := setAmount(&s, o); err != nil {
+					return err
+				}
 			}
 		}
 		e.Job.Steps = append(e.Job.Steps, s)
--- a/internal/jobs/scheduler/worker_test.go
+++ b/internal/jobs/scheduler/worker_test.go
@@ -70,6 +70,7 @@
 		d := w.durations[baseJob(f.Task.Job)][f.Task.Step]
 		v.runs[f.Task] = &fakeRun{run: f.Run, remaining: d, total: d, pace: 100}
 		w.noteDeadlyStart(v, f.Task)
+		w.watch.noteStart(w, f.Task)
 		if v.shrunk = v.shrunk && !w.used(v).Fits(v.info.Capacity); v.shrunk {
 			w.violation = fmt.Sprintf("task %v starts on %s, which runs %+v of %+v", f.Task, v.info.ID, w.used(v), v.info.Capacity)
 		}
@@ -97,6 +98,7 @@
 	v.lastOver[id] = max(v.lastOver[id], r.run)
 	v.ends = append(v.ends, scheduler.End{Number: v.lastEnd, Task: id, Run: r.run, Reason: reason})
 	v.endTimes[v.lastEnd] = w.now
+	w.watch.noteEnd(w, id, r.run, reason)
 }
 
 // gangState reports whether all members of a gang's run are present, and whether all
@@ -135,7 +137,7 @@
 			v.end(w, id, scheduler.EndReasonLeaseExpired)
 		case !r.stopAt.IsZero() && !w.now.Before(r.stopAt):
 			v.end(w, id, scheduler.EndReasonStopped)
-		case v.failing:
+		case v.failing, w.faulty[baseJob(id.Job)] && r.remaining <= 0:
 			v.end(w, id, scheduler.EndReasonFailed)
 		case done || (r.remaining <= 0 && !w.taskStep(id).Gang):
 			v.end(w, id, scheduler.EndReasonDone)
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -60,6 +60,11 @@
 	machinesDown bool                     // the list of machines is not available
 	counters     map[string]int           // of decisions
 
+	cancelled     map[string]bool // jobs
+	faulty        map[string]bool // jobs whose runs all fail
+	releasedEpoch int64           // last epoch whose leader released the leadership
+	watch         *standingWatch  // checks that no job stands, nil for none
+
 	poweredOff      []scheduler.Machine // switched-off machines
 	unmovable       map[string]bool     // machines that the platform does not move
 	loans           scheduler.Loans     // as stored
@@ -84,7 +89,7 @@
 		allowed: map[string]bool{}, ackedTasks: map[scheduler.TaskID]bool{}, lastStarts: map[scheduler.TaskID]time.Time{}, unreachable: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, answersLost: map[string]bool{},
 		config:    scheduler.Config{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Pools: map[string]bool{}},
 		unmovable: map[string]bool{}, deadly: map[string]time.Duration{}, crashes: map[scheduler.TaskID]int{}, laterStarts: map[scheduler.TaskID]int{},
-		replaced: map[string]bool{}, counters: map[string]int{},
+		replaced: map[string]bool{}, counters: map[string]int{}, cancelled: map[string]bool{}, faulty: map[string]bool{},
 	}
 	w.began = w.now
 	w.startLeader()
@@ -101,7 +106,7 @@
 	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, Machines: true}, Epoch: w.epoch, LeadingSince: w.now, LastInheritedOffset: int64(len(w.jobs)) - 1}
 	w.feed(scheduler.ConfigChanged{Config: w.config})
 	for _, e := range slices.SortedFunc(maps.Values(w.jobs), func(a, b scheduler.Submitted) int { return cmp.Compare(a.Offset, b.Offset) }) {
-		e.Progress = w.stored[e.Job.ID]
+		e.Progress, e.Cancelled = w.stored[e.Job.ID], w.cancelled[e.Job.ID]
 		e.Occurrences = map[int]scheduler.Progress{}
 		for k := range e.Job.Times {
 			e.Occurrences[k] = w.stored[scheduler.OccurrenceID(e.Job.ID, k)]
@@ -474,6 +479,9 @@
 			return fmt.Errorf("at %v: worker %s runs %+v of %+v", w.now.Sub(w.began), id, used, v.info.Capacity)
 		}
 	}
+	if w.watch != nil {
+		return w.watch.check(w)
+	}
 	return nil
 }
 
