A job stands no longer because its tickets expire meanwhile

Callers of a queue with advice saw a job with nothing running for 3 s and more although the workers that it may use had room for it. Cause: the time for which a unit has stood counted only while its tickets were valid. With a validity under 2.3 s they expire before it has stood for 2 s, and each expiry began the time anew. Room now counts on all workers that were not denied, and only the placement needs the tickets, which the unit's ordinary requests renew within a tenth of a second.

--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -51,10 +51,13 @@
 // mayRun reports whether the label, the tickets and the other runs of a worker allow
 // the step there.
 func (p *pass) mayRun(u unit, w *worker) bool {
-	if !w.hasLabel(u.step.Label) {
-		return false
-	}
-	if u.job.queue.Advice != nil && !u.step.hasTicket(p.now, w) {
+	return (u.job.queue.Advice == nil || u.step.hasTicket(p.now, w)) && p.permitted(u, w)
+}
+
+// permitted reports whether a worker may run the step, given a ticket if its queue needs
+// advice and the worker was not denied.
+func (p *pass) permitted(u unit, w *worker) bool {
+	if !w.hasLabel(u.step.Label) || (u.job.queue.Advice != nil && u.step.deniedWorkers[w.ID]) {
 		return false
 	}
 	return p.s.colocationAllowed(p.now, u.step, w)
--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -61,12 +61,18 @@
 	if u.step.ampleSince.IsZero() {
 		u.step.ampleSince = p.now
 	}
+	if u.job.queue.Advice != nil {
+		workers = p.ticketedWorkers(u, workers)
+	}
 	if p.now.Sub(u.step.ampleSince) < maxStandingTime {
 		return
 	}
 	if !u.step.Gang {
 		r.Tasks = min(len(waiting), totalFitting(r, workers))
 	}
+	if r.Tasks == 0 {
+		return
+	}
 	at, ok := placer.Place(r, workers)
 	if !ok {
 		return
@@ -85,6 +91,17 @@
 	}
 }
 
+// ticketedWorkers returns the workers that a unit has tickets for.
+func (p *pass) ticketedWorkers(u unit, workers []placer.Worker) []placer.Worker {
+	var ticketed []placer.Worker
+	for _, v := range workers {
+		if u.step.hasTicket(p.now, p.s.workers[v.ID]) {
+			ticketed = append(ticketed, v)
+		}
+	}
+	return ticketed
+}
+
 // placeableTasks returns the waiting tasks of a unit that no suspicion holds back, none for
 // the rest of a gang that is being stopped.
 func (p *pass) placeableTasks(u unit) []int {
@@ -101,7 +118,7 @@
 	})
 }
 
-// standingWorkers returns the workers that may run a unit, with the resources that are
+// standingWorkers returns the workers that may run a unit, or may get a ticket for it, with the resources that are
 // neither in use nor reserved for urgent units. Workers that are excluded for the failures on
 // them are among them only if the others have no ample room.
 func (p *pass) standingWorkers(u unit, reserved map[string]placer.Resources) []placer.Worker {
@@ -109,7 +126,7 @@
 	placed := u.step.placedByWorker()
 	for _, id := range p.s.workerIDs {
 		w := p.s.workers[id]
-		if w.Service != u.job.queue.Service || w.aloneRuns > 0 || !w.reachable() || !p.mayRun(u, w) {
+		if w.Service != u.job.queue.Service || w.aloneRuns > 0 || !w.reachable() || !p.permitted(u, w) {
 			continue
 		}
 		v := placer.Worker{ID: id, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.free().Minus(reserved[id])}
