A job that stands asks for tickets for room that is reserved

Callers of a queue with advice saw a job stand for 3 s and more behind a gang that could not start. Cause: a request for advice names only workers with room that is not reserved, so a step that reservations keep out never gets a ticket, and a placement regardless of reservations has no worker to choose. After a second with ample room the step now asks for the workers that it may use regardless of reservations. The validity of the tickets was ruled out: the script has 9 s.

--- a/internal/jobs/scheduler/advice.go
+++ b/internal/jobs/scheduler/advice.go
@@ -79,6 +79,27 @@
 			}
 		}
 	}
+	p.sendAdvise(u, candidates, free)
+}
+
+// requestStandingAdvice asks which further workers of a unit that stands may run it.
+func (p *pass) requestStandingAdvice(u unit, r placer.Request, workers []placer.Worker) {
+	if p.s.adviceInFlight || p.now.Before(p.s.nextAdviceAt) {
+		return
+	}
+	var candidates []placer.Worker
+	free := map[string]int{}
+	for _, v := range workers {
+		if n := min(placer.TasksThatFit(r.PerTask, v.Free), r.Tasks); n > 0 && !u.step.hasTicket(p.now, p.s.workers[v.ID]) {
+			candidates = append(candidates, v)
+			free[v.Rack] += n
+		}
+	}
+	p.sendAdvise(u, candidates, free)
+}
+
+// sendAdvise asks about candidates, those in the racks with the most room first.
+func (p *pass) sendAdvise(u unit, candidates []placer.Worker, free map[string]int) {
 	if len(candidates) == 0 {
 		return
 	}
@@ -91,8 +112,8 @@
 	}
 	a := u.job.queue.Advice
 	e.Limit = time.Duration(a.DecideMS+a.PeriodMS*len(e.Workers)) * time.Millisecond
-	s.adviceInFlight = true
-	s.emit(e)
+	p.s.adviceInFlight = true
+	p.s.emit(e)
 }
 
 // handleAdviceResult records which workers may run a step. The set does not change
--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -14,6 +14,7 @@
 	maxStandingTime  = 2 * time.Second // leaves a second for the start
 	ampleRoomFactor  = 2               // times the unit must fit on the workers that may run it
 	maxStandingUnits = 32              // examined per pass
+	adviceWait       = time.Second     // for which a unit without tickets has ample room before its request passes over reservations
 )
 
 // placeStanding places units that have found no resources for maxStandingTime although there
@@ -62,7 +63,7 @@
 		u.step.ampleSince = p.now
 	}
 	if u.job.queue.Advice != nil {
-		workers = p.ticketedWorkers(u, workers)
+		workers = p.ticketedWorkers(u, r, workers)
 	}
 	if p.now.Sub(u.step.ampleSince) < maxStandingTime {
 		return
@@ -91,14 +92,18 @@
 	}
 }
 
-// ticketedWorkers returns the workers that a unit has tickets for.
-func (p *pass) ticketedWorkers(u unit, workers []placer.Worker) []placer.Worker {
+// ticketedWorkers returns the workers that a unit has tickets for, and asks for further ones
+// if it needs them.
+func (p *pass) ticketedWorkers(u unit, r placer.Request, workers []placer.Worker) []placer.Worker {
 	var ticketed []placer.Worker
 	for _, v := range workers {
 		if u.step.hasTicket(p.now, p.s.workers[v.ID]) {
 			ticketed = append(ticketed, v)
 		}
 	}
+	if totalFitting(r, ticketed) < r.Tasks && p.now.Sub(u.step.ampleSince) >= adviceWait {
+		p.requestStandingAdvice(u, r, workers)
+	}
 	return ticketed
 }
 
