A task starts again on the only worker that may run it

Callers saw a task that had failed once never start again, although the only worker with its label was idle. Cause: a step that is no gang avoided a worker on which it had failed for good as long as such workers were at most half of all usable ones of the service, whether the others may run it or not: the time after which the avoidance ends was noted for gangs and fillers only. It is noted for every step that finds no resources now, so all kinds end it after 2 s. The rule of ample room does not help here, as there is room for one task only.

--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -10,7 +10,7 @@
 
 const (
 	lateFactor      = 3               // objectives after which the completion of a job has no value
-	avoidFailedTime = 2 * time.Second // a gang that has waited for longer may use workers again on which it failed
+	avoidFailedTime = 2 * time.Second // a step that has waited for longer may use workers again on which it failed
 	urgentRackWait  = time.Second     // an urgent gang that has waited for longer gives up the rack constraint
 
 	// Which racks are large enough for a gang changes only with the usable workers.
@@ -180,6 +180,7 @@
 	single := r
 	single.Tasks = 1
 	if p.knownNotToFit(u.job.queue.Service, single) {
+		u.step.noteBlocked(p.now)
 		p.handleShortage(u, r)
 		return
 	}
@@ -199,8 +200,8 @@
 			u.step.reserved = nil
 			u.step.blockedSince = time.Time{}
 		}
-	} else if u.step.Filler && u.step.blockedSince.IsZero() {
-		u.step.blockedSince = p.now
+	} else {
+		u.step.noteBlocked(p.now)
 	}
 	if r.Tasks == 0 && u.unrestricted() {
 		p.failedRequests = append(p.failedRequests, failedRequest{u.job.queue.Service, single})
@@ -211,6 +212,13 @@
 	}
 }
 
+// noteBlocked notes that the step found too few resources.
+func (s *step) noteBlocked(now time.Time) {
+	if s.blockedSince.IsZero() {
+		s.blockedSince = now
+	}
+}
+
 // handleShortage tries to find resources for the tasks of a step that did not fit.
 func (p *pass) handleShortage(u unit, r placer.Request) {
 	if u.job.queue.Advice != nil {
@@ -235,9 +243,7 @@
 		at, ok = p.findPlacement(u, r)
 	}
 	if !ok {
-		if u.step.blockedSince.IsZero() {
-			u.step.blockedSince = p.now
-		}
+		u.step.noteBlocked(p.now)
 		if u.job.queue.Advice != nil {
 			p.requestAdvice(u, r)
 		}
