A failed search that left out stalled workers says nothing about other jobs

Callers saw batch jobs wait on workers that could have run them while an urgent job waited: urgent jobs are not placed on stalled workers, but that their search had failed was noted as if it had covered the whole service, so requests of the same size by other jobs were not tried in any pass. Only searches that covered every worker are noted now.

--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -17,6 +17,12 @@
 // unrestricted reports whether every worker of the service may run the unit.
 func (u unit) unrestricted() bool { return u.step.unconstrained() && u.job.queue.Advice == nil }
 
+// triesAll reports whether a search for resources for the unit covers every worker of the
+// service, so that its failure tells about other units.
+func (p *pass) triesAll(u unit) bool {
+	return u.unrestricted() && (!u.job.urgent() || !p.s.anyStalled(p.now))
+}
+
 // failedRequest is a request that did not fit. Free resources only shrink during a
 // pass, so requests that need as much or more are not tried.
 type failedRequest struct {
@@ -104,7 +110,7 @@
 		return nil, false
 	}
 	at, ok := placer.Place(r, p.eligibleWorkers(u))
-	if !ok && u.unrestricted() {
+	if !ok && p.triesAll(u) {
 		p.failedRequests = append(p.failedRequests, failedRequest{service, r})
 	}
 	return at, ok
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -203,7 +203,7 @@
 	} else {
 		u.step.noteBlocked(p.now)
 	}
-	if r.Tasks == 0 && u.unrestricted() {
+	if r.Tasks == 0 && p.triesAll(u) {
 		p.failedRequests = append(p.failedRequests, failedRequest{u.job.queue.Service, single})
 	}
 	if left := len(waiting) - r.Tasks; left > 0 {
