Reservations end when a queue moves to another service

Callers of an urgent queue that an operator moved to another service saw their gang stand: the workers reserved for it in the old service were kept, so it counted as served and no runs were stopped for it in the new one. Reserved workers of another service are dropped now. The script failed before (0 of 2 started after 2.7 s) and passes now.

--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -82,7 +82,7 @@
 	kept := map[string]int{}
 	u.step.reserved = slices.DeleteFunc(u.step.reserved, func(id string) bool {
 		w, ok := p.s.workers[id]
-		if !ok || !w.usable(p.now) || !u.step.Need.Times(kept[id]+1).Fits(p.s.freeable(w, u.job.urgent())) {
+		if !ok || w.Service != u.job.queue.Service || !w.usable(p.now) || !u.step.Need.Times(kept[id]+1).Fits(p.s.freeable(w, u.job.urgent())) {
 			return true
 		}
 		kept[id]++
