A search for runs to stop that can't succeed holds up no other job

Callers saw batch jobs stand with free workers while more than 30 urgent gangs waited that fit on idle workers, but not beside the long-running tasks there: each pass makes three searches for them, each is repeated after 200 ms, so the later ones never had theirs, and until it no other job of the service is placed. The rule of ample room ended that after 2 s.

A search that found nothing is now known to fail for all that need as much in the same pass; a unit whose own search has failed before postpones nobody; and one of the three searches of a pass is kept for units that have had none.

--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -8,10 +8,7 @@
 
 // knownNotToFit reports whether a request needs at least as much as one that failed.
 func (p *pass) knownNotToFit(service string, r placer.Request) bool {
-	return slices.ContainsFunc(p.failedRequests, func(f failedRequest) bool {
-		return f.service == service && r.Tasks >= f.request.Tasks && f.request.PerTask.Fits(r.PerTask) &&
-			(r.Adjacency == f.request.Adjacency || f.request.Adjacency == placer.AdjacencyNone)
-	})
+	return slices.ContainsFunc(p.failedRequests, func(f failedRequest) bool { return f.covers(service, r) })
 }
 
 // unrestricted reports whether every worker of the service may run the unit.
@@ -30,6 +27,12 @@
 	request placer.Request
 }
 
+// covers reports whether a request needs at least as much.
+func (f failedRequest) covers(service string, r placer.Request) bool {
+	return f.service == service && r.Tasks >= f.request.Tasks && f.request.PerTask.Fits(r.PerTask) &&
+		(r.Adjacency == f.request.Adjacency || f.request.Adjacency == placer.AdjacencyNone)
+}
+
 // eligibleWorkers returns the workers that may run the step, with their free
 // resources reduced to its limit per worker.
 func (p *pass) eligibleWorkers(u unit) []placer.Worker {
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -36,7 +36,9 @@
 	reservations       int                          // gangs with reserved resources
 	urgentAccelerators map[string]int               // held by or reserved for urgent jobs, by organisation
 	failedRequests     []failedRequest              // requests that did not fit in this pass
+	failedSearches     []failedSearch               // for runs to stop, in this pass
 	victimSearches     int                          // searches for runs to preempt or to wait for
+	repeatedSearches   int                          // of them, of units whose last search found nothing
 	postponed          map[string]bool              // services of units whose search is left to the next pass
 	borrowers          map[string][]placer.Borrower // runs that urgent units may stop, by service, once collected
 }
--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	maxVictimSearches = 3      // per pass; each examines all runs
-	maxReservations   = 2      // gangs with reserved resources at a time; more would leave workers idle
-	maxPreemptionCost = 3000.0 // core-seconds of others' work that an urgent job of mean size may cost outside its guarantee
+	maxVictimSearches   = 3      // per pass; each examines all runs
+	maxRepeatedSearches = 2      // of them, after one that found nothing
+	maxReservations     = 2      // gangs with reserved resources at a time; more would leave workers idle
+	maxPreemptionCost   = 3000.0 // core-seconds of others' work that an urgent job of mean size may cost outside its guarantee
 
 	searchRetryDelay = 200 * time.Millisecond // after a search that found nothing
 )
@@ -53,9 +54,15 @@
 		u.step.searchFailedAt = p.now
 		return false
 	}
-	if p.victimSearches >= maxVictimSearches {
+	first := u.step.searchFailedAt.IsZero()
+	switch {
+	case first && p.victimSearches >= maxVictimSearches:
 		p.postponed[u.job.queue.Service] = true
 		return false
+	case !first && (p.victimSearches >= maxVictimSearches || p.repeatedSearches >= maxRepeatedSearches):
+		return false // stopping runs did not free enough, so others may start meanwhile
+	case !first:
+		p.repeatedSearches++
 	}
 	p.victimSearches++
 	return true
@@ -135,11 +142,15 @@
 // yet, and reports whether all of them have one then. If no resources can be added to the
 // reserved ones, all are chosen anew.
 func (p *pass) freeResources(u unit, r placer.Request, missing int) bool {
+	need := r.Tasks * u.step.Need.Accelerators
+	withinGuarantee := p.urgentAccelerators[u.job.Organisation]+need <= p.s.config.Guaranteed[u.job.Organisation]
+	if p.knownNotToBeFreed(u, r, withinGuarantee) {
+		u.step.searchFailedAt = p.now
+		return false
+	}
 	if !p.maySearch(u) {
 		return false
 	}
-	need := r.Tasks * u.step.Need.Accelerators
-	withinGuarantee := p.urgentAccelerators[u.job.Organisation]+need <= p.s.config.Guaranteed[u.job.Organisation]
 	borrowers := p.preemptibleRuns(u, preemptionCost)
 	if withinGuarantee {
 		borrowers = append(slices.Clip(borrowers), p.preemptibleLongRunning(u)...)
@@ -160,6 +171,9 @@
 	for _, v := range victims {
 		cost += v.Cost
 	}
+	if !ok && p.triesAll(u) {
+		p.failedSearches = append(p.failedSearches, failedSearch{failedRequest{u.job.queue.Service, r}, withinGuarantee})
+	}
 	if !ok || (!withinGuarantee && cost > maxPreemptionCost*p.s.relativeValue(u.job)) {
 		u.step.searchFailedAt = p.now
 		return false
@@ -171,6 +185,21 @@
 	return true
 }
 
+// failedSearch is a search for runs to stop for an urgent request that found none.
+type failedSearch struct {
+	failedRequest
+
+	withinGuarantee bool // long-running tasks could have been stopped too
+}
+
+// knownNotToBeFreed reports whether stopping runs does not free enough for a unit, as it did
+// not for a request of the same pass that needs no more.
+func (p *pass) knownNotToBeFreed(u unit, r placer.Request, withinGuarantee bool) bool {
+	return slices.ContainsFunc(p.failedSearches, func(f failedSearch) bool {
+		return f.covers(u.job.queue.Service, r) && (f.withinGuarantee || !withinGuarantee)
+	})
+}
+
 // besideReserved returns the workers that may run the rest of a unit, without the resources
 // reserved for it: those of the same rack if it needs one.
 func (p *pass) besideReserved(u unit, r placer.Request) []placer.Worker {
