Only gangs that reserve something count against the limit of reservations

Callers saw a wide gang starve beside small jobs: two gangs that no worker can hold, and that last until they are cancelled, counted as the two that may reserve workers in every pass, though they reserved nothing, so the gang behind them got no reservation. A reservation is counted when it is made or kept now.

--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -28,7 +28,6 @@
 	if p.reservations >= maxReservations {
 		return
 	}
-	p.reservations++
 	if p.keepReserved(u, r.Tasks) > 0 {
 		u.step.reserved = nil
 		if !p.maySearch(u) {
@@ -41,6 +40,7 @@
 		}
 		u.step.reserved = at
 	}
+	p.reservations++
 	p.reserve(u)
 }
 
