A job that stands is seen among hundreds that wait

Callers could see a job stand for 3.1 s behind 500 waiting jobs, and for 9 s behind 3,000: 32 units were examined per pass for whether they stand, in turn. The limit is now a number of workers that are looked at, 1,000 units at 48 workers, and the look that sorts out most units allocates nothing.

--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -11,9 +11,9 @@
 // and reservations of other units hold it back for a limited time while there is ample room
 // for it: the platform forbids that a job stands for 3 s then.
 const (
-	maxStandingTime  = 2 * time.Second // leaves a second for the start
-	ampleRoomFactor  = 2               // times the unit must fit on the workers that may run it
-	maxStandingUnits = 32              // examined per pass
+	maxStandingTime = 2 * time.Second // leaves a second for the start
+	ampleRoomFactor = 2               // times the unit must fit on the workers that may run it
+	maxRoomLooks    = 50_000          // workers that are examined per pass for all units together: about a millisecond
 )
 
 // placeStanding places units that have found no resources for maxStandingTime although there
@@ -39,9 +39,9 @@
 		}
 		waiting = append(waiting, u)
 	}
-	if len(waiting) > maxStandingUnits { // those examined last are examined again in a later pass
+	if most := 1 + maxRoomLooks/(1+len(p.s.workerIDs)); len(waiting) > most { // the others follow in later passes
 		slices.SortStableFunc(waiting, func(a, b unit) int { return a.step.roomCheckedAt.Compare(b.step.roomCheckedAt) })
-		waiting = waiting[:maxStandingUnits]
+		waiting = waiting[:most]
 	}
 	reserved := urgentReservations(units)
 	for _, u := range waiting {
@@ -58,6 +58,10 @@
 // placeIfStanding places a unit if it has stood for long enough; of a step that is no gang,
 // all tasks that fit in a lightly used service, else one.
 func (p *pass) placeIfStanding(u unit, reserved map[string]placer.Resources, light bool) {
+	if n := p.s.roomFor(p.now, u); n.usable+n.unusable < ampleRoomFactor*u.step.tasksAtOnce() {
+		u.step.ampleSince = time.Time{}
+		return
+	}
 	waiting := p.placeableTasks(u)
 	workers := p.standingWorkers(u, reserved)
 	r := placer.Request{Tasks: u.step.tasksAtOnce(), PerTask: u.step.Need, Adjacency: placer.AdjacencyNone}
