Lines about waiting tasks name every suspect and hide no job

Operators would not have found two kinds of standing job: a task that waits apart as a suspect was reported with the condition none if it was not the first of its step, and a job behind 400 waiting ones got no line at all, as the 20 lines of a report went to the same first jobs every 10 s. The patience of each waiting task counts now, and first lines go before repeated ones. Both scripts of testdata/waits.txtar failed before and pass now.

--- a/internal/jobs/scheduler/waits.go
+++ b/internal/jobs/scheduler/waits.go
@@ -113,7 +113,7 @@
 		return
 	}
 	s.waitsReportedAt = now
-	left := maxWaitsReported
+	var due []unit
 	for _, j := range s.active {
 		if now.Before(j.notBefore) {
 			continue
@@ -126,11 +126,19 @@
 			if st.wait.since.IsZero() {
 				st.wait.since = now
 			}
-			if left > 0 && now.Sub(st.wait.since) >= minReportedWait && s.reportWait(now, p, unit{j, i, st}) {
-				left--
+			if now.Sub(st.wait.since) >= minReportedWait {
+				due = append(due, unit{j, i, st})
 			}
 		}
 	}
+	// First lines go before repeated ones, so that none is hidden by the waits of many others.
+	slices.SortStableFunc(due, func(a, b unit) int { return a.step.wait.loggedAt.Compare(b.step.wait.loggedAt) })
+	left := maxWaitsReported
+	for _, u := range due {
+		if left > 0 && s.reportWait(now, p, u) {
+			left--
+		}
+	}
 }
 
 // reportWait logs why the tasks of a unit wait, if the condition has changed or was last
@@ -168,7 +176,7 @@
 	switch {
 	case u.step.Gang && u.step.waiting < len(u.step.tasks):
 		return conditionGangStops
-	case u.step.suspected(u.step.waitingTasks()) && p.now.Sub(u.step.tasks[0].apartSince) < u.step.highestLevel().Patience():
+	case u.step.waitsApart(p.now):
 		return conditionQuarantine
 	case n.empty < need:
 		return conditionTooLarge
@@ -181,6 +189,23 @@
 	}
 }
 
+// waitsApart reports whether a suspicion still holds back all waiting tasks of the step, or the
+// gang.
+func (s *step) waitsApart(now time.Time) bool {
+	held := func(t *task, level quarantiner.Level) bool {
+		return level > quarantiner.Anywhere && !t.apartSince.IsZero() && now.Sub(t.apartSince) < level.Patience()
+	}
+	if s.Gang {
+		return held(&s.tasks[0], s.highestLevel())
+	}
+	for _, i := range s.waitingTasks() {
+		if !held(&s.tasks[i], s.tasks[i].suspicion.Level()) {
+			return false
+		}
+	}
+	return true
+}
+
 // preferenceOf returns which rule other than free resources keeps a unit from being placed.
 func (p *pass) preferenceOf(u unit, need int) condition {
 	request := placer.Request{Tasks: need, PerTask: u.step.Need, Adjacency: placer.AdjacencyNone}
