An evacuation ends when the list of machines is not available

Callers saw jobs stand in an idle service while a wave of upkeep evacuated machines and the platform's list of machines got no answer: machines go on with their upkeep on a fresh list only, and meanwhile their workers took no tasks, for as long as the outage lasted. An evacuation that goes on for over 3 s without a fresh list is suspended now; it begins again 5 s later at the soonest.

--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -12,6 +12,7 @@
 const (
 	listInterval      = 700 * time.Millisecond // between requests for the list of machines while a wave is in progress
 	evacuationTimeout = 3 * time.Second        // for which runs without checkpoints may continue on a machine before its upkeep
+	evacuationPause   = 5 * time.Second        // after an evacuation that was suspended
 	upkeepRetryDelay  = 500 * time.Millisecond // before a call without an answer is sent again
 	upkeepBeginTime   = 500 * time.Millisecond // after which a machine whose upkeep was requested is listed as in upkeep
 )
@@ -97,6 +98,8 @@
 	since    time.Time
 	worker   string // worker of the machine when its evacuation began
 	inFlight bool   // a call is in flight
+
+	suspendedUntil time.Time // no evacuation before
 }
 
 // wave is a wave with the state of its machines.
@@ -136,7 +139,8 @@
 		}
 		s.requestMachines(now)
 		if now.Sub(s.machinesListedAt) > maxMachineListAge || s.recovering {
-			return // the machines may have other workers by now
+			s.suspendEvacuations(now, v)
+			continue // the machines may have other workers by now
 		}
 		s.advanceWave(now, v)
 	}
@@ -160,7 +164,7 @@
 		u := v.machines[id]
 		switch u.phase {
 		case phaseWaiting:
-			if started < v.MaxDown {
+			if started < v.MaxDown && !now.Before(u.suspendedUntil) {
 				started++
 				s.evacuate(now, v, id, u)
 			}
@@ -183,6 +187,24 @@
 	}
 }
 
+// suspendEvacuations lets the machines of a wave run tasks again whose evacuation goes on for
+// long because the list of machines is not available.
+func (s *Scheduler) suspendEvacuations(now time.Time, v *wave) {
+	for id, u := range v.machines {
+		evacuated := u.phase == phaseEvacuating || (u.phase == phaseRequested && !u.inFlight)
+		if evacuated && now.Sub(u.since) > evacuationTimeout {
+			s.suspendEvacuation(now, v, id, u)
+		}
+	}
+}
+
+// suspendEvacuation ends an evacuation for evacuationPause at least.
+func (s *Scheduler) suspendEvacuation(now time.Time, v *wave, id string, u *upkeep) {
+	s.logDecision(Decision{Message: "evacuation of a machine is suspended", Worker: u.worker, Details: Details{detailMachine: id, detailWave: v.Number, detailAfterMS: now.Sub(u.since).Milliseconds()}})
+	u.phase, u.since, u.suspendedUntil = phaseWaiting, now, now.Add(evacuationPause)
+	s.endEvacuation(u.worker)
+}
+
 // machinesByLoad returns the machines of a wave, those with the fewest runs first.
 func (s *Scheduler) machinesByLoad(v *wave) []string {
 	load := func(id string) int {
