An evacuation ends when a long-running task can't move

Callers saw jobs stand in an idle service: a machine stays evacuated until its long-running tasks have moved, and of a step of which too many tasks are unavailable none may move. With a step that is never whole the worker took no tasks for good, and the wave never went on with its other machines. An evacuation without the end of a run for 6 s is suspended now, so that the worker takes tasks and another machine of the wave has its turn; it begins again 5 s later at the soonest. The wave may be late, as before: the tasks that may not be stopped go first.

--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	listInterval      = 700 * time.Millisecond // between requests for the list of machines while a wave is in progress
-	evacuationTimeout = 3 * time.Second        // for which runs without checkpoints may continue on a machine before its upkeep
-	evacuationPause   = 5 * time.Second        // after an evacuation that was suspended
-	upkeepRetryDelay  = 500 * time.Millisecond // before a call without an answer is sent again
-	upkeepBeginTime   = 500 * time.Millisecond // after which a machine whose upkeep was requested is listed as in upkeep
+	listInterval       = 700 * time.Millisecond // between requests for the list of machines while a wave is in progress
+	evacuationTimeout  = 3 * time.Second        // for which runs without checkpoints may continue on a machine before its upkeep
+	maxEvacuationStall = 6 * time.Second        // without the end of a run on a machine whose long-running tasks have to move
+	evacuationPause    = 5 * time.Second        // after an evacuation that was suspended
+	upkeepRetryDelay   = 500 * time.Millisecond // before a call without an answer is sent again
+	upkeepBeginTime    = 500 * time.Millisecond // after which a machine whose upkeep was requested is listed as in upkeep
 )
 
 // Wave is a request for the upkeep of machines.
@@ -100,6 +101,8 @@
 	inFlight bool   // a call is in flight
 
 	suspendedUntil time.Time // no evacuation before
+	runs           int       // on the worker, as seen last
+	progressAt     time.Time // when that number last changed
 }
 
 // wave is a wave with the state of its machines.
@@ -221,7 +224,7 @@
 // evacuate withholds new tasks from a machine and stops the runs that can resume
 // elsewhere from a checkpoint.
 func (s *Scheduler) evacuate(now time.Time, v *wave, id string, u *upkeep) {
-	u.phase, u.since, u.worker = phaseEvacuating, now, s.machines[id].Worker
+	u.phase, u.since, u.worker, u.progressAt = phaseEvacuating, now, s.machines[id].Worker, now
 	s.logDecision(Decision{Message: "machine is evacuated for upkeep", Worker: u.worker, Details: Details{detailMachine: id, detailWave: v.Number}})
 	w, ok := s.workers[u.worker]
 	if !ok {
@@ -237,18 +240,28 @@
 }
 
 // beginUpkeep requests the upkeep of a machine that is idle or has been evacuating
-// for evacuationTimeout. Long-running tasks are moved first, however long that
-// takes.
+// for evacuationTimeout. Long-running tasks are moved first. If one can't move, as too many of
+// its step are unavailable, the evacuation is suspended.
 func (s *Scheduler) beginUpkeep(now time.Time, v *wave, id string, u *upkeep) {
-	if w, ok := s.workers[u.worker]; ok {
-		if now.Sub(u.since) < evacuationTimeout && len(w.runs) > 0 {
-			return
+	w, ok := s.workers[u.worker]
+	if !ok {
+		s.sendUpkeep(now, v, id, u)
+		return
+	}
+	if n := len(w.runs); n != u.runs {
+		u.runs, u.progressAt = n, now
+	}
+	if now.Sub(u.since) < evacuationTimeout && len(w.runs) > 0 {
+		return
+	}
+	for _, p := range w.order {
+		if !s.isLongRunning(p) {
+			continue
 		}
-		for _, p := range w.runs {
-			if _, st, t := s.findTask(p.task); t != nil && st.LongRunning {
-				return
-			}
+		if now.Sub(u.progressAt) > maxEvacuationStall {
+			s.suspendEvacuation(now, v, id, u)
 		}
+		return
 	}
 	s.sendUpkeep(now, v, id, u)
 }
