--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -208,7 +208,7 @@
 	detailMachine = "machine"
 	detailOutcome = "outcome"
 	detailRuns    = "runs"
-	detailStep    = "step"
+	detailStep    = "job-step" // "step" is the step of the program that logs
 	detailWave    = "wave"
 )
 
--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -114,7 +114,7 @@
 	server := httptest.NewServer(v.storeProxy)
 	s.t.Cleanup(server.Close)
 	v.settings = platform.Settings{
-		VM: name, Callers: freeAddress(s.t), Readiness: freeAddress(s.t), Peers: freeAddress(s.t),
+		VM: name, Callers: freeAddress(s.t), Readiness: freeAddress(s.t), Peers: freeAddress(s.t), Metrics: freeAddress(s.t),
 		MachineService: s.machineServiceAddress, Advice: s.adviceAddress,
 		Store: server.Listener.Addr().String(), Lease: 10 * time.Second, Grace: 6 * time.Second,
 		Heartbeat: 1500 * time.Millisecond,
