A panic while an effect is executed ends the leadership

The pool that executes effects recovers from panics and nobody reads what it recovered: the result of the effect never came. A worker whose hold was lost so was left out, a lost store held up all later ones, and a lost call for advice all advice, for the rest of the term and without a line in the log. No such panic is known; it was found while looking for results that can stay away, and the other ways are bounded: every call has a time-out, and a result can't be dropped but with its term.

A panic now ends the term with an error that names the effect and the place, and the VM leads anew. Before, the new test ran into its time-out of 5 s.

--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -287,8 +288,14 @@
 	c.pacer.Observe(o != scheduler.OutcomeUnknown)
 }
 
-// execute executes one effect and posts its result.
+// execute executes one effect and posts its result. The scheduler would wait for the result
+// of one that panicked for ever, so the leadership ends then.
 func (c *Commander) execute(l *leadership, f scheduler.Effect) {
+	defer func() {
+		if v := recover(); v != nil {
+			l.cancel(fmt.Errorf("execute %T: panic: %v\n%s", f, v, debug.Stack()))
+		}
+	}()
 	switch f := f.(type) {
 	case scheduler.Hold:
 		c.hold(l, f)
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -120,3 +121,23 @@
 		})
 	}
 }
+
+// The pool recovers from panics. A worker whose hold never gets a result would be left out,
+// and a store without one would hold up all others, for the rest of the term.
+func TestPanicOfAnEffectEndsTheLeadership(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	c := &commander.Commander{
+		Hold: func(context.Context, scheduler.Hold, time.Duration) scheduler.HoldResult {
+			panic("malformed answer")
+		},
+		LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
+	}
+	s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+	err := c.Lead(ctx, s, func() []scheduler.Event {
+		return []scheduler.Event{scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{ID: "w", Address: "w", Service: "s", StartedMS: 1}}}}
+	})
+	is.NoErr(ctx.Err()) // the term has ended by itself
+	is.True(strings.Contains(err.Error(), "malformed answer"))
+}
