A term ends only after its last read of the list of workers

The goroutine that follows the list of workers for the scheduler was not waited for at the end of a term. A read that it had just finished, or a process that was stopped right then, could post an old list once the same VM led again. The scheduler would take the workers that it lacks for gone, and would be told of the list again only when an entry changed: until then sound workers got no tasks and jobs stood. Only truly parallel threads, or a paused process, show this order; nothing suggests that it was the case in the record, where no VM led twice in one process.

The term now waits for that goroutine, whose calls end with the term. The new test holds a read open: before, the term ended while it was open.

--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -250,10 +250,13 @@
 	a.commander.DeleteJobs = w.deleteJobs
 	x, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var following sync.WaitGroup
 	err := a.commander.Lead(x, s, func() []scheduler.Event {
-		go a.followWorkers(x)
+		following.Go(func() { a.followWorkers(x) })
 		return append(a.initialEvents(), scheduler.WavesChanged{Waves: storedWaves}, scheduler.LoansRestored{Loans: loans})
 	})
+	cancel()
+	following.Wait() // a list that was read in this term must not reach the next one
 	l.WithError(err).WithField("after-ms", a.Now().Sub(began).Milliseconds()).Info("leadership ended")
 }
 
