A store of an ended term does not reach the writer of the next one

Effects may wait for a slot until after their term. Store and DeleteJobs took the commander's functions only when they ran, and the next term of the same VM had replaced these: progress that the earlier term knew went to the writer with the new epoch (the new test shows it, with all slots taken by starts), and the fields were written while they might be read. What saved the stored progress is that the ended term's context is cancelled, so the real client sends nothing.

A term now keeps the functions that it began with.

--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -58,6 +58,10 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	events chan postedEvent
+
+	// Those of the Commander when the term began: the next term has others.
+	storeProgress func(context.Context, map[string]scheduler.Progress) error
+	deleteJobs    func(ctx context.Context, jobs []string)
 }
 
 // postedEvent is an event with the time at which it was posted.
@@ -117,7 +121,7 @@
 func (c *Commander) Lead(ctx context.Context, s *scheduler.Scheduler, initial func() []scheduler.Event) error {
 	x, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	l := &leadership{ctx: x, cancel: cancel, events: make(chan postedEvent, queueSize)}
+	l := &leadership{ctx: x, cancel: cancel, events: make(chan postedEvent, queueSize), storeProgress: c.StoreProgress, deleteJobs: c.DeleteJobs}
 	c.mu.Lock()
 	c.current = l
 	c.mu.Unlock()
@@ -326,13 +330,13 @@
 	case scheduler.StoreLoans:
 		c.StoreLoans(l.ctx, f)
 	case scheduler.Store:
-		if err := c.StoreProgress(l.ctx, f.Progress); err != nil {
+		if err := l.storeProgress(l.ctx, f.Progress); err != nil {
 			l.cancel(err)
 			return
 		}
 		c.postTo(l, scheduler.Stored{})
 	case scheduler.DeleteJobs:
-		c.DeleteJobs(l.ctx, f.Jobs)
+		l.deleteJobs(l.ctx, f.Jobs)
 	}
 }
 
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,3 +142,61 @@
 	is.NoErr(ctx.Err()) // the term has ended by itself
 	is.True(strings.Contains(err.Error(), "malformed answer"))
 }
+
+// An effect may wait for a slot until its term has ended and this VM leads again. It must not
+// store the progress that the earlier term knew as the later one.
+func TestStoreOfAnEndedTermDoesNotReachTheNextOne(t *testing.T) {
+	is := is.New(t)
+	const tasks = 600 // more starts than there are slots
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	release, stored := make(chan struct{}), make(chan string, tasks)
+	var starts, open atomic.Int64
+	store := func(term string) func(context.Context, map[string]scheduler.Progress) error {
+		return func(context.Context, map[string]scheduler.Progress) error {
+			stored <- term
+			return nil
+		}
+	}
+	c := &commander.Commander{
+		Hold: func(_ context.Context, h scheduler.Hold, _ time.Duration) scheduler.HoldResult {
+			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli(), StartedMS: 1}
+		},
+		Start: func(_ context.Context, s scheduler.Start, _ time.Duration) scheduler.StartResult {
+			if starts.Add(1) > 1 {
+				open.Add(1)
+				<-release
+			}
+			return scheduler.StartResult{Start: s, Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli()}
+		},
+		StoreProgress: store("first"),
+		LogDecision:   func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
+	}
+	queue := scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 3, ObjectiveMS: 1000}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: time.Now(), ConfirmedAt: time.Now().Add(time.Hour), LastInheritedOffset: -1}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- c.Lead(ctx, s, func() []scheduler.Event {
+			return []scheduler.Event{
+				scheduler.ConfigChanged{Config: scheduler.Config{Queues: map[string]scheduler.Queue{"q": queue}}},
+				scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{ID: "w", Address: "w", Service: "s", Rack: "r", StartedMS: 1, Capacity: placer.Resources{MilliCores: 1e6, MemoryMB: 1e6, Accelerators: tasks}}}},
+				scheduler.Submitted{Job: scheduler.Job{
+					ID: "j", Queue: "q", Organisation: "o", AcceptedMS: time.Now().UnixMilli(), QueueConfig: queue,
+					Steps: []scheduler.Step{{Tasks: tasks, Need: placer.Resources{MilliCores: 1, MemoryMB: 1, Accelerators: 1}, EstimateMS: 60000}},
+				}},
+			}
+		})
+	}()
+	for range 500 { // until all slots are taken
+		if open.Load() == 512 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond) // the progress of the started task is due
+	cancel()
+	is.True(<-ended != nil)
+	c.StoreProgress = store("second")
+	close(release)
+	is.Equal(<-stored, "first")
+}
