A deleted job does not return with a late reader of the topic

Two goroutines of a VM read the topic of jobs. If a process is paused for longer than ended jobs are kept (150 s) with a page in hand that it has not applied, the other reader may first apply the job and its deletion; the page then brought the job back. As its progress is deleted too, the VM would have run the job again as soon as it led. The new test shows the job's return on the code before.

Every read begins at or before the registrar's next offset, so whatever lies before that has been applied, and is now skipped.

--- a/internal/jobs/registrar/registrar.go
+++ b/internal/jobs/registrar/registrar.go
@@ -96,7 +96,11 @@
 	var submitted []Entry
 	var cancelled []string
 	slices.SortStableFunc(b.Records, func(a, b accessor.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	applied := r.next[TopicJobs]
 	for _, v := range b.Records {
+		if v.Offset < applied {
+			continue // a late reader's: the job may have been deleted since
+		}
 		id, isJob := strings.CutPrefix(v.Key, jobPrefix)
 		if isJob {
 			if e, ok := r.applyJob(id, v); ok {
--- a/internal/jobs/registrar/registrar_test.go
+++ b/internal/jobs/registrar/registrar_test.go
@@ -76,3 +76,17 @@
 	<-second
 	is.Equal(reported, []string{"submitted", "cancelled"})
 }
+
+// A reader that was paused may apply a job that another one has read and seen deleted since.
+// Its progress is deleted too, so a leader would run the job again.
+func TestDeletedJobDoesNotReturnWithALateReader(t *testing.T) {
+	is := is.New(t)
+	r := registrar.New()
+	job := accessor.Record{Key: "job/j", Value: []byte(`{"id":"j","steps":[{"tasks":1}]}`)}
+	r.ApplyJobs(tailer.Batch{Records: []accessor.Record{job, {Offset: 1, Key: "job/j"}}, Next: 2})
+	r.ApplyJobs(tailer.Batch{Records: []accessor.Record{job}, Next: 1})
+	is.Equal(len(r.Entries()), 0)
+	job.Offset = 2 // submitted again
+	r.ApplyJobs(tailer.Batch{Records: []accessor.Record{job}, Next: 3})
+	is.Equal(len(r.Entries()), 1)
+}
