--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -57,6 +58,10 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	events chan postedEvent
+
+	// Those of the Commander when the term began: the next term has others.
+	storeProgress func(context.Context, map[string]scheduler.Progress) error
+	deleteJobs    func(ctx context.Context, jobs []string)
 }
 
 // postedEvent is an event with the time at which it was posted.
@@ -116,7 +121,7 @@
 func (c *Commander) Lead(ctx context.Context, s *scheduler.Scheduler, initial func() []scheduler.Event) error {
 	x, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	l := &leadership{ctx: x, cancel: cancel, events: make(chan postedEvent, queueSize)}
+	l := &leadership{ctx: x, cancel: cancel, events: make(chan postedEvent, queueSize), storeProgress: c.StoreProgress, deleteJobs: c.DeleteJobs}
 	c.mu.Lock()
 	c.current = l
 	c.mu.Unlock()
@@ -287,8 +292,14 @@
 	c.pacer.Observe(o != scheduler.OutcomeUnknown)
 }
 
-// execute executes one effect and posts its result.
+// execute executes one effect and posts its result. The scheduler would wait for the result
+// of one that panicked for ever, so the leadership ends then.
 func (c *Commander) execute(l *leadership, f scheduler.Effect) {
+	defer func() {
+		if v := recover(); v != nil {
+			l.cancel(fmt.Errorf("execute %T: panic: %v\n%s", f, v, debug.Stack()))
+		}
+	}()
 	switch f := f.(type) {
 	case scheduler.Hold:
 		c.hold(l, f)
@@ -319,13 +330,13 @@
 	case scheduler.StoreLoans:
 		c.StoreLoans(l.ctx, f)
 	case scheduler.Store:
-		if err := c.StoreProgress(l.ctx, f.Progress); err != nil {
+		if err := l.storeProgress(l.ctx, f.Progress); err != nil {
 			l.cancel(err)
 			return
 		}
 		c.postTo(l, scheduler.Stored{})
 	case scheduler.DeleteJobs:
-		c.DeleteJobs(l.ctx, f.Jobs)
+		l.deleteJobs(l.ctx, f.Jobs)
 	}
 }
 
