A job that stands is placed after 1.5 s

A new leader may read a job up to a second after it was accepted, so with 2 s of standing and the start a job came within 0.3 s of the platform's 3 s (2,679 ms in a cluster test). The log field of the job's step no longer hides the step of the program.

--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -11,9 +11,9 @@
 // and reservations of other units hold it back for a limited time while there is ample room
 // for it: the platform forbids that a job stands for 3 s then.
 const (
-	maxStandingTime = 2 * time.Second // leaves a second for the start
-	ampleRoomFactor = 2               // times the unit must fit on the workers that may run it
-	maxRoomLooks    = 50_000          // workers that are examined per pass for all units together: about a millisecond
+	maxStandingTime = 1500 * time.Millisecond // leaves the rest for a new leader to read the job, and for the start
+	ampleRoomFactor = 2                       // times the unit must fit on the workers that may run it
+	maxRoomLooks    = 50_000                  // workers that are examined per pass for all units together: about a millisecond
 )
 
 // placeStanding places units that have found no resources for maxStandingTime although there
@@ -90,7 +90,7 @@
 	}
 	p.s.logDecision(Decision{
 		Message: "standing tasks are placed regardless of preferences", Counter: "standing-units-placed", Job: u.job.ID,
-		Details: Details{"step": u.index, "tasks": r.Tasks, "stood-ms": p.now.Sub(u.step.ampleSince).Milliseconds(), "condition": u.step.wait.condition},
+		Details: Details{detailStep: u.index, "tasks": r.Tasks, "stood-ms": p.now.Sub(u.step.ampleSince).Milliseconds(), "condition": u.step.wait.condition},
 	})
 	if u.step.Gang {
 		p.startGang(u, waiting, at)
--- a/internal/jobs/scheduler/waits.go
+++ b/internal/jobs/scheduler/waits.go
@@ -160,7 +160,7 @@
 	s.logDecision(Decision{
 		Message: "tasks wait", Counter: "waits-" + string(c), Job: u.job.ID,
 		Details: Details{
-			"condition": c, "step": u.index, "tasks": u.step.waiting, "at-once": u.step.tasksAtOnce(), "need": needString(u.step.Need),
+			"condition": c, detailStep: u.index, "tasks": u.step.waiting, "at-once": u.step.tasksAtOnce(), "need": needString(u.step.Need),
 			"room": n.usable, "room-unusable": n.unusable, "waiting-ms": now.Sub(v.since).Milliseconds(),
 			"condition-ms": now.Sub(v.conditionSince).Milliseconds(), "in-use-percent": s.usage(u.job.queue.Service).percent(),
 			"unusable": s.unusableWorkers(now, u.job.queue.Service),
