Ends are acknowledged after a VM's clock is set forward

When an answer can have been sent is computed from the answer before and the worker's clock. That time was carried from answer to answer with the wall clock of the first one, so after the VM's wall clock was set forward by over 2 s all later answers seemed as old as the step, and no end was acknowledged any more, for as long as the worker's clock ran as fast as the leader's. The worker was looked at again and again, and once it listed 500 ends it would list no more: its room was then never given back.

The time is now the send time of the present call plus what has passed since by the clock that advanced less. For a VM that was suspended, whose monotonic clock stood, this is the wall clock as before.

--- a/internal/jobs/scheduler/confirm.go
+++ b/internal/jobs/scheduler/confirm.go
@@ -60,3 +60,8 @@
 func elapsed(b, a time.Time) time.Duration {
 	return max(b.Sub(a), b.Round(0).Sub(a.Round(0)))
 }
+
+// leastElapsed returns the time from a to b by the clock that advanced less.
+func leastElapsed(b, a time.Time) time.Duration {
+	return min(b.Sub(a), b.Round(0).Sub(a.Round(0)))
+}
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -132,9 +132,8 @@
 func (w *worker) noteAnswerTime(e HoldResult) {
 	at := e.Sent
 	if sinceLast := e.ClockMS - w.answerClockMS; w.answerClockMS != 0 && sinceLast >= 0 {
-		if t := w.answeredAt.Add(time.Duration(sinceLast) * time.Millisecond); t.After(at) {
-			at = t
-		}
+		t := w.answeredAt.Add(time.Duration(sinceLast) * time.Millisecond)
+		at = at.Add(max(0, leastElapsed(t, at))) // t would keep a wall clock that was set since
 	}
 	w.answeredAt, w.answerClockMS = at, e.ClockMS
 }
