A job that was read in doubt starts after the next renewal if the clock was set back

A job or a restarted worker that a leader finds when its last confirmed renewal is over 2.4 s old waits for one that succeeds. Whether a renewal covers it was decided by the clock that advanced more, and if the wall clock was set back between the two, the renewal seemed earlier by the step: the job, or the whole worker, was left out for as long as the step, while jobs read later started. The new test does it with a step of an hour.

A renewal that was sent after the job was read by the monotonic clock, which never goes back, now always covers it. The clock that advanced more still decides in the other direction, where a suspended VM could believe to lead.

--- a/internal/jobs/scheduler/clockstep_test.go
+++ b/internal/jobs/scheduler/clockstep_test.go
@@ -77,3 +77,16 @@
 	}
 	is.Equal(last, int64(1))
 }
+
+// A job that is read while the leadership is uncertain must start after the next renewal,
+// whatever happens to the wall clock in between.
+func TestUnconfirmedJobStartsAfterTheClockIsSetBack(t *testing.T) {
+	is := is.New(t)
+	began := time.Now()
+	w := newStepWorld(began)
+	w.answer(2900*time.Millisecond, 2900*time.Millisecond)
+	is.Equal(startedOn(w.submit(3*time.Second, "a")), nil) // no renewal for 3 s
+	w.at = func(d time.Duration) time.Time { return wallStepped(began.Add(d), -3600) }
+	f := w.s.Reduce(w.at(3500*time.Millisecond), scheduler.Confirmed{Sent: w.at(3400 * time.Millisecond)}, scheduler.Ticked{})
+	is.Equal(startedOn(f), []string{"w"})
+}
--- a/internal/jobs/scheduler/confirm.go
+++ b/internal/jobs/scheduler/confirm.go
@@ -48,9 +48,10 @@
 	return time.Time{}
 }
 
-// clearUnconfirmed clears the time if the last successful renewal covers it.
+// clearUnconfirmed clears the time if the last successful renewal covers it. A renewal that
+// was sent later does, even if the wall clock was set back between the two.
 func (s *Scheduler) clearUnconfirmed(since *time.Time) {
-	if !since.IsZero() && elapsed(*since, s.ConfirmedAt) <= confirmWindow {
+	if !since.IsZero() && (!s.ConfirmedAt.Before(*since) || elapsed(*since, s.ConfirmedAt) <= confirmWindow) {
 		*since = time.Time{}
 	}
 }
