A new leader reads the operator's topic before its scheduler starts

A VM whose process restarted claims its own leadership at once, and need not have read the configuration and the waves by then: it follows each topic apart, and one lost answer delays a topic by 2 s. A leader without them also left out the stored progress of waves and the machine loans. Waves that came later then began anew, and machines whose upkeep was over were evacuated again; loans were forgotten.

The takeover now reads the topic unless it has been read. No reads are added otherwise.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -52,6 +52,7 @@
 	config         atomic.Pointer[gatekeeper.Config]
 	storeDownSince atomic.Int64 // Unix time in milliseconds when the current outage of the store began, 0 if there is none
 	leaving        atomic.Bool
+	operatorRead   atomic.Bool // the operator's topic was read at least once
 	leading        atomic.Bool
 	releasing      atomic.Bool // this process has begun to release the leadership
 	electorEvents  chan electorEvent
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/registrar"
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/internal/sleeper"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
 	"github.com/lacewingdoor/lacewingdoor/platform"
@@ -123,6 +124,20 @@
 			a.commander.Post(scheduler.WavesChanged{Waves: a.waves.list()})
 		}
 	}
+	a.operatorRead.Store(true)
+}
+
+// awaitOperatorRecords returns once the operator's topic was read at least once.
+func (a *Assembler) awaitOperatorRecords(ctx context.Context) {
+	for !a.operatorRead.Load() && ctx.Err() == nil {
+		records, next, err := a.store.Newest(ctx, platform.TopicOperator)
+		if err == nil {
+			a.applyOperatorRecords(tailer.Batch{Records: records, Snapshot: true, Next: next})
+			return
+		}
+		a.log("lead").WithError(err).Warn("can't read the configuration and waves; retrying")
+		_ = sleeper.Sleep(ctx, storeRetryDelay) // fails only when the context ends
+	}
 }
 
 // applyConfig applies a configuration unless the one in force is as new or newer.
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -234,6 +234,7 @@
 		l.WithError(err).Info("leadership ended before the scheduler started")
 		return
 	}
+	a.awaitOperatorRecords(ctx)
 	storedWaves, loans := a.readWavesAndLoans(ctx)
 	nextJob, _ := a.registrar.NextOffset(registrar.TopicJobs)
 	s := &scheduler.Scheduler{
