No job stands behind an urgent step that has reached its limit on all workers

Callers saw a gang stand in a service with much room: an urgent step with a limit per worker that all workers had reached stopped runs of others, whose room stayed reserved for it although it may not start there, again and again.

Workers at the limit of a step are no candidates for it now, neither for placing nor for stopping runs; and what is reserved for an urgent unit for over a second holds up no unit that stands, whatever the cause.

--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -50,7 +50,10 @@
 			continue
 		}
 		if limit := u.step.PerWorker; limit > 0 {
-			v.Free = componentMin(v.Free, u.step.Need.Times(max(0, limit-placed[v.ID])))
+			if placed[v.ID] >= limit {
+				continue // stopping other runs there would not help
+			}
+			v.Free = componentMin(v.Free, u.step.Need.Times(limit-placed[v.ID]))
 		}
 		out = append(out, v)
 	}
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -138,6 +138,7 @@
 	rackFits       bool              // at rackCheckedAt, an empty rack was large enough for it
 	rackCheckedAt  time.Time
 	blockedSince   time.Time // when it first found too few resources, else zero
+	reservedSince  time.Time // since when resources are reserved for an urgent step, as seen by placeStanding
 	ampleSince     time.Time // since when there has been ample room for it, else zero
 	roomCheckedAt  time.Time // when the room for it was last examined
 	wait           wait
--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -11,9 +11,10 @@
 // and reservations of other units hold it back for a limited time while there is ample room
 // for it: the platform forbids that a job stands for 3 s then.
 const (
-	maxStandingTime = 1500 * time.Millisecond // leaves the rest for a new leader to read the job, and for the start
-	ampleRoomFactor = 2                       // times the unit must fit on the workers that may run it
-	maxRoomLooks    = 50_000                  // workers that are examined per pass for all units together: about a millisecond
+	maxStandingTime      = 1500 * time.Millisecond // leaves the rest for a new leader to read the job, and for the start
+	ampleRoomFactor      = 2                       // times the unit must fit on the workers that may run it
+	maxUrgentReservation = time.Second             // for which resources reserved for an urgent unit are kept from units that stand
+	maxRoomLooks         = 50_000                  // workers that are examined per pass for all units together: about a millisecond
 )
 
 // placeStanding places units that have found no resources for maxStandingTime although there
@@ -43,7 +44,7 @@
 		slices.SortStableFunc(waiting, func(a, b unit) int { return a.step.roomCheckedAt.Compare(b.step.roomCheckedAt) })
 		waiting = waiting[:most]
 	}
-	reserved := urgentReservations(units)
+	reserved := urgentReservations(p.now, units)
 	for _, u := range waiting {
 		u.step.roomCheckedAt = p.now
 		p.placeIfStanding(u, reserved, lightlyUsed[u.job.queue.Service])
@@ -172,12 +173,23 @@
 }
 
 // urgentReservations returns the resources that are reserved for urgent units, by worker.
-func urgentReservations(units []unit) map[string]placer.Resources {
+// Runs that are stopped for a unit end within a few hundred milliseconds; a reservation that
+// lasts for longer holds up nobody else.
+func urgentReservations(now time.Time, units []unit) map[string]placer.Resources {
 	n := map[string]placer.Resources{}
 	for _, u := range units {
 		if !u.job.urgent() {
 			continue
 		}
+		switch {
+		case len(u.step.reserved) == 0:
+			u.step.reservedSince = time.Time{}
+		case u.step.reservedSince.IsZero():
+			u.step.reservedSince = now
+		}
+		if now.Sub(u.step.reservedSince) > maxUrgentReservation {
+			continue
+		}
 		for _, id := range u.step.reserved {
 			n[id] = n[id].Plus(u.step.Need)
 		}
--- a/internal/jobs/scheduler/standing_world_test.go
+++ b/internal/jobs/scheduler/standing_world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -19,11 +18,8 @@
 	longestLastingStand = 6 * time.Second // of a long-running task since its last run
 	calmBefore          = 4 * time.Second // before longestStand
 	roomFactor          = 2               // times a task or gang must fit
-	acceleratorCores    = 8               // that an accelerator counts as in the use of a service
 )
 
-var byEveryMeasure = flag.Bool("standing.every", false, "jobs may stand unless under half of a service is in use by every measure")
-
 var errStands = errors.New("stands although there is room")
 
 // standingWatch checks from what the workers know, not from what the scheduler has booked,
@@ -277,8 +273,7 @@
 
 // roomView answers for one step of time how much room there is.
 type roomView struct {
-	free  []freeWorker    // workers that may get tasks
-	light map[string]bool // services less than half in use
+	free []freeWorker // workers that may get tasks
 }
 
 type freeWorker struct {
@@ -288,42 +283,23 @@
 }
 
 func newRoomView(w *world) *roomView {
-	r := &roomView{light: map[string]bool{}}
-	used, all := map[string]placer.Resources{}, map[string]placer.Resources{}
+	r := &roomView{}
 	for id, v := range w.workers {
 		if !v.alive || !v.inList {
 			continue
 		}
-		n, service := w.used(v), v.info.Service
-		used[service], all[service] = used[service].Plus(n), all[service].Plus(v.info.Capacity)
+		n := w.used(v)
 		if !v.info.Draining && n.Fits(v.info.Capacity) { // one that has shrunk below its runs refuses all starts
 			r.free = append(r.free, freeWorker{v, id, v.info.Capacity.Minus(n)})
 		}
 	}
-	for service := range all {
-		r.light[service] = underHalf(used[service], all[service])
-	}
 	return r
 }
 
-// underHalf reports whether less than half is in use by cores, by accelerators or by both
-// together, or by all of these measures if -standing.every is set.
-func underHalf(used, all placer.Resources) bool {
-	weigh := func(r placer.Resources) int { return r.MilliCores + 1000*acceleratorCores*r.Accelerators }
-	light := []bool{2*used.MilliCores < all.MilliCores, 2*used.Accelerators < all.Accelerators, 2*weigh(used) < weigh(all)}
-	if *byEveryMeasure {
-		return !slices.Contains(light, false)
-	}
-	return slices.Contains(light, true)
-}
-
 // ample reports whether a task of a step, or the whole gang, fits roomFactor times on the
-// workers that may run it, while less than half of the service is in use.
+// workers that may run it, however full the service is.
 func (r *roomView) ample(w *world, j watchedJob, index int, st scheduler.Step) bool {
 	queue := w.config.Queues[j.job.Queue]
-	if !r.light[queue.Service] {
-		return false
-	}
 	need, wanted := st.Need, roomFactor
 	if st.Gang {
 		wanted *= st.Tasks
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -290,6 +290,7 @@
 func (w *world) addWorker(id, rack string, gpus int) { w.addWorkerTo("s", id, rack, gpus) }
 
 func (w *world) addWorkerTo(service, id, rack string, gpus int) {
+	delete(w.replaced, id) // another machine may get the name again
 	w.workers[id] = &fakeWorker{
 		info: scheduler.WorkerInfo{
 			ID: id, Address: id, Service: service, Rack: rack, StartedMS: w.now.UnixMilli(), Labels: []string{"a", rack},
