A long-running task stands no longer because another of its step starts

Callers saw a task of a long-running step without a run for over 6 s although it had room, while other tasks of the step started. Cause: each placement of a task ended the time for which its whole step had stood, but the platform counts each long-running task for itself. The time now goes on until no task of such a step waits.

--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -265,7 +265,9 @@
 	s := p.s
 	t := &u.step.tasks[index]
 	u.step.setState(index, taskPlaced)
-	u.step.ampleSince = time.Time{}
+	if !u.step.LongRunning || u.step.waiting == 0 { // each long-running task stands for itself
+		u.step.ampleSince = time.Time{}
+	}
 	t.worker, t.run = id, run
 	t.apartSince = time.Time{}
 	p.startRun(u, index, id, run)
