--- a/internal/jobs/scheduler/standing_property_test.go
+++ b/internal/jobs/scheduler/standing_property_test.go
@@ -244,6 +244,9 @@
 		d.do("store-down")
 		d.wait(100*time.Millisecond, 6*time.Second)
 		d.do("store-up")
+		if d.chance("leader dies", 30) {
+			d.do("lead")
+		}
 	case "lead", "leads":
 		d.changeLeaders(kind == "leads")
 	case "release":
@@ -425,6 +428,7 @@
 	_ = flag.Set("rapid.checks", strconv.Itoa(max(1, n/share)))
 	t.Cleanup(func() { _ = flag.Set("rapid.checks", checks) })
 	var days, jobs, reached int
+	var longest time.Duration
 	rapid.Check(t, func(t *rapid.T) {
 		d := newDrawnScript(t)
 		for i := range 48 {
@@ -434,10 +438,11 @@
 				d.do("label w%d special", i+1)
 			}
 		}
-		d.workers = 48
+		d.workers, d.rackSize = 48, 8
 		d.addQueues()
 		d.do("watch")
 		d.do("after 1s")
+		d.occupy()
 		for d.w.now.Sub(d.w.began) < 2*time.Minute {
 			d.submitAny()
 			if d.chance("cancelled", 20) {
@@ -451,8 +456,9 @@
 		if d.w.watch.calm >= time.Minute && d.w.watch.waits > 0 {
 			reached++
 		}
+		longest = max(longest, d.w.watch.longestWait)
 	})
-	t.Logf("%d days with %d jobs: %d with a minute of calm and with jobs that waited although there was room", days, jobs, reached)
+	t.Logf("%d days with %d jobs: %d with a minute of calm and with jobs that waited although there was room, for %v at most", days, jobs, reached, longest)
 	if reached < (days+1)/2 {
 		t.Errorf("too few days reach the state to check")
 	}
