A filler stands no longer behind urgent jobs before its own delay

Callers saw a filler with nothing running for 3 s while the only workers with room ran serving tasks. Cause: it may join these after 2 s, counted from when it first found no other room, but it was not examined while urgent jobs that did not fit searched for runs to stop; only then its delay began, and the time for which it had stood after that. The time for which a unit has stood now counts workers that it may join later; a tail latency near its target still keeps fillers away.

--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -51,16 +51,16 @@
 // mayRun reports whether the label, the tickets and the other runs of a worker allow
 // the step there.
 func (p *pass) mayRun(u unit, w *worker) bool {
-	return (u.job.queue.Advice == nil || u.step.hasTicket(p.now, w)) && p.permitted(u, w)
+	return (u.job.queue.Advice == nil || u.step.hasTicket(p.now, w)) && p.permitted(u, w) && p.s.colocationAllowed(p.now, u.step, w)
 }
 
-// permitted reports whether a worker may run the step, given a ticket if its queue needs
-// advice and the worker was not denied.
+// permitted reports whether a worker may run a step that has waited for long, given a ticket
+// if its queue needs advice and the worker was not denied.
 func (p *pass) permitted(u unit, w *worker) bool {
 	if !w.hasLabel(u.step.Label) || (u.job.queue.Advice != nil && u.step.deniedWorkers[w.ID]) {
 		return false
 	}
-	return p.s.colocationAllowed(p.now, u.step, w)
+	return p.s.colocationTolerable(p.now, u.step, w)
 }
 
 // unconstrained reports whether the step itself allows every worker of its service.
