A long-running job that always fails keeps no workers excluded

Long-running tasks are started again however they end. One whose tasks fail at once on each worker counted against a worker again after each exclusion, as that forgets which jobs had failed there, so after one failure of another job the worker was excluded again every 4 s; other jobs stood until the rule of ample room placed them after 2 s, or longer without room twice over. Failures that move from worker to worker within the time of an exclusion do not count now; those on one worker still do.

--- a/internal/jobs/scheduler/ends.go
+++ b/internal/jobs/scheduler/ends.go
@@ -54,7 +54,7 @@
 	}
 	s.markDirty(j)
 	if st.LongRunning {
-		s.requeue(w, st, e)
+		s.requeue(now, w, st, e)
 		return
 	}
 	if e.Reason == EndReasonDone {
@@ -78,10 +78,15 @@
 	}
 }
 
-// requeue lets a long-running task wait for another worker, however its run ended.
-func (*Scheduler) requeue(w *worker, st *step, e End) {
+// requeue lets a long-running task wait for another worker, however its run ended. Nothing
+// limits its attempts, so a step that fails on several workers must not exclude them again and
+// again: only failures of which the last ones were on one worker count against it.
+func (*Scheduler) requeue(now time.Time, w *worker, st *step, e End) {
 	if e.Reason == EndReasonFailed {
-		w.countFailure(w.clockAt, e.Task.Job)
+		if st.failedOn == w.ID || now.Sub(st.failedAt) >= exclusionTime {
+			w.countFailure(now, e.Task.Job)
+		}
+		st.failedOn, st.failedAt = w.ID, now
 	}
 	st.removeRun(e.Task.Index, w.ID, e.Run)
 }
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -129,6 +129,8 @@
 	waiting        int               // number of tasks that need a worker
 	succeeded      int               // number of completed tasks
 	failedWorkers  []string          // workers on which a run of it failed
+	failedOn       string            // worker on which a run of it last failed, of a long-running step
+	failedAt       time.Time         // when that was
 	tickets        map[string]ticket // by worker, in a queue with advice
 	deniedWorkers  map[string]bool   // workers that may not run it
 	searchFailedAt time.Time         // when a search for runs to stop or to wait for last found none, else zero
