--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -129,6 +129,8 @@
 	waiting        int               // number of tasks that need a worker
 	succeeded      int               // number of completed tasks
 	failedWorkers  []string          // workers on which a run of it failed
+	failedOn       string            // worker on which a run of it last failed, of a long-running step
+	failedAt       time.Time         // when that was
 	tickets        map[string]ticket // by worker, in a queue with advice
 	askedAgainAt   time.Time         // time of the last call for advice that failed or named a worker again, else zero
 	deniedWorkers  map[string]bool   // workers that may not run it
