A wave that is read during a takeover is not lost

Between its read of the stored waves and the moment at which the commander accepts events, a new leader drops what it is told. Jobs, cancellations and the configuration are collected again as the first events, and a renewal follows within 0.8 s, but a wave that was read in that time stayed unknown to the scheduler until another one came: its upkeep was not begun in that term. The new test publishes a wave while the progress of another is read; before, the scheduler knew only the other.

The first events now include the waves known at that moment, after the ones with stored progress; the scheduler ignores those that it knows.

--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -254,7 +254,9 @@
 	var following sync.WaitGroup
 	err := a.commander.Lead(x, s, func() []scheduler.Event {
 		following.Go(func() { a.followWorkers(x) })
-		return append(a.initialEvents(), scheduler.WavesChanged{Waves: storedWaves}, scheduler.LoansRestored{Loans: loans})
+		return append(a.initialEvents(), scheduler.WavesChanged{Waves: storedWaves},
+			scheduler.WavesChanged{Waves: a.waves.list()}, // those read since; the scheduler ignores the ones that it knows
+			scheduler.LoansRestored{Loans: loans})
 	})
 	cancel()
 	following.Wait() // a list that was read in this term must not reach the next one
--- a/internal/node/assembler/lead_test.go
+++ b/internal/node/assembler/lead_test.go
@@ -12,6 +12,7 @@
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
 	"github.com/lacewingdoor/lacewingdoor/internal/node/commander"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
 	"github.com/lacewingdoor/lacewingdoor/platform"
 )
 
@@ -103,3 +104,42 @@
 	cancel()
 	<-ended
 }
+
+// A wave that is read while a new leader reads the progress of the others comes too early for
+// its scheduler and too late for that read.
+func TestWaveThatIsReadDuringTheTakeoverIsNotLost(t *testing.T) {
+	is := is.New(t)
+	a := newLeader()
+	wave := func(n string) tailer.Batch {
+		return tailer.Batch{Records: []accessor.Record{{Key: "wave/" + n, Value: []byte(`{"wave":` + n + `,"machines":["m` + n + `"],"durationS":20,"cap":1}`)}}}
+	}
+	a.applyOperatorRecords(wave("7"))
+	found := make(chan any, 2)
+	a.commander.LogDecision = func(d scheduler.Decision) {
+		if d.Message == "upkeep wave found" {
+			found <- d.Details["wave"]
+		}
+	}
+	a.store = accessor.Client{
+		Append: func(context.Context, accessor.Append) (int64, error) { return 0, nil },
+		Read: func(context.Context, string, int64, time.Duration) ([]accessor.Record, int64, error) {
+			return nil, 0, nil
+		},
+		Newest: func(_ context.Context, topic string) ([]accessor.Record, int64, error) {
+			if topic == platform.WireTopic(topicWaves) {
+				a.applyOperatorRecords(wave("8"))
+			}
+			return nil, 0, nil
+		},
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	a.commander.ListMachines = func(context.Context) scheduler.MachinesListed { return scheduler.MachinesListed{} }
+	a.lead(ctx, 1)
+	close(found)
+	var waves []any
+	for n := range found {
+		waves = append(waves, n)
+	}
+	is.Equal(waves, []any{7, 8})
+}
