The end of a term does not slow the next one of the same VM down

Calls that the end of a term cancels were counted as calls without an answer in time. A hundred open holds were enough for the next term of the same VM to begin as if its link were full: it sent at most 32 looks at unheard workers at a time, waited 0.9 s instead of 0.6 s for answers, and sent each start only once, until 64 more calls had been answered. With several terms in a row the margin grew each time. The new test compares the margins of two terms; before, it was 900 ms against 600 ms, and the second term's looks were held up.

Calls whose term has ended are no longer counted.

--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -235,7 +235,7 @@
 	}
 	c.mu.Unlock()
 	e := c.Hold(l.ctx, h.At(c.Now()), margin)
-	c.observe(e.Outcome)
+	c.observe(l.ctx, e.Outcome)
 	c.postResult(l, e, e.Outcome)
 }
 
@@ -248,7 +248,7 @@
 	sent := false
 	for range startTries {
 		e = c.Start(ctx, f, c.margin())
-		c.observe(e.Outcome)
+		c.observe(ctx, e.Outcome)
 		if sent {
 			e.Outcome = afterUnanswered(e.Outcome)
 		}
@@ -286,7 +286,11 @@
 	return c.pacer.Crowded()
 }
 
-func (c *Commander) observe(o scheduler.Outcome) {
+// observe notes whether a call was answered in time, unless the end of its term cancelled it.
+func (c *Commander) observe(ctx context.Context, o scheduler.Outcome) {
+	if ctx.Err() != nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pacer.Observe(o != scheduler.OutcomeUnknown)
@@ -310,7 +314,7 @@
 		c.postResult(l, e, e.Outcome)
 	case scheduler.Stop:
 		e := c.Stop(l.ctx, f, c.margin())
-		c.observe(e.Outcome)
+		c.observe(l.ctx, e.Outcome)
 		c.postResult(l, e, e.Outcome)
 	case scheduler.Pace:
 		e := c.Pace(l.ctx, f)
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -200,3 +200,39 @@
 	close(release)
 	is.Equal(<-stored, "first")
 }
+
+// The calls that a term's end cancels say nothing about the link of this VM.
+func TestEndOfATermDoesNotSlowTheNextOneDown(t *testing.T) {
+	is := is.New(t)
+	const workers = 100
+	var infos []scheduler.WorkerInfo
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		infos = append(infos, scheduler.WorkerInfo{ID: id, Address: id, Service: "s", StartedMS: 1})
+	}
+	c := &commander.Commander{LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now}
+	firstMargin := func() time.Duration {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		margins := make(chan time.Duration, workers)
+		var calls, answered atomic.Int64
+		c.Hold = func(ctx context.Context, h scheduler.Hold, margin time.Duration) scheduler.HoldResult {
+			defer answered.Add(1)
+			margins <- margin
+			if calls.Add(1) == workers {
+				cancel()
+			}
+			<-ctx.Done()
+			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeUnknown}
+		}
+		s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+		err := c.Lead(ctx, s, func() []scheduler.Event { return []scheduler.Event{scheduler.WorkersListed{Workers: infos}} })
+		is.True(err != nil)
+		for answered.Load() < calls.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(10 * time.Millisecond) // until the results are counted
+		return <-margins
+	}
+	before := firstMargin()
+	is.Equal(firstMargin(), before)
+}
