A fence of one machine does not end the leadership

The machine service keeps a fencing token for each machine. A rejected upkeep or move ended the whole leadership, although a higher token of one machine proves no newer leader: the topic of claims decides, and workers reject a leader that was replaced. With a machine whose token stays higher, each attempt would end a term now, and before its end left a leader that renewed without a scheduler.

The scheduler now gets the result as of any other rejected call, and tries again later. The new test rejects the upkeep of a machine; before, the term ended with "another VM has become the leader" at the first attempt.

--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -324,11 +324,9 @@
 	case scheduler.ListMachines:
 		c.postTo(l, c.ListMachines(l.ctx))
 	case scheduler.BeginUpkeep:
-		e := c.BeginUpkeep(l.ctx, f)
-		c.postResult(l, e, e.Outcome)
+		c.postTo(l, c.BeginUpkeep(l.ctx, f)) // a fence of one machine is no proof of a newer leader
 	case scheduler.MoveMachine:
-		e := c.MoveMachine(l.ctx, f)
-		c.postResult(l, e, e.Outcome)
+		c.postTo(l, c.MoveMachine(l.ctx, f)) // likewise
 	case scheduler.StoreWave:
 		c.StoreWave(l.ctx, f)
 	case scheduler.StoreLoans:
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -236,3 +237,37 @@
 	before := firstMargin()
 	is.Equal(firstMargin(), before)
 }
+
+// The machine service keeps a token for each machine, and a higher one of somebody else is no
+// newer leader. A leader that ended for it would end again with each attempt.
+func TestFencedMachineDoesNotEndTheLeadership(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var begun atomic.Int64
+	c := &commander.Commander{
+		Hold: func(_ context.Context, h scheduler.Hold, _ time.Duration) scheduler.HoldResult {
+			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli(), StartedMS: 1}
+		},
+		ListMachines: func(context.Context) scheduler.MachinesListed {
+			return scheduler.MachinesListed{OK: true, Machines: []scheduler.Machine{{ID: "m", Up: true, Worker: "w", Pool: "s"}}}
+		},
+		BeginUpkeep: func(_ context.Context, b scheduler.BeginUpkeep) scheduler.UpkeepResult {
+			if begun.Add(1) == 2 {
+				cancel()
+			}
+			return scheduler.UpkeepResult{Begin: b, Outcome: scheduler.OutcomeFenced}
+		},
+		StoreWave:   func(context.Context, scheduler.StoreWave) {},
+		LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
+	}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Machines: true}, Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+	err := c.Lead(ctx, s, func() []scheduler.Event {
+		return []scheduler.Event{
+			scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{ID: "w", Address: "w", Service: "s", StartedMS: 1}}},
+			scheduler.WavesChanged{Waves: []scheduler.Wave{{Number: 1, Machines: []string{"m"}, MaxDown: 1, Duration: time.Minute}}},
+		}
+	})
+	is.True(errors.Is(err, context.Canceled)) // by the second attempt
+	is.Equal(begun.Load(), int64(2))
+}
