--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -200,3 +201,73 @@
 	close(release)
 	is.Equal(<-stored, "first")
 }
+
+// The calls that a term's end cancels say nothing about the link of this VM.
+func TestEndOfATermDoesNotSlowTheNextOneDown(t *testing.T) {
+	is := is.New(t)
+	const workers = 100
+	var infos []scheduler.WorkerInfo
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		infos = append(infos, scheduler.WorkerInfo{ID: id, Address: id, Service: "s", StartedMS: 1})
+	}
+	c := &commander.Commander{LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now}
+	firstMargin := func() time.Duration {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		margins := make(chan time.Duration, workers)
+		var calls, answered atomic.Int64
+		c.Hold = func(ctx context.Context, h scheduler.Hold, margin time.Duration) scheduler.HoldResult {
+			defer answered.Add(1)
+			margins <- margin
+			if calls.Add(1) == workers {
+				cancel()
+			}
+			<-ctx.Done()
+			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeUnknown}
+		}
+		s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+		err := c.Lead(ctx, s, func() []scheduler.Event { return []scheduler.Event{scheduler.WorkersListed{Workers: infos}} })
+		is.True(err != nil)
+		for answered.Load() < calls.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(10 * time.Millisecond) // until the results are counted
+		return <-margins
+	}
+	before := firstMargin()
+	is.Equal(firstMargin(), before)
+}
+
+// The machine service keeps a token for each machine, and a higher one of somebody else is no
+// newer leader. A leader that ended for it would end again with each attempt.
+func TestFencedMachineDoesNotEndTheLeadership(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var begun atomic.Int64
+	c := &commander.Commander{
+		Hold: func(_ context.Context, h scheduler.Hold, _ time.Duration) scheduler.HoldResult {
+			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli(), StartedMS: 1}
+		},
+		ListMachines: func(context.Context) scheduler.MachinesListed {
+			return scheduler.MachinesListed{OK: true, Machines: []scheduler.Machine{{ID: "m", Up: true, Worker: "w", Pool: "s"}}}
+		},
+		BeginUpkeep: func(_ context.Context, b scheduler.BeginUpkeep) scheduler.UpkeepResult {
+			if begun.Add(1) == 2 {
+				cancel()
+			}
+			return scheduler.UpkeepResult{Begin: b, Outcome: scheduler.OutcomeFenced}
+		},
+		StoreWave:   func(context.Context, scheduler.StoreWave) {},
+		LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
+	}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Machines: true}, Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+	err := c.Lead(ctx, s, func() []scheduler.Event {
+		return []scheduler.Event{
+			scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{ID: "w", Address: "w", Service: "s", StartedMS: 1}}},
+			scheduler.WavesChanged{Waves: []scheduler.Wave{{Number: 1, Machines: []string{"m"}, MaxDown: 1, Duration: time.Minute}}},
+		}
+	})
+	is.True(errors.Is(err, context.Canceled)) // by the second attempt
+	is.Equal(begun.Load(), int64(2))
+}
