A busy leader examines what stands as well

The reviewer showed that the rule of ample room could starve: it ran only in a placement pass within the handling of a tick, and a pass in the 20 ms before a tick postpones the one that the tick asks for to a later call. With ends of any service at least every 20 ms that is each tick, so the busier the leader, the longer a job could stand; so could runs on stalled workers.

The first pass after a tick now does what is due with ticks. Also, the age of an urgent reservation counts from when its workers were chosen, not from when the rule first saw it.

--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -140,7 +140,7 @@
 	rackFits       bool              // at rackCheckedAt, an empty rack was large enough for it
 	rackCheckedAt  time.Time
 	blockedSince   time.Time // when it first found too few resources, else zero
-	reservedSince  time.Time // since when resources are reserved for an urgent step, as seen by placeStanding
+	reservedAt     time.Time // when workers were last chosen for reserved
 	ampleSince     time.Time // since when there has been ample room for it, else zero
 	roomCheckedAt  time.Time // when the room for it was last examined
 	wait           wait
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -52,7 +52,7 @@
 		return
 	}
 	p := &pass{s: s, now: now, workers: s.usableWorkers(now), urgentAccelerators: s.urgentAccelerators(), postponed: map[string]bool{}, borrowers: map[string][]placer.Borrower{}}
-	if s.ticked {
+	if s.tickedSincePass {
 		p.moveStalled()
 	}
 	for _, u := range units {
@@ -62,9 +62,10 @@
 			p.placeUnit(u)
 		}
 	}
-	if s.ticked {
+	if s.tickedSincePass {
 		p.placeStanding(units)
 	}
+	s.tickedSincePass = false
 	waiting := map[string]bool{}
 	for _, u := range units {
 		if u.step.waiting > 0 && !waiting[u.job.queue.Service] {
--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -178,7 +178,7 @@
 		u.step.searchFailedAt = p.now
 		return false
 	}
-	u.step.reserved = at
+	u.step.reserved, u.step.reservedAt = at, p.now
 	for _, v := range victims {
 		p.evict(u, v)
 	}
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -28,6 +28,7 @@
 
 	released        bool  // another VM may lead already
 	ticked          bool  // the present call handles a tick
+	tickedSincePass bool  // a tick was handled after the last placement pass
 	recovering      bool  // workers that have not answered yet may have runs of earlier leaders
 	lastRun         int64 // number of the last run
 	placementDue    bool
@@ -97,7 +98,7 @@
 func (s *Scheduler) handle(now time.Time, e Event) {
 	switch e := e.(type) {
 	case Ticked:
-		s.ticked = true
+		s.ticked, s.tickedSincePass = true, true
 		s.placementDue = true
 		s.runTimers(now)
 	case Submitted:
--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -178,16 +178,7 @@
 func urgentReservations(now time.Time, units []unit) map[string]placer.Resources {
 	n := map[string]placer.Resources{}
 	for _, u := range units {
-		if !u.job.urgent() {
-			continue
-		}
-		switch {
-		case len(u.step.reserved) == 0:
-			u.step.reservedSince = time.Time{}
-		case u.step.reservedSince.IsZero():
-			u.step.reservedSince = now
-		}
-		if now.Sub(u.step.reservedSince) > maxUrgentReservation {
+		if !u.job.urgent() || now.Sub(u.step.reservedAt) > maxUrgentReservation {
 			continue
 		}
 		for _, id := range u.step.reserved {
