Room for a step is counted once per pass

Measured by the reviewer: a pass with 1,000 waiting urgent units at 1,100 workers took 102 ms instead of 17 ms, as each unit copied the list of workers to see whether it would fit on idle ones. Rooms of equal needs are now counted once per pass over a list of the service's workers.

--- a/internal/jobs/scheduler/advice.go
+++ b/internal/jobs/scheduler/advice.go
@@ -136,9 +136,9 @@
 // the resources that are not in use.
 func (p *pass) reachableWorkers(u unit) []placer.Worker {
 	var out []placer.Worker
-	for _, id := range p.s.workerIDs {
-		if w := p.s.workers[id]; w.Service == u.job.queue.Service && w.aloneRuns == 0 && w.reachable() && w.hasLabel(u.step.Label) {
-			out = append(out, placer.Worker{ID: id, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.free()})
+	for _, w := range p.s.listedWorkers(u.job.queue.Service) {
+		if w.aloneRuns == 0 && w.reachable() && w.hasLabel(u.step.Label) {
+			out = append(out, placer.Worker{ID: w.ID, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.free()})
 		}
 	}
 	return out
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -45,6 +45,7 @@
 
 // place starts the tasks that fit, the most urgent first.
 func (s *Scheduler) place(now time.Time) {
+	s.forgetRooms()
 	units := s.runnableUnits(now)
 	if len(units) == 0 && !s.anyStalled(now) && !s.anySpeculative() {
 		s.recordStarvation(now, nil)
--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -50,17 +50,17 @@
 	if !u.step.searchFailedAt.IsZero() && p.now.Sub(u.step.searchFailedAt) < searchRetryDelay {
 		return false
 	}
-	if !p.fitsWhenIdle(u) {
-		u.step.searchFailedAt = p.now
-		return false
-	}
 	first := u.step.searchFailedAt.IsZero()
+	over := p.victimSearches >= maxVictimSearches || (!first && p.repeatedSearches >= maxRepeatedSearches)
 	switch {
-	case first && p.victimSearches >= maxVictimSearches:
+	case over && !first:
+		return false // stopping runs did not free enough, so others may start meanwhile
+	case !p.fitsWhenIdle(u):
+		u.step.searchFailedAt = p.now
+		return false
+	case over:
 		p.postponed[u.job.queue.Service] = true
 		return false
-	case !first && (p.victimSearches >= maxVictimSearches || p.repeatedSearches >= maxRepeatedSearches):
-		return false // stopping runs did not free enough, so others may start meanwhile
 	case !first:
 		p.repeatedSearches++
 	}
@@ -68,18 +68,10 @@
 	return true
 }
 
-// fitsWhenIdle reports whether the tasks of a unit would fit on the workers that may run them
-// if nothing ran there. A unit that would not has no runs to stop or to wait for.
+// fitsWhenIdle reports whether the tasks of a unit would fit on the listed workers with its
+// label if nothing ran there. A unit that would not has no runs to stop or to wait for.
 func (p *pass) fitsWhenIdle(u unit) bool {
-	idle := slices.Clone(p.eligibleWorkers(u))
-	for i := range idle {
-		idle[i].Free = idle[i].Capacity
-		if u.step.PerWorker > 0 {
-			idle[i].Free = componentMin(idle[i].Free, u.step.Need.Times(u.step.PerWorker))
-		}
-	}
-	r := placer.Request{Tasks: u.step.tasksAtOnce(), PerTask: u.step.Need}
-	return totalFitting(r, idle) >= r.Tasks
+	return p.s.roomFor(p.now, u).empty >= u.step.tasksAtOnce()
 }
 
 // keepReserved drops the reserved workers of a unit that are not usable any more, have
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -34,6 +34,10 @@
 	placementDue    bool
 	nextPassAt      time.Time // earliest time of the next placement pass
 	waitsReportedAt time.Time
+
+	rooms  map[roomKey]room     // for steps, in this pass
+	listed map[string][]*worker // workers by service, in this pass, nil before they are needed
+
 	storeInFlight   bool
 	storedAt        time.Time
 	storeSoon       bool // a worker or caller waits for the next store
--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -137,14 +137,13 @@
 func (p *pass) standingWorkers(u unit, reserved map[string]placer.Resources) []placer.Worker {
 	var sound, all []placer.Worker
 	placed := u.step.placedByWorker()
-	for _, id := range p.s.workerIDs {
-		w := p.s.workers[id]
-		if w.Service != u.job.queue.Service || w.aloneRuns > 0 || !w.reachable() || !p.permitted(u, w) {
+	for _, w := range p.s.listedWorkers(u.job.queue.Service) {
+		if w.aloneRuns > 0 || !w.reachable() || !p.permitted(u, w) {
 			continue
 		}
-		v := placer.Worker{ID: id, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.free().Minus(reserved[id])}
+		v := placer.Worker{ID: w.ID, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.free().Minus(reserved[w.ID])}
 		if limit := u.step.PerWorker; limit > 0 {
-			v.Free = componentMin(v.Free, u.step.Need.Times(max(0, limit-placed[id])))
+			v.Free = componentMin(v.Free, u.step.Need.Times(max(0, limit-placed[w.ID])))
 		}
 		all = append(all, v)
 		if w.available(p.now) {
--- a/internal/jobs/scheduler/waits.go
+++ b/internal/jobs/scheduler/waits.go
@@ -56,12 +56,23 @@
 
 const maxRoom = 1 << 20 // tasks; a task that needs no resources fits without limit
 
-// roomFor returns the room for the tasks of a unit.
+// roomKey is what the room for a step depends on.
+type roomKey struct {
+	service, label string
+	need           placer.Resources
+	perWorker      int
+}
+
+// roomFor returns the room for the tasks of a unit as of the first time that it is asked for
+// in a pass.
 func (s *Scheduler) roomFor(now time.Time, u unit) room {
+	k := roomKey{u.job.queue.Service, u.step.Label, u.step.Need, u.step.PerWorker}
+	if n, ok := s.rooms[k]; ok {
+		return n
+	}
 	var n room
-	for _, id := range s.workerIDs {
-		w := s.workers[id]
-		if !w.listed || w.Service != u.job.queue.Service || !w.hasLabel(u.step.Label) {
+	for _, w := range s.listedWorkers(k.service) {
+		if !w.hasLabel(k.label) {
 			continue
 		}
 		n.empty += u.step.tasksOn(w.Capacity)
@@ -71,9 +82,28 @@
 			n.unusable += free
 		}
 	}
+	s.rooms[k] = n
 	return n
 }
 
+// forgetRooms begins a pass.
+func (s *Scheduler) forgetRooms() {
+	s.rooms, s.listed = map[roomKey]room{}, nil
+}
+
+// listedWorkers returns the listed workers of a service, sorted by ID.
+func (s *Scheduler) listedWorkers(service string) []*worker {
+	if s.listed == nil {
+		s.listed = map[string][]*worker{}
+		for _, id := range s.workerIDs {
+			if w := s.workers[id]; w.listed {
+				s.listed[w.Service] = append(s.listed[w.Service], w)
+			}
+		}
+	}
+	return s.listed[service]
+}
+
 // tasksOn returns how many tasks of the step one worker may have in free resources.
 func (s *step) tasksOn(free placer.Resources) int {
 	n := min(placer.TasksThatFit(s.Need, free), maxRoom)
@@ -254,10 +284,8 @@
 // usage returns the usage of the listed workers of a service.
 func (s *Scheduler) usage(service string) serviceUsage {
 	var n serviceUsage
-	for _, id := range s.workerIDs {
-		if w := s.workers[id]; w.listed && w.Service == service {
-			n.used, n.capacity = n.used.Plus(w.used), n.capacity.Plus(w.Capacity)
-		}
+	for _, w := range s.listedWorkers(service) {
+		n.used, n.capacity = n.used.Plus(w.used), n.capacity.Plus(w.Capacity)
 	}
 	return n
 }
@@ -275,8 +303,8 @@
 // the reason.
 func (s *Scheduler) unusableWorkers(now time.Time, service string) map[string]int {
 	n := map[string]int{}
-	for _, id := range s.workerIDs {
-		if w := s.workers[id]; w.listed && w.Service == service && !w.usable(now) {
+	for _, w := range s.listedWorkers(service) {
+		if !w.usable(now) {
 			n[w.unusableReason(now)]++
 		}
 	}
