A job that fails everywhere excludes each worker once

After an exclusion a worker forgot which jobs had failed on it, so the same job excluded it with each next failure. It remembers them until a success now, which replaces the rule that told failures on one worker from those on many. Of a long-running step, only tasks whose own last run ended 1.5 s ago count as standing, so that one that fails at once is not placed past the exclusion in each tick.

--- a/internal/jobs/scheduler/ends.go
+++ b/internal/jobs/scheduler/ends.go
@@ -78,17 +78,14 @@
 	}
 }
 
-// requeue lets a long-running task wait for another worker, however its run ended. Nothing
-// limits its attempts, so a step that fails on several workers must not exclude them again and
-// again: only failures of which the last ones were on one worker count against it.
+// requeue lets a long-running task wait for another worker, however its run ended.
 func (*Scheduler) requeue(now time.Time, w *worker, st *step, e End) {
 	if e.Reason == EndReasonFailed {
-		if st.failedOn == w.ID || now.Sub(st.failedAt) >= exclusionTime {
-			w.countFailure(now, e.Task.Job)
-		}
-		st.failedOn, st.failedAt = w.ID, now
+		w.countFailure(now, e.Task.Job)
+	}
+	if st.removeRun(e.Task.Index, w.ID, e.Run) {
+		st.tasks[e.Task.Index].requeuedAt = now
 	}
-	st.removeRun(e.Task.Index, w.ID, e.Run)
 }
 
 // handleSuccess records the success of a task or gang.
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -118,7 +118,8 @@
 	suspicion  quarantiner.Record // whether it crashes workers
 	apartSince time.Time          // when it first found no worker that suits its suspicion, else zero; of a gang, on its first task
 
-	preemptions int // how often its runs were stopped for urgent jobs
+	preemptions int       // how often its runs were stopped for urgent jobs
+	requeuedAt  time.Time // when its last run ended or was lost
 }
 
 // step is a step of a job with its tasks. A gang keeps its run, checkpoint, failures and
@@ -129,8 +130,6 @@
 	waiting        int               // number of tasks that need a worker
 	succeeded      int               // number of completed tasks
 	failedWorkers  []string          // workers on which a run of it failed
-	failedOn       string            // worker on which a run of it last failed, of a long-running step
-	failedAt       time.Time         // when that was
 	tickets        map[string]ticket // by worker, in a queue with advice
 	askedAgainAt   time.Time         // time of the last call for advice that failed or named a worker again, else zero
 	deniedWorkers  map[string]bool   // workers that may not run it
@@ -139,6 +138,8 @@
 	movedOnce      bool              // a stalled run of it was moved
 	rackFits       bool              // at rackCheckedAt, an empty rack was large enough for it
 	rackCheckedAt  time.Time
+	fitsIdle       bool // at idleCheckedAt, it would have fitted on idle workers
+	idleCheckedAt  time.Time
 	blockedSince   time.Time // when it first found too few resources, else zero
 	reservedAt     time.Time // when workers were last chosen for reserved
 	ampleSince     time.Time // since when there has been ample room for it, else zero
--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -127,6 +127,9 @@
 	}
 	return slices.DeleteFunc(waiting, func(i int) bool {
 		t := &u.step.tasks[i]
+		if u.step.LongRunning && p.now.Sub(t.requeuedAt) < maxStandingTime {
+			return true // each long-running task stands for itself
+		}
 		return t.suspicion.Suspected() && !t.outOfPatience(p.now, t.suspicion.Level())
 	})
 }
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -221,8 +221,7 @@
 	w.failedRuns++
 	if w.failedRuns >= exclusionFailures {
 		w.excludedUntil = now.Add(exclusionTime)
-		w.failedRuns = exclusionFailures - 1 // the next failure excludes it again
-		w.failedJobs = nil
+		w.failedRuns = exclusionFailures - 1 // the next failure of yet another job excludes it again
 	}
 }
 
@@ -324,6 +323,7 @@
 	if t == nil || !st.removeRun(p.task.Index, w.ID, p.run) {
 		return
 	}
+	t.requeuedAt = now
 	s.logDecision(Decision{Message: "run is lost", Job: j.ID, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"reason": reason, detailAfterMS: now.Sub(p.sentAt).Milliseconds()}})
 	if st.Gang {
 		s.stopGang(now, j, p.task.Step, p.run)
