A machine of two waves has the upkeep of both, and a fenced upkeep is not repeated

A machine that was in upkeep for one wave counted as begun in another one that waited for it, which was then reported as completed without that upkeep; a listed upkeep is taken for a wave's own only if no other unfinished wave has the machine now. And an upkeep that the platform refuses, as it knows a newer epoch for the machine, was requested again every half second with the same epoch for the whole term, with its worker out of use; it is not requested again in this term now, and the worker takes tasks.

--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -100,6 +100,7 @@
 	worker   string // worker of the machine when its evacuation began
 	inFlight bool   // a call is in flight
 
+	refused        bool      // the platform knows a newer epoch for the machine
 	suspendedUntil time.Time // no evacuation before
 	runs           int       // on the worker, as seen last
 	progressAt     time.Time // when that number last changed
@@ -167,7 +168,7 @@
 		u := v.machines[id]
 		switch u.phase {
 		case phaseWaiting:
-			if started < v.MaxDown && !now.Before(u.suspendedUntil) {
+			if started < v.MaxDown && !u.refused && !now.Before(u.suspendedUntil) {
 				started++
 				s.evacuate(now, v, id, u)
 			}
@@ -293,6 +294,9 @@
 	case OutcomeObsolete:
 		u.phase = phaseDone
 		s.endEvacuation(u.worker)
+	case OutcomeFenced: // repeating it in this epoch would be refused again
+		u.phase, u.since, u.refused = phaseWaiting, now, true
+		s.endEvacuation(u.worker)
 	default:
 		u.since = now
 	}
@@ -324,7 +328,7 @@
 	case u.phase == phaseDone || v.Completed:
 	case !ok:
 		u.phase = phaseDone
-	case m.InUpkeep && u.phase == phaseWaiting: // an earlier leader began it
+	case m.InUpkeep && u.phase == phaseWaiting && !s.hasUpkeepIn(id, v): // an earlier leader began it
 		u.phase, u.since, u.worker = phaseDown, now, m.Worker
 		v.Started = append(v.Started, id)
 		s.emit(StoreWave{Number: v.Number, Started: v.Started})
@@ -338,6 +342,16 @@
 	}
 }
 
+// hasUpkeepIn reports whether another unfinished wave than the given one has a machine.
+func (s *Scheduler) hasUpkeepIn(id string, except *wave) bool {
+	for _, v := range s.waves {
+		if _, ok := v.machines[id]; ok && v != except && !v.Completed {
+			return true
+		}
+	}
+	return false
+}
+
 // endEvacuation lets a worker whose machine stays up take tasks again.
 func (s *Scheduler) endEvacuation(id string) {
 	if w, ok := s.workers[id]; ok && w.evacuating {
