A filler stands no longer on the one worker that excludes fillers

Callers saw a filler with nothing running for 3 s after it was stopped for a serving task on the only worker that may run it. Cause: such a worker takes no fillers for 3 s, counted anew with each repeated stop, and the placement of units that have stood for 2 s kept to that. Units that have stood pass over the exclusion now; a tail latency near its target still keeps fillers away, and they begin there at their reduced pace. Tickets were ruled out: the job held valid ones throughout.

--- a/internal/jobs/scheduler/pace.go
+++ b/internal/jobs/scheduler/pace.go
@@ -146,7 +146,10 @@
 // other runs there. Fillers interfere with serving tasks, so the two share a
 // worker only if there is no other room.
 func (s *Scheduler) colocationAllowed(now time.Time, st *step, w *worker) bool {
-	return s.colocationTolerable(now, st, w) && (!st.Filler || w.servingRuns == 0 || st.mayJoinServing(now))
+	if st.Filler && (now.Before(w.noFillersUntil) || w.servingRuns > 0 && !st.mayJoinServing(now)) {
+		return false
+	}
+	return s.colocationTolerable(now, st, w)
 }
 
 // colocationTolerable reports the same of a step that has waited for other room for long
@@ -154,7 +157,7 @@
 func (s *Scheduler) colocationTolerable(now time.Time, st *step, w *worker) bool {
 	switch {
 	case st.Filler:
-		return !now.Before(w.noFillersUntil) && (w.servingRuns == 0 || s.maxTail(w) < raiseTailPercent)
+		return w.servingRuns == 0 || s.maxTail(w) < raiseTailPercent
 	case st.Serving:
 		return w.fillerRuns == 0
 	default:
