Colocation of units that have stood does not depend on the time

The linter found the parameter unused since the exclusion of fillers by time is left to the ordinary placement; scripts and the property test behave as before.

--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -60,7 +60,7 @@
 	if !w.hasLabel(u.step.Label) || (u.job.queue.Advice != nil && u.step.deniedWorkers[w.ID]) {
 		return false
 	}
-	return p.s.colocationTolerable(p.now, u.step, w)
+	return p.s.colocationTolerable(u.step, w)
 }
 
 // unconstrained reports whether the step itself allows every worker of its service.
--- a/internal/jobs/scheduler/pace.go
+++ b/internal/jobs/scheduler/pace.go
@@ -149,12 +149,12 @@
 	if st.Filler && (now.Before(w.noFillersUntil) || w.servingRuns > 0 && !st.mayJoinServing(now)) {
 		return false
 	}
-	return s.colocationTolerable(now, st, w)
+	return s.colocationTolerable(st, w)
 }
 
 // colocationTolerable reports the same of a step that has waited for other room for long
 // enough.
-func (s *Scheduler) colocationTolerable(now time.Time, st *step, w *worker) bool {
+func (s *Scheduler) colocationTolerable(st *step, w *worker) bool {
 	switch {
 	case st.Filler:
 		return w.servingRuns == 0 || s.maxTail(w) < raiseTailPercent
