The search for the next call for advice costs less

Since the call goes to one of all waiting steps, a pass without a call in flight looked at the tickets of every step for every worker.

Whether a step would fit if permitted is found from the free resources alone; its tickets are looked at only if it would go before the best step so far. The calls are the same.

--- a/internal/jobs/scheduler/advice.go
+++ b/internal/jobs/scheduler/advice.go
@@ -78,10 +78,14 @@
 // rack by rack. One request of a pass is sent.
 func (p *pass) requestAdvice(u unit, r placer.Request) {
 	s := p.s
-	if d := s.adviceDue; s.adviceInFlight || p.now.Before(s.nextAdviceAt) || (d != nil && d.fits && !u.step.askedAgainAt.Before(d.step.askedAgainAt)) {
+	if s.adviceInFlight || p.now.Before(s.nextAdviceAt) {
 		return
 	}
-	candidates, fitting := p.workersToAskFor(u, r)
+	e := &adviceRequest{Advise: Advise{Job: u.job.ID, Step: u.index}, step: u.step, fits: u.job.urgent() || !u.step.Gang || p.fitsIfPermitted(u, r)}
+	if !e.precedes(s.adviceDue) {
+		return
+	}
+	candidates := p.workersToAskFor(u, r)
 	if len(candidates) == 0 {
 		return
 	}
@@ -92,7 +96,6 @@
 	slices.SortStableFunc(candidates, func(a, b placer.Worker) int {
 		return cmp.Or(cmp.Compare(free[b.Rack], free[a.Rack]), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
 	})
-	e := &adviceRequest{Advise: Advise{Job: u.job.ID, Step: u.index}, step: u.step, fits: u.job.urgent() || !u.step.Gang || fitting >= r.Tasks}
 	for _, v := range candidates[:min(len(candidates), maxAdvisedWorkers)] {
 		e.Workers = append(e.Workers, v.ID)
 		_, again := u.step.tickets[v.ID]
@@ -100,36 +103,40 @@
 	}
 	a := u.job.queue.Advice
 	e.Limit = time.Duration(a.DecideMS+a.PeriodMS*len(e.Workers)) * time.Millisecond
-	if e.precedes(s.adviceDue) {
-		s.adviceDue = e
-	}
+	s.adviceDue = e
 }
 
-// workersToAskFor returns the workers without a decision on the step that have room for it,
-// and how many of its tasks fit on them and on the permitted ones.
-func (p *pass) workersToAskFor(u unit, r placer.Request) ([]placer.Worker, int) {
-	var candidates []placer.Worker
+// fitsIfPermitted reports whether what waits of a step would fit on the free resources of
+// the workers that have not been denied.
+func (p *pass) fitsIfPermitted(u unit, r placer.Request) bool {
 	fitting := 0
-	open := func(v placer.Worker) bool { return !u.step.hasTicket(p.now, p.s.workers[v.ID]) }
 	for _, v := range p.workers[u.job.queue.Service] {
-		n := placer.TasksThatFit(r.PerTask, v.Free)
-		if n <= 0 || u.step.deniedWorkers[v.ID] {
-			continue
-		}
-		fitting += n
-		if open(v) {
-			candidates = append(candidates, v)
+		if n := placer.TasksThatFit(r.PerTask, v.Free); n > 0 && !u.step.deniedWorkers[v.ID] {
+			fitting += n
 		}
 	}
-	if len(candidates) > 0 || !u.job.urgent() {
-		return candidates, fitting
+	return fitting >= r.Tasks
+}
+
+// workersToAskFor returns the workers without a decision on the step that have room for it,
+// or may get room for an urgent one.
+func (p *pass) workersToAskFor(u unit, r placer.Request) []placer.Worker {
+	open := func(v placer.Worker) bool {
+		return !u.step.deniedWorkers[v.ID] && !u.step.hasTicket(p.now, p.s.workers[v.ID])
 	}
-	for _, v := range p.workers[u.job.queue.Service] { // it may preempt other runs
-		if !u.step.deniedWorkers[v.ID] && open(v) && r.PerTask.Fits(v.Capacity) {
-			candidates = append(candidates, v)
+	var free, occupied []placer.Worker
+	for _, v := range p.workers[u.job.queue.Service] {
+		switch {
+		case placer.TasksThatFit(r.PerTask, v.Free) > 0 && open(v):
+			free = append(free, v)
+		case len(free) == 0 && u.job.urgent() && r.PerTask.Fits(v.Capacity) && open(v): // it may preempt other runs
+			occupied = append(occupied, v)
 		}
 	}
-	return candidates, fitting
+	if len(free) > 0 {
+		return free
+	}
+	return occupied
 }
 
 // sendAdviceRequest sends the request that goes first among those of a pass.
