--- a/internal/jobs/scheduler/advice.go
+++ b/internal/jobs/scheduler/advice.go
@@ -78,10 +78,11 @@
 // rack by rack. One request of a pass is sent.
 func (p *pass) requestAdvice(u unit, r placer.Request) {
 	s := p.s
-	if d := s.adviceDue; s.adviceInFlight || p.now.Before(s.nextAdviceAt) || (d != nil && d.fits && !u.step.askedAgainAt.Before(d.step.askedAgainAt)) {
+	if s.adviceInFlight || p.now.Before(s.nextAdviceAt) {
 		return
 	}
-	if !p.fitsUnlessDenied(u) {
+	e := &adviceRequest{Advise: Advise{Job: u.job.ID, Step: u.index}, step: u.step, fits: u.job.urgent() || !u.step.Gang || p.fitsIfPermitted(u, r)}
+	if !e.precedes(s.adviceDue) || !p.fitsUnlessDenied(u) {
 		return // the service answers one call at a time, and others wait for it
 	}
 	candidates := p.adviceCandidates(u, r)
@@ -95,7 +96,6 @@
 	slices.SortStableFunc(candidates, func(a, b placer.Worker) int {
 		return cmp.Or(cmp.Compare(free[b.Rack], free[a.Rack]), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
 	})
-	e := &adviceRequest{Advise: Advise{Job: u.job.ID, Step: u.index}, step: u.step, fits: u.job.urgent() || !u.step.Gang || p.fitting(u, r, candidates) >= r.Tasks}
 	for _, v := range candidates[:min(len(candidates), maxAdvisedWorkers)] {
 		e.Workers = append(e.Workers, v.ID)
 		_, again := u.step.tickets[v.ID]
@@ -103,9 +103,19 @@
 	}
 	a := u.job.queue.Advice
 	e.Limit = time.Duration(a.DecideMS+a.PeriodMS*len(e.Workers)) * time.Millisecond
-	if e.precedes(s.adviceDue) {
-		s.adviceDue = e
+	s.adviceDue = e
+}
+
+// fitsIfPermitted reports whether what waits of a step would fit on the free resources of
+// the workers that have not been denied.
+func (p *pass) fitsIfPermitted(u unit, r placer.Request) bool {
+	fitting := 0
+	for _, v := range p.workers[u.job.queue.Service] {
+		if n := placer.TasksThatFit(r.PerTask, v.Free); n > 0 && !u.step.deniedWorkers[v.ID] {
+			fitting += n
+		}
 	}
+	return fitting >= r.Tasks
 }
 
 // adviceCandidates returns the workers without a ticket or a denial that may have room for a
@@ -156,18 +166,6 @@
 	return n >= need
 }
 
-// fitting returns how many tasks of a request fit on the workers that are named or have a
-// ticket.
-func (p *pass) fitting(u unit, r placer.Request, named []placer.Worker) int {
-	n := totalFitting(r, named)
-	for _, v := range p.workers[u.job.queue.Service] {
-		if u.step.hasTicket(p.now, p.s.workers[v.ID]) {
-			n += min(placer.TasksThatFit(r.PerTask, v.Free), maxRoom)
-		}
-	}
-	return n
-}
-
 // sendAdviceRequest sends the request that goes first among those of a pass.
 func (s *Scheduler) sendAdviceRequest(now time.Time) {
 	e := s.adviceDue
