A soak checks from outside that no accepted job stands

TestSoakStanding runs seven entry VMs as processes against 48 stand-in executors in six racks, with the job kinds of a users' site, and injects series of faults of the leader first. Every 100 ms it compares what runs on the stand-ins with what callers were acknowledged: a job that has nothing running for 3 s (a task that lasts: for 6 s) in a calm phase although its turn has come and the executors have room for it twice over is reported, with the lines of the VMs' logs about its wait. The existing soak has five executors and asks only whether each job ends within 90 s, so it could not see this.

--- /dev/null
+++ b/soak_standing_test.go
@@ -0,0 +1,377 @@
+package main_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	platformstandin "github.com/lacewingdoor/lacewingdoor/platform/standin"
+)
+
+var (
+	soakProgram = flag.String("soak.program", "lacewingdoor", "program that TestSoakStanding runs")
+	soakFull    = flag.Bool("soak.full", false, "let TestSoakStanding check the promise also while half of the service or more is in use")
+	soakRounds  = flag.Int("soak.rounds", 2, "series of faults in each run of TestSoakStanding")
+)
+
+const (
+	standingExecutors = 48
+	standingRack      = 8 // executors per rack
+	standingVMs       = 7
+	standingLease     = 10 * time.Second
+	standingGrace     = 6 * time.Second  // from SIGTERM to SIGKILL
+	standingCalm      = 10 * time.Second // after each series of faults; promises are checked in the last 3 s
+	standingFinish    = 14 * time.Second // after the end of the traffic
+)
+
+// standingSeeds run in CI.
+var standingSeeds = []uint64{1}
+
+// TestSoakStanding runs entry VMs as processes against stand-ins of the size of a users'
+// site, with series of faults of the leader first. While it runs it checks, by what the
+// stand-ins know, that no accepted job stands in calm phases: that it has nothing running
+// for 3 s although its turn has come and there is ample room for it.
+func TestSoakStanding(t *testing.T) {
+	seeds := standingSeeds
+	if *soakSeed > 0 {
+		seeds = nil
+		for i := range *soakRuns {
+			seeds = append(seeds, *soakSeed+uint64(i))
+		}
+	}
+	for _, n := range seeds {
+		t.Run(fmt.Sprintf("seed-%d", n), func(t *testing.T) { newStandingSoak(t, n).run() })
+	}
+}
+
+// standingSoak is the run of one seed.
+type standingSoak struct {
+	t         *testing.T
+	seed      uint64
+	dir       string
+	store     *platformstandin.Store
+	storeURL  string
+	executors []*platformstandin.Executor
+	workers   []standingWorker
+	vms       []*standingVM
+	version   int // of the configuration
+	faultRand *rand.Rand
+	inEffect  sync.WaitGroup // faults
+
+	mu        sync.Mutex
+	jobs      map[string]*standingJob
+	active    []*standingJob // that have not ended
+	faulty    int            // faults in effect
+	calmSince time.Time
+	faults    []string
+	problems  []string
+	fullest   float64 // share of the service in use
+	checks    int     // checks in calm phases
+}
+
+// standingWorker is what an executor has.
+type standingWorker struct {
+	labels [2]string // kind of machine, rack
+	room   standingNeed
+}
+
+// standingVM is an entry VM; mu is held while it is restarted.
+type standingVM struct {
+	soakVM
+	mu sync.Mutex
+}
+
+func newStandingSoak(t *testing.T, seed uint64) *standingSoak {
+	s := &standingSoak{
+		t: t, seed: seed, dir: t.TempDir(), store: platformstandin.NewStore(),
+		faultRand: rand.New(rand.NewPCG(seed, 17)), jobs: map[string]*standingJob{}, calmSince: time.Now(),
+	}
+	s.storeURL = s.serve(&platformstandin.StoreProxy{Store: s.store})
+	s.configure()
+	gangs := &platformstandin.Gangs{Timeout: 3 * time.Second}
+	for i := range standingExecutors {
+		w := standingWorker{labels: [2]string{"a", fmt.Sprintf("r1-%d", i/standingRack)}, room: standingNeed{128000, 262144, 8}}
+		if i%4 == 3 {
+			w.labels[0] = "b"
+		}
+		x := platformstandin.NewExecutor()
+		x.Gangs, x.Rack, x.Work = gangs, w.labels[1], s.work
+		x.Started, x.Ended = s.recordStart, s.recordEnd
+		s.executors, s.workers = append(s.executors, x), append(s.workers, w)
+		s.store.Put("keyed.servers", fmt.Sprintf("x%d", i), fmt.Appendf(nil,
+			`{"service":"s","address":%q,"zone":"z","state":"ready","capacity":{"cpu":%d,"memMb":%d,"gpu":%d},"labels":[%q,%q],"born":%d}`,
+			s.serve(x), w.room.cpu, w.room.memory, w.room.gpu, w.labels[0], w.labels[1], x.Born()))
+	}
+	for i := range standingVMs {
+		s.addVM(i)
+	}
+	t.Cleanup(s.stopAll)
+	return s
+}
+
+func (s *standingSoak) addVM(i int) {
+	v := &standingVM{soakVM: soakVM{
+		name: fmt.Sprintf("vm%d", i), callers: freeAddress(s.t), readiness: freeAddress(s.t), peers: freeAddress(s.t),
+	}}
+	v.settings = filepath.Join(s.dir, v.name+".json")
+	b, err := platformstandin.SettingsFile(v.name, s.storeURL, v.callers, v.readiness, v.peers, standingLease)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := os.WriteFile(v.settings, b, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	if v.log, err = os.Create(filepath.Join(s.dir, v.name+".log")); err != nil {
+		s.t.Fatal(err)
+	}
+	s.vms = append(s.vms, v)
+	s.start(v)
+}
+
+// serve serves a handler and returns its address.
+func (s *standingSoak) serve(h http.Handler) string {
+	server := httptest.NewUnstartedServer(h)
+	if x, ok := h.(*platformstandin.Executor); ok {
+		server.Config.ConnContext = x.ConnContext
+	}
+	server.Start()
+	s.t.Cleanup(server.CloseClientConnections) // a server that is closed waits for its connections
+	return server.Listener.Addr().String()
+}
+
+func (s *standingSoak) start(v *standingVM) {
+	v.process = exec.Command(*soakProgram, "schedule")
+	v.process.Env = append(os.Environ(), "LACEWINGDOOR_SETTINGS="+v.settings)
+	v.process.Stdout, v.process.Stderr = v.log, v.log
+	v.process.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // for the same reason as in startProcess
+	if err := v.process.Start(); err != nil {
+		s.t.Errorf("start %s: %v", v.name, err)
+	}
+}
+
+// configure publishes the next version of a configuration with the queues of the job kinds.
+func (s *standingSoak) configure() {
+	s.version++
+	var queues []string
+	for _, k := range standingKinds {
+		queues = append(queues, fmt.Sprintf(
+			`{"name":%q,"host":%q,"pathPrefix":"/%s/","service":"s","priority":%d,"maxAttempts":%d,"stretch":%g,"targetLatencyMs":%d}`,
+			k.queue, platformstandin.Host, k.queue, k.priority, k.attempts, k.stretch, k.targetMS))
+	}
+	s.store.Put("keyed.op", "config", fmt.Appendf(nil,
+		`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{"maxBodyBytes":262144},
+		"tenants":[{"name":"o","apiKeys":[%q],"guaranteed":{"gpu":64}}]}`, s.version, strings.Join(queues, ","), platformstandin.Key))
+}
+
+func (s *standingSoak) stopAll() {
+	for _, v := range s.vms {
+		v.signal(syscall.SIGCONT)
+		v.signalAndWait(syscall.SIGKILL)
+		_ = v.log.Close()
+		if name := os.Getenv("SOAK_LOGS"); name != "" {
+			b, _ := os.ReadFile(v.log.Name())
+			_ = os.WriteFile(filepath.Join(name, strings.ReplaceAll(s.t.Name(), "/", "-")+"-"+v.name+".log"), b, 0o600)
+		}
+	}
+	if s.t.Failed() || os.Getenv("SOAK_LOGS") != "" {
+		s.t.Logf("faults:\n%s", strings.Join(s.faults, "\n"))
+	}
+}
+
+// run injects series of faults with calm phases between them, while callers submit jobs.
+func (s *standingSoak) run() {
+	for _, v := range s.vms {
+		s.awaitReady(v)
+	}
+	stop, checked := make(chan struct{}), make(chan struct{})
+	go func() { defer close(checked); s.check(stop) }()
+	if *soakBreak == "stands" {
+		s.addPhantom()
+	}
+	trafficEnd := make(chan struct{})
+	var callers sync.WaitGroup
+	callers.Go(func() { s.runTraffic(trafficEnd, &callers) })
+	time.Sleep(3 * time.Second)
+	for range *soakRounds {
+		s.injectSeries(&callers)
+		s.inEffect.Wait()
+		time.Sleep(standingCalm)
+	}
+	close(trafficEnd)
+	callers.Wait()
+	time.Sleep(standingFinish)
+	close(stop)
+	<-checked
+	s.checkKnown()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.t.Logf("%d jobs, %d of them not ended; %d checks in calm phases; at most %.0f %% in use", len(s.jobs), len(s.active), s.checks, 100*s.fullest)
+	for _, p := range s.problems {
+		s.t.Error(p)
+	}
+}
+
+func (s *standingSoak) awaitReady(v *standingVM) {
+	for end := time.Now().Add(soakSettleTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if soakCall(http.MethodGet, v.readiness, "/ready", "").status == http.StatusOK {
+			return
+		}
+	}
+	s.problemf("%s is not ready after %v", v.name, soakSettleTimeout)
+}
+
+func (s *standingSoak) problemf(format string, a ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.problems = append(s.problems, time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, a...))
+}
+
+// leader returns the VM that last wrote to the topic of leadership claims.
+func (s *standingSoak) leader() *standingVM {
+	var c struct {
+		Holder string `json:"holder"`
+	}
+	_ = json.Unmarshal(s.store.Get("keyed.leader", "leader"), &c) // no claim counts as one of vm0
+	for _, v := range s.vms {
+		if v.name == c.Holder {
+			return v
+		}
+	}
+	return s.vms[0]
+}
+
+// begin records a fault and returns the function that ends its effect.
+func (s *standingSoak) begin(format string, a ...any) func() {
+	s.inEffect.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faulty++
+	s.faults = append(s.faults, time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, a...))
+	return func() {
+		s.mu.Lock()
+		s.faulty--
+		s.calmSince = time.Now()
+		s.mu.Unlock()
+		s.inEffect.Done()
+	}
+}
+
+// injectSeries injects faults that overlap: changes of the leader in quick succession, with
+// jobs submitted meanwhile, and others.
+func (s *standingSoak) injectSeries(callers *sync.WaitGroup) {
+	r := s.faultRand
+	for range 2 + r.IntN(2) {
+		s.stopVM(s.leader(), r)
+		s.submitInHandover(callers, r)
+		time.Sleep(time.Duration(100+r.IntN(900)) * time.Millisecond)
+	}
+	for range r.IntN(5) {
+		v := s.vms[r.IntN(standingVMs)]
+		switch r.IntN(4) {
+		case 0:
+			end := s.begin("SIGHUP to %s", v.name)
+			v.mu.Lock()
+			v.signal(syscall.SIGHUP)
+			v.mu.Unlock()
+			end()
+		case 1:
+			end := s.begin("configuration %d", s.version+1)
+			s.configure()
+			end()
+		default:
+			s.stopVM(v, r)
+		}
+		time.Sleep(time.Duration(r.IntN(600)) * time.Millisecond)
+	}
+}
+
+// stopVM kills, shuts down or pauses a VM and lets it run again later. A VM that is being
+// restarted is left alone.
+func (s *standingSoak) stopVM(v *standingVM, r *rand.Rand) {
+	kind, pause, delay := r.IntN(3), time.Duration(500+r.IntN(5000))*time.Millisecond, time.Duration(r.IntN(2500))*time.Millisecond
+	grace := standingGrace
+	if r.IntN(3) == 0 {
+		grace = time.Duration(r.IntN(1500)) * time.Millisecond
+	}
+	if !v.mu.TryLock() {
+		return
+	}
+	end := s.begin("%s %s", [...]string{"SIGKILL to", "SIGTERM to", "pause"}[kind], v.name)
+	switch kind {
+	case 0:
+		v.signal(syscall.SIGKILL)
+	case 1:
+		v.signal(syscall.SIGTERM)
+	default:
+		v.signal(syscall.SIGSTOP)
+	}
+	go func() {
+		defer end()
+		defer v.mu.Unlock()
+		if kind == 2 {
+			time.Sleep(pause)
+			v.signal(syscall.SIGCONT)
+			return
+		}
+		p := v.process.Process // a later process is not killed
+		kill := time.AfterFunc(grace, func() { _ = p.Kill() })
+		_ = v.process.Wait()
+		kill.Stop()
+		time.Sleep(delay)
+		s.start(v)
+		s.awaitReady(v)
+	}()
+}
+
+// submitInHandover submits jobs while the leader changes, and repeats them at other VMs.
+func (s *standingSoak) submitInHandover(callers *sync.WaitGroup, r *rand.Rand) {
+	for range 1 + r.IntN(3) {
+		k := &standingKinds[r.IntN(len(standingKinds))]
+		j := s.newJob(k, r)
+		own := rand.New(rand.NewPCG(r.Uint64(), 0))
+		callers.Go(func() {
+			time.Sleep(time.Duration(own.IntN(800)) * time.Millisecond)
+			s.submit(j, own)
+			s.post(j, own)
+		})
+	}
+}
+
+// runTraffic submits jobs of all kinds until stop is closed.
+func (s *standingSoak) runTraffic(stop chan struct{}, callers *sync.WaitGroup) {
+	r, start := rand.New(rand.NewPCG(s.seed, 18)), time.Now()
+	for {
+		rate := 0.0
+		for _, k := range standingKinds {
+			rate += k.perSecond
+		}
+		swing := 1 + 0.6*math.Sin(2*math.Pi*time.Since(start).Seconds()/15)
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(r.ExpFloat64() / (rate * swing) * float64(time.Second))):
+		}
+		pick := r.Float64() * rate
+		k := &standingKinds[0]
+		for i := range standingKinds {
+			if k = &standingKinds[i]; pick < k.perSecond {
+				break
+			}
+			pick -= k.perSecond
+		}
+		j, own := s.newJob(k, r), rand.New(rand.NewPCG(r.Uint64(), 0))
+		callers.Go(func() { s.submit(j, own) })
+	}
+}
