The soak of jobs that stand disturbs executors too

Series of faults restart neighbouring executors, cut them off, or lose their answers after they have carried out commands: a leader's books about their room may be wrong then.

--- a/soak_standing_check_test.go
+++ b/soak_standing_check_test.go
@@ -181,6 +181,7 @@
 		since = at
 	}
 	stands[name] = since
+	j.longest = max(j.longest, at.Sub(since))
 	return since
 }
 
--- a/soak_standing_job_test.go
+++ b/soak_standing_job_test.go
@@ -98,6 +98,7 @@
 	lastRun   time.Time
 	taskRun   map[string]time.Time // when a task last ran, for lasting ones
 	stands    map[string]time.Time // since when a task, or the job itself, stands
+	longest   time.Duration        // that it, or a task of it that lasts, has stood, calm or not
 	reported  bool
 	failedRun map[string]int64 // by step, last run of a gang that has failed
 }
--- a/soak_standing_test.go
+++ b/soak_standing_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -64,7 +65,7 @@
 	store     *platformstandin.Store
 	storeURL  string
 	executors []*platformstandin.Executor
-	workers   []standingWorker
+	workers   []*standingWorker
 	vms       []*standingVM
 	version   int // of the configuration
 	faultRand *rand.Rand
@@ -83,8 +84,43 @@
 
 // standingWorker is what an executor has.
 type standingWorker struct {
-	labels [2]string // kind of machine, rack
-	room   standingNeed
+	id, address string
+	labels      [2]string // kind of machine, rack
+	room        standingNeed
+	link        *standingLink
+}
+
+// standingLink stands before an executor. Out of order, it breaks connections off, before or
+// after the executor has carried out the command.
+type standingLink struct {
+	executor *platformstandin.Executor
+	state    atomic.Int32
+}
+
+const (
+	linkUp = iota
+	linkCut
+	linkAnswersLost
+)
+
+// ServeHTTP handles one command.
+func (l *standingLink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch l.state.Load() {
+	case linkCut:
+		panic(http.ErrAbortHandler)
+	case linkAnswersLost:
+		l.executor.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	default:
+		l.executor.ServeHTTP(w, r)
+	}
+}
+
+// list writes the entry of an executor.
+func (s *standingSoak) list(w *standingWorker) {
+	s.store.Put("keyed.servers", w.id, fmt.Appendf(nil,
+		`{"service":"s","address":%q,"zone":"z","state":"ready","capacity":{"cpu":%d,"memMb":%d,"gpu":%d},"labels":[%q,%q],"born":%d}`,
+		w.address, w.room.cpu, w.room.memory, w.room.gpu, w.labels[0], w.labels[1], w.link.executor.Born()))
 }
 
 // standingVM is an entry VM; mu is held while it is restarted.
@@ -102,7 +138,7 @@
 	s.configure()
 	gangs := &platformstandin.Gangs{Timeout: 3 * time.Second}
 	for i := range standingExecutors {
-		w := standingWorker{labels: [2]string{"a", fmt.Sprintf("r1-%d", i/standingRack)}, room: standingNeed{128000, 262144, 8}}
+		w := &standingWorker{id: fmt.Sprintf("x%d", i), labels: [2]string{"a", fmt.Sprintf("r1-%d", i/standingRack)}, room: standingNeed{128000, 262144, 8}}
 		if i%4 == 3 {
 			w.labels[0] = "b"
 		}
@@ -110,9 +146,9 @@
 		x.Gangs, x.Rack, x.Work = gangs, w.labels[1], s.work
 		x.Started, x.Ended = s.recordStart, s.recordEnd
 		s.executors, s.workers = append(s.executors, x), append(s.workers, w)
-		s.store.Put("keyed.servers", fmt.Sprintf("x%d", i), fmt.Appendf(nil,
-			`{"service":"s","address":%q,"zone":"z","state":"ready","capacity":{"cpu":%d,"memMb":%d,"gpu":%d},"labels":[%q,%q],"born":%d}`,
-			s.serve(x), w.room.cpu, w.room.memory, w.room.gpu, w.labels[0], w.labels[1], x.Born()))
+		w.link = &standingLink{executor: x}
+		w.address = s.serve(w.link)
+		s.list(w)
 	}
 	for i := range standingVMs {
 		s.addVM(i)
@@ -143,8 +179,8 @@
 // serve serves a handler and returns its address.
 func (s *standingSoak) serve(h http.Handler) string {
 	server := httptest.NewUnstartedServer(h)
-	if x, ok := h.(*platformstandin.Executor); ok {
-		server.Config.ConnContext = x.ConnContext
+	if l, ok := h.(*standingLink); ok {
+		server.Config.ConnContext = l.executor.ConnContext
 	}
 	server.Start()
 	s.t.Cleanup(server.CloseClientConnections) // a server that is closed waits for its connections
@@ -221,6 +257,11 @@
 	for _, p := range s.problems {
 		s.t.Error(p)
 	}
+	for _, j := range s.jobs {
+		if j.reported {
+			s.t.Logf("job %s has stood for %v", j.id, j.longest)
+		}
+	}
 }
 
 func (s *standingSoak) awaitReady(v *standingVM) {
@@ -279,7 +320,9 @@
 	}
 	for range r.IntN(5) {
 		v := s.vms[r.IntN(standingVMs)]
-		switch r.IntN(4) {
+		switch r.IntN(6) {
+		case 2, 3:
+			s.disturbWorkers(r)
 		case 0:
 			end := s.begin("SIGHUP to %s", v.name)
 			v.mu.Lock()
@@ -335,6 +378,28 @@
 	}()
 }
 
+// disturbWorkers restarts some neighbouring executors, or breaks their connections off for a
+// while.
+func (s *standingSoak) disturbWorkers(r *rand.Rand) {
+	first, n := r.IntN(standingExecutors), 1+r.IntN(standingRack)
+	workers := s.workers[first:min(standingExecutors, first+n)]
+	kind, pause := r.IntN(3), time.Duration(300+r.IntN(6000))*time.Millisecond
+	end := s.begin("%s %d executors from %s for %v", [...]string{"restart", "cut off", "lose answers of"}[kind], len(workers), workers[0].id, pause)
+	for _, w := range workers {
+		if kind == linkUp {
+			w.link.executor.Restart()
+			s.list(w)
+		}
+		w.link.state.Store(int32(kind))
+	}
+	time.AfterFunc(pause, func() {
+		defer end()
+		for _, w := range workers {
+			w.link.state.Store(linkUp)
+		}
+	})
+}
+
 // submitInHandover submits jobs while the leader changes, and repeats them at other VMs.
 func (s *standingSoak) submitInHandover(callers *sync.WaitGroup, r *rand.Rand) {
 	for range 1 + r.IntN(3) {
