The soak of jobs that stand waits for each new leader before it stops it

A series now strikes the next leader up to a second after its claim, so that leadership changes two or three times in quick succession as in the users' record; before, it often struck the VM that was already down. The load is drawn with the seed: some runs keep the service under half full.

--- a/soak_standing_test.go
+++ b/soak_standing_test.go
@@ -34,6 +34,7 @@
 	standingLease     = 10 * time.Second
 	standingGrace     = 6 * time.Second  // from SIGTERM to SIGKILL
 	standingCalm      = 10 * time.Second // after each series of faults; promises are checked in the last 3 s
+	standingTakeover  = 6 * time.Second  // in which another VM claims the leadership
 	standingFinish    = 14 * time.Second // after the end of the traffic
 )
 
@@ -314,9 +315,13 @@
 func (s *standingSoak) injectSeries(callers *sync.WaitGroup) {
 	r := s.faultRand
 	for range 2 + r.IntN(2) {
-		s.stopVM(s.leader(), r)
+		v := s.leader()
+		s.stopVM(v, r)
 		s.submitInHandover(callers, r)
-		time.Sleep(time.Duration(100+r.IntN(900)) * time.Millisecond)
+		for end := time.Now().Add(standingTakeover); s.leader() == v && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Duration(r.IntN(1000)) * time.Millisecond)
 	}
 	for range r.IntN(5) {
 		v := s.vms[r.IntN(standingVMs)]
@@ -417,6 +422,7 @@
 // runTraffic submits jobs of all kinds until stop is closed.
 func (s *standingSoak) runTraffic(stop chan struct{}, callers *sync.WaitGroup) {
 	r, start := rand.New(rand.NewPCG(s.seed, 18)), time.Now()
+	load := 0.4 + 0.8*r.Float64() // some runs keep the service under half full, some fill it
 	for {
 		rate := 0.0
 		for _, k := range standingKinds {
@@ -426,7 +432,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(r.ExpFloat64() / (rate * swing) * float64(time.Second))):
+		case <-time.After(time.Duration(r.ExpFloat64() / (rate * load * swing) * float64(time.Second))):
 		}
 		pick := r.Float64() * rate
 		k := &standingKinds[0]
