--- a/soak_standing_test.go
+++ b/soak_standing_test.go
@@ -348,7 +348,8 @@
 // stopVM kills, shuts down or pauses a VM and lets it run again later. A VM that is being
 // restarted is left alone.
 func (s *standingSoak) stopVM(v *standingVM, r *rand.Rand) {
-	kind, pause, delay := r.IntN(3), time.Duration(500+r.IntN(5000))*time.Millisecond, time.Duration(r.IntN(2500))*time.Millisecond
+	signals := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGSTOP}
+	signal, pause, delay := signals[r.IntN(len(signals))], time.Duration(500+r.IntN(5000))*time.Millisecond, time.Duration(r.IntN(2500))*time.Millisecond
 	grace := standingGrace
 	if r.IntN(3) == 0 {
 		grace = time.Duration(r.IntN(1500)) * time.Millisecond
@@ -356,19 +357,12 @@
 	if !v.mu.TryLock() {
 		return
 	}
-	end := s.begin("%s %s", [...]string{"SIGKILL to", "SIGTERM to", "pause"}[kind], v.name)
-	switch kind {
-	case 0:
-		v.signal(syscall.SIGKILL)
-	case 1:
-		v.signal(syscall.SIGTERM)
-	default:
-		v.signal(syscall.SIGSTOP)
-	}
+	end := s.begin("send %q to %s", signal, v.name)
+	v.signal(signal)
 	go func() {
 		defer end()
 		defer v.mu.Unlock()
-		if kind == 2 {
+		if signal == syscall.SIGSTOP {
 			time.Sleep(pause)
 			v.signal(syscall.SIGCONT)
 			return
