The soak of jobs that stand counts a GPU as eight cores

The share of the service in use was that of the scarcest resource, so jobs that stood while half of the GPUs and a third of all were in use did not count.

--- a/soak_standing_check_test.go
+++ b/soak_standing_check_test.go
@@ -26,7 +26,7 @@
 	running map[string]bool
 	onStep  []map[string]int // by executor, number of tasks by job, occurrence and step
 	jobs    map[string]bool  // that have something running
-	share   float64          // of the service's capacity in use, of the resource that is used most
+	share   float64          // of the service's capacity in use
 }
 
 func (s *standingSoak) view() *standingView {
@@ -46,10 +46,13 @@
 		}
 		v.free, v.onStep = append(v.free, free), append(v.onStep, steps)
 	}
-	v.share = max(float64(used.cpu)/float64(all.cpu), float64(used.memory)/float64(all.memory), float64(used.gpu)/float64(all.gpu))
+	v.share = used.weight() / all.weight()
 	return v
 }
 
+// weight returns the cores, with each GPU counted as eight as in the users' prices.
+func (n standingNeed) weight() float64 { return float64(n.cpu)/1000 + 8*float64(n.gpu) }
+
 func (n standingNeed) minus(m standingNeed, times int) standingNeed {
 	return standingNeed{n.cpu - times*m.cpu, n.memory - times*m.memory, n.gpu - times*m.gpu}
 }
