The soak of jobs that stand begins with long-running jobs

Up to 15 jobs that last are submitted when the traffic begins, half of them with anti-affinity, so that no rack is empty: a gang that prefers one rack has to cross racks or wait for an end that never comes.

--- a/soak_standing_test.go
+++ b/soak_standing_test.go
@@ -28,14 +28,15 @@
 )
 
 const (
-	standingExecutors = 48
-	standingRack      = 8 // executors per rack
-	standingVMs       = 7
-	standingLease     = 10 * time.Second
-	standingGrace     = 6 * time.Second  // from SIGTERM to SIGKILL
-	standingCalm      = 10 * time.Second // after each series of faults; promises are checked in the last 3 s
-	standingTakeover  = 6 * time.Second  // in which another VM claims the leadership
-	standingFinish    = 14 * time.Second // after the end of the traffic
+	standingExecutors   = 48
+	standingRack        = 8 // executors per rack
+	standingVMs         = 7
+	standingLease       = 10 * time.Second
+	standingGrace       = 6 * time.Second  // from SIGTERM to SIGKILL
+	standingCalm        = 10 * time.Second // after each series of faults; promises are checked in the last 3 s
+	standingTakeover    = 6 * time.Second  // in which another VM claims the leadership
+	standingLastingJobs = 16               // at the start, at most
+	standingFinish      = 14 * time.Second // after the end of the traffic
 )
 
 // standingSeeds run in CI.
@@ -417,6 +418,12 @@
 func (s *standingSoak) runTraffic(stop chan struct{}, callers *sync.WaitGroup) {
 	r, start := rand.New(rand.NewPCG(s.seed, 18)), time.Now()
 	load := 0.4 + 0.8*r.Float64() // some runs keep the service under half full, some fill it
+	lasting := standingKinds[len(standingKinds)-1]
+	lasting.lasting, lasting.apart = 1, 0.5
+	for range r.IntN(standingLastingJobs) {
+		j, own := s.newJob(&lasting, r), rand.New(rand.NewPCG(r.Uint64(), 0))
+		callers.Go(func() { s.submit(j, own) })
+	}
 	for {
 		rate := 0.0
 		for _, k := range standingKinds {
