The time for which a unit stands is not reset by what ends soon

By the review, the clock of a unit that stands began anew whenever reservations of urgent units or expired tickets brought its room under twice for one pass; a stream of them could reset it without end. Only the room by capacity, labels and exclusions decides now for how long a unit has stood; tickets and fresh urgent reservations decide whether it can be placed at the moment. The workers are collected only for units that have stood, at most 20,000 looks a pass.

--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -14,7 +14,7 @@
 	maxStandingTime      = 1500 * time.Millisecond // leaves the rest for a new leader to read the job, and for the start
 	ampleRoomFactor      = 2                       // times the unit must fit on the workers that may run it
 	maxUrgentReservation = time.Second             // for which resources reserved for an urgent unit are kept from units that stand
-	maxRoomLooks         = 50_000                  // workers that are examined per pass for all units together: about a millisecond
+	maxRoomLooks         = 20_000                  // workers that are examined per pass for all units that stand
 )
 
 // placeStanding places units that have found no resources for maxStandingTime although there
@@ -23,7 +23,7 @@
 // placed so: a gang or one task of a job that has nothing running, and long-running tasks.
 func (p *pass) placeStanding(units []unit) {
 	lightlyUsed := map[string]bool{}
-	var waiting []unit
+	var standing []unit
 	for _, u := range units {
 		if u.step.waiting == 0 {
 			continue
@@ -38,17 +38,33 @@
 			u.step.ampleSince = time.Time{}
 			continue
 		}
-		waiting = append(waiting, u)
+		if p.hasStood(u) {
+			standing = append(standing, u)
+		}
 	}
-	if most := 1 + maxRoomLooks/(1+len(p.s.workerIDs)); len(waiting) > most { // the others follow in later passes
-		slices.SortStableFunc(waiting, func(a, b unit) int { return a.step.roomCheckedAt.Compare(b.step.roomCheckedAt) })
-		waiting = waiting[:most]
+	if most := 1 + maxRoomLooks/(1+len(p.s.workerIDs)); len(standing) > most { // the others follow in later passes
+		slices.SortStableFunc(standing, func(a, b unit) int { return a.step.roomCheckedAt.Compare(b.step.roomCheckedAt) })
+		standing = standing[:most]
 	}
 	reserved := urgentReservations(p.now, units)
-	for _, u := range waiting {
+	for _, u := range standing {
 		u.step.roomCheckedAt = p.now
-		p.placeIfStanding(u, reserved, lightlyUsed[u.job.queue.Service])
+		p.placeRegardless(u, reserved, lightlyUsed[u.job.queue.Service])
+	}
+}
+
+// hasStood reports whether there has been ample room for a unit for maxStandingTime.
+// Tickets and reservations for urgent units do not count: each of them ends soon, but there
+// may be others then.
+func (p *pass) hasStood(u unit) bool {
+	if n := p.s.roomFor(p.now, u); n.usable+n.excluded < ampleRoomFactor*u.step.tasksAtOnce() {
+		u.step.ampleSince = time.Time{}
+		return false
 	}
+	if u.step.ampleSince.IsZero() {
+		u.step.ampleSince = p.now
+	}
+	return p.now.Sub(u.step.ampleSince) >= maxStandingTime
 }
 
 // runs reports whether a task of a job is placed.
@@ -56,29 +72,18 @@
 	return slices.ContainsFunc(j.steps, func(s *step) bool { return s.waiting+s.succeeded < len(s.tasks) })
 }
 
-// placeIfStanding places a unit if it has stood for long enough; of a step that is no gang,
+// placeRegardless places a unit that stands where there is room; of a step that is no gang,
 // all tasks that fit in a lightly used service, else one.
-func (p *pass) placeIfStanding(u unit, reserved map[string]placer.Resources, light bool) {
-	if n := p.s.roomFor(p.now, u); n.usable+n.unusable < ampleRoomFactor*u.step.tasksAtOnce() {
-		u.step.ampleSince = time.Time{}
-		return
-	}
+func (p *pass) placeRegardless(u unit, reserved map[string]placer.Resources, light bool) {
+	r := placer.Request{Tasks: u.step.tasksAtOnce(), PerTask: u.step.Need, Adjacency: placer.AdjacencyNone}
 	waiting := p.placeableTasks(u)
 	workers := p.standingWorkers(u, reserved)
-	r := placer.Request{Tasks: u.step.tasksAtOnce(), PerTask: u.step.Need, Adjacency: placer.AdjacencyNone}
 	if len(waiting) < r.Tasks || totalFitting(r, workers) < ampleRoomFactor*r.Tasks {
-		u.step.ampleSince = time.Time{}
 		return
 	}
-	if u.step.ampleSince.IsZero() {
-		u.step.ampleSince = p.now
-	}
 	if u.job.queue.Advice != nil {
 		workers = p.ticketedWorkers(u, workers)
 	}
-	if p.now.Sub(u.step.ampleSince) < maxStandingTime {
-		return
-	}
 	if !u.step.Gang && (light || u.step.LongRunning) {
 		r.Tasks = min(len(waiting), totalFitting(r, workers))
 	}
@@ -103,8 +108,7 @@
 	}
 }
 
-// ticketedWorkers returns the workers that a unit has tickets for, and asks for further ones
-// if it needs them.
+// ticketedWorkers returns the workers that a unit has tickets for.
 func (p *pass) ticketedWorkers(u unit, workers []placer.Worker) []placer.Worker {
 	var ticketed []placer.Worker
 	for _, v := range workers {
--- a/internal/jobs/scheduler/waits.go
+++ b/internal/jobs/scheduler/waits.go
@@ -50,7 +50,8 @@
 // Tickets, racks, reservations and avoided workers are left aside.
 type room struct {
 	usable   int // on usable workers
-	unusable int // on other listed workers
+	excluded int // on workers that are excluded for failures
+	unusable int // on listed workers that are not usable, with those
 	empty    int // on listed workers if nothing ran there
 }
 
@@ -76,10 +77,14 @@
 			continue
 		}
 		n.empty += u.step.tasksOn(w.Capacity)
-		if free := u.step.tasksOn(w.free()); w.usable(now) {
+		free := u.step.tasksOn(w.free())
+		if w.usable(now) {
 			n.usable += free
-		} else {
-			n.unusable += free
+			continue
+		}
+		n.unusable += free
+		if w.aloneRuns == 0 && w.reachable() {
+			n.excluded += free
 		}
 	}
 	s.rooms[k] = n
