--- a/soak_standing_test.go
+++ b/soak_standing_test.go
@@ -39,8 +39,8 @@
 	standingFinish      = 14 * time.Second // after the end of the traffic
 )
 
-// standingSeeds run in CI. With seed 3 a gang once stood for 3.8 s at 48 % in use.
-var standingSeeds = []uint64{3}
+// standingSeeds run in CI. With seed 7 14 jobs stood for 4.5 to 15.4 s at 29 to 38 % in use.
+var standingSeeds = []uint64{7}
 
 // TestSoakStanding runs entry VMs as processes against stand-ins of the size of a users'
 // site, with series of faults of the leader first. While it runs it checks, by what the
