Wrap a doc comment

The doc comment of standingWorkers was longer than a line, which the formatter does not change; no code is touched.

--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -138,9 +138,9 @@
 	})
 }
 
-// standingWorkers returns the workers that may run a unit, or may get a ticket for it, with the resources that are
-// neither in use nor reserved for urgent units. Workers that are excluded for the failures on
-// them are among them only if the others have no ample room.
+// standingWorkers returns the workers that may run a unit, or may get a ticket for it, with the
+// resources that are neither in use nor reserved for urgent units. Workers that are excluded
+// for the failures on them are among them only if the others have no ample room.
 func (p *pass) standingWorkers(u unit, reserved map[string]placer.Resources) []placer.Worker {
 	var sound, all []placer.Worker
 	placed := u.step.placedByWorker()
