--- a/internal/jobs/scheduler/ends.go
+++ b/internal/jobs/scheduler/ends.go
@@ -54,7 +54,7 @@
 	}
 	s.markDirty(j)
 	if st.LongRunning {
-		s.requeue(w, st, e)
+		s.requeue(now, w, st, e)
 		return
 	}
 	if e.Reason == EndReasonDone {
@@ -79,11 +79,13 @@
 }
 
 // requeue lets a long-running task wait for another worker, however its run ended.
-func (*Scheduler) requeue(w *worker, st *step, e End) {
+func (*Scheduler) requeue(now time.Time, w *worker, st *step, e End) {
 	if e.Reason == EndReasonFailed {
-		w.countFailure(w.clockAt, e.Task.Job)
+		w.countFailure(now, e.Task.Job)
+	}
+	if st.removeRun(e.Task.Index, w.ID, e.Run) {
+		st.tasks[e.Task.Index].requeuedAt = now
 	}
-	st.removeRun(e.Task.Index, w.ID, e.Run)
 }
 
 // handleSuccess records the success of a task or gang.
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -208,6 +208,7 @@
 	detailMachine = "machine"
 	detailOutcome = "outcome"
 	detailRuns    = "runs"
+	detailStep    = "job-step" // "step" is the step of the program that logs
 	detailWave    = "wave"
 )
 
--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -8,15 +8,18 @@
 
 // knownNotToFit reports whether a request needs at least as much as one that failed.
 func (p *pass) knownNotToFit(service string, r placer.Request) bool {
-	return slices.ContainsFunc(p.failedRequests, func(f failedRequest) bool {
-		return f.service == service && r.Tasks >= f.request.Tasks && f.request.PerTask.Fits(r.PerTask) &&
-			(r.Adjacency == f.request.Adjacency || f.request.Adjacency == placer.AdjacencyNone)
-	})
+	return slices.ContainsFunc(p.failedRequests, func(f failedRequest) bool { return f.covers(service, r) })
 }
 
 // unrestricted reports whether every worker of the service may run the unit.
 func (u unit) unrestricted() bool { return u.step.unconstrained() && u.job.queue.Advice == nil }
 
+// triesAll reports whether a search for resources for the unit covers every worker of the
+// service, so that its failure tells about other units.
+func (p *pass) triesAll(u unit) bool {
+	return u.unrestricted() && (!u.job.urgent() || !p.s.anyStalled(p.now))
+}
+
 // failedRequest is a request that did not fit. Free resources only shrink during a
 // pass, so requests that need as much or more are not tried.
 type failedRequest struct {
@@ -24,6 +27,12 @@
 	request placer.Request
 }
 
+// covers reports whether a request needs at least as much.
+func (f failedRequest) covers(service string, r placer.Request) bool {
+	return f.service == service && r.Tasks >= f.request.Tasks && f.request.PerTask.Fits(r.PerTask) &&
+		(r.Adjacency == f.request.Adjacency || f.request.Adjacency == placer.AdjacencyNone)
+}
+
 // eligibleWorkers returns the workers that may run the step, with their free
 // resources reduced to its limit per worker.
 func (p *pass) eligibleWorkers(u unit) []placer.Worker {
@@ -33,12 +42,7 @@
 		return all
 	}
 	avoidFailed := len(u.step.failedWorkers)*2 <= len(all) && (u.step.blockedSince.IsZero() || p.now.Sub(u.step.blockedSince) < avoidFailedTime)
-	on := map[string]int{}
-	for i := range u.step.tasks {
-		if t := &u.step.tasks[i]; t.state == taskPlaced {
-			on[t.worker]++
-		}
-	}
+	placed := u.step.placedByWorker()
 	var out []placer.Worker
 	for _, v := range all {
 		w := p.s.workers[v.ID]
@@ -46,7 +50,10 @@
 			continue
 		}
 		if limit := u.step.PerWorker; limit > 0 {
-			v.Free = componentMin(v.Free, u.step.Need.Times(max(0, limit-on[v.ID])))
+			if placed[v.ID] >= limit {
+				continue // stopping other runs there would not help
+			}
+			v.Free = componentMin(v.Free, u.step.Need.Times(limit-placed[v.ID]))
 		}
 		out = append(out, v)
 	}
@@ -56,13 +63,16 @@
 // mayRun reports whether the label, the tickets and the other runs of a worker allow
 // the step there.
 func (p *pass) mayRun(u unit, w *worker) bool {
-	if u.step.Label != "" && !slices.Contains(w.Labels, u.step.Label) {
-		return false
-	}
-	if u.job.queue.Advice != nil && !u.step.hasTicket(p.now, w) {
+	return (u.job.queue.Advice == nil || u.step.hasTicket(p.now, w)) && p.permitted(u, w) && p.s.colocationAllowed(p.now, u.step, w)
+}
+
+// permitted reports whether a worker may run a step that has waited for long, given a ticket
+// if its queue needs advice and the worker was not denied.
+func (p *pass) permitted(u unit, w *worker) bool {
+	if !w.hasLabel(u.step.Label) || (u.job.queue.Advice != nil && u.step.deniedWorkers[w.ID]) {
 		return false
 	}
-	return p.s.colocationAllowed(p.now, u.step, w)
+	return p.s.colocationTolerable(u.step, w)
 }
 
 // unconstrained reports whether the step itself allows every worker of its service.
@@ -106,15 +116,15 @@
 		return nil, false
 	}
 	at, ok := placer.Place(r, p.eligibleWorkers(u))
-	if !ok && u.unrestricted() {
+	if !ok && p.triesAll(u) {
 		p.failedRequests = append(p.failedRequests, failedRequest{service, r})
 	}
 	return at, ok
 }
 
 // mayCrossRacks reports whether a gang that prefers one rack may be spread over
-// several: no rack is large enough even when empty, or an urgent job has waited for
-// urgentRackWait.
+// several: no rack is large enough even when nothing but long-running tasks runs there, or
+// an urgent job has waited for urgentRackWait.
 func (p *pass) mayCrossRacks(u unit, r placer.Request) bool {
 	if u.job.urgent() && !u.step.blockedSince.IsZero() && p.now.Sub(u.step.blockedSince) >= urgentRackWait {
 		return true
@@ -122,7 +132,7 @@
 	if u.step.rackCheckedAt.IsZero() || p.now.Sub(u.step.rackCheckedAt) >= rackCheckInterval {
 		empty := slices.Clone(p.eligibleWorkers(u))
 		for i := range empty {
-			empty[i].Free = empty[i].Capacity
+			empty[i].Free = p.s.freeable(p.s.workers[empty[i].ID], false)
 		}
 		_, u.step.rackFits = placer.Place(r, empty)
 		u.step.rackCheckedAt = p.now
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -10,7 +10,7 @@
 
 const (
 	lateFactor      = 3               // objectives after which the completion of a job has no value
-	avoidFailedTime = 2 * time.Second // a gang that has waited for longer may use workers again on which it failed
+	avoidFailedTime = 2 * time.Second // a step that has waited for longer may use workers again on which it failed
 	urgentRackWait  = time.Second     // an urgent gang that has waited for longer gives up the rack constraint
 
 	// Which racks are large enough for a gang changes only with the usable workers.
@@ -36,20 +36,24 @@
 	reservations       int                          // gangs with reserved resources
 	urgentAccelerators map[string]int               // held by or reserved for urgent jobs, by organisation
 	failedRequests     []failedRequest              // requests that did not fit in this pass
+	failedSearches     []failedSearch               // for runs to stop, in this pass
 	victimSearches     int                          // searches for runs to preempt or to wait for
+	repeatedSearches   int                          // of them, of units whose last search found nothing
 	postponed          map[string]bool              // services of units whose search is left to the next pass
 	borrowers          map[string][]placer.Borrower // runs that urgent units may stop, by service, once collected
 }
 
 // place starts the tasks that fit, the most urgent first.
 func (s *Scheduler) place(now time.Time) {
+	s.forgetRooms()
 	units := s.runnableUnits(now)
 	if len(units) == 0 && !s.anyStalled(now) && !s.anySpeculative() {
 		s.recordStarvation(now, nil)
+		s.reportWaits(now, nil)
 		return
 	}
 	p := &pass{s: s, now: now, workers: s.usableWorkers(now), urgentAccelerators: s.urgentAccelerators(), postponed: map[string]bool{}, borrowers: map[string][]placer.Borrower{}}
-	if s.ticked {
+	if s.tickedSincePass {
 		p.moveStalled()
 	}
 	for _, u := range units {
@@ -59,6 +63,10 @@
 			p.placeUnit(u)
 		}
 	}
+	if s.tickedSincePass {
+		p.placeStanding(units)
+	}
+	s.tickedSincePass = false
 	waiting := map[string]bool{}
 	for _, u := range units {
 		if u.step.waiting > 0 && !waiting[u.job.queue.Service] {
@@ -72,6 +80,7 @@
 		s.nextPassAt = now.Add(passInterval)
 	}
 	s.recordStarvation(now, units)
+	s.reportWaits(now, p)
 }
 
 // runnableUnits returns the unfinished steps whose dependencies have succeeded, in
@@ -175,6 +184,7 @@
 	single := r
 	single.Tasks = 1
 	if p.knownNotToFit(u.job.queue.Service, single) {
+		u.step.noteBlocked(p.now)
 		p.handleShortage(u, r)
 		return
 	}
@@ -194,10 +204,10 @@
 			u.step.reserved = nil
 			u.step.blockedSince = time.Time{}
 		}
-	} else if u.step.Filler && u.step.blockedSince.IsZero() {
-		u.step.blockedSince = p.now
+	} else {
+		u.step.noteBlocked(p.now)
 	}
-	if r.Tasks == 0 && u.unrestricted() {
+	if r.Tasks == 0 && p.triesAll(u) {
 		p.failedRequests = append(p.failedRequests, failedRequest{u.job.queue.Service, single})
 	}
 	if left := len(waiting) - r.Tasks; left > 0 {
@@ -206,6 +216,13 @@
 	}
 }
 
+// noteBlocked notes that the step found too few resources.
+func (s *step) noteBlocked(now time.Time) {
+	if s.blockedSince.IsZero() {
+		s.blockedSince = now
+	}
+}
+
 // handleShortage tries to find resources for the tasks of a step that did not fit.
 func (p *pass) handleShortage(u unit, r placer.Request) {
 	if u.job.queue.Advice != nil {
@@ -230,9 +247,7 @@
 		at, ok = p.findPlacement(u, r)
 	}
 	if !ok {
-		if u.step.blockedSince.IsZero() {
-			u.step.blockedSince = p.now
-		}
+		u.step.noteBlocked(p.now)
 		if u.job.queue.Advice != nil {
 			p.requestAdvice(u, r)
 		}
@@ -260,6 +275,9 @@
 	s := p.s
 	t := &u.step.tasks[index]
 	u.step.setState(index, taskPlaced)
+	if !u.step.LongRunning || u.step.waiting == 0 { // each long-running task stands for itself
+		u.step.ampleSince = time.Time{}
+	}
 	t.worker, t.run = id, run
 	t.apartSince = time.Time{}
 	p.startRun(u, index, id, run)
--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	maxVictimSearches = 3      // per pass; each examines all runs
-	maxReservations   = 2      // gangs with reserved resources at a time; more would leave workers idle
-	maxPreemptionCost = 3000.0 // core-seconds of others' work that an urgent job of mean size may cost outside its guarantee
+	maxVictimSearches   = 3      // per pass; each examines all runs
+	maxRepeatedSearches = 2      // of them, after one that found nothing
+	maxReservations     = 2      // gangs with reserved resources at a time; more would leave workers idle
+	maxPreemptionCost   = 3000.0 // core-seconds of others' work that an urgent job of mean size may cost outside its guarantee
 
 	searchRetryDelay = 200 * time.Millisecond // after a search that found nothing
 )
@@ -27,7 +28,6 @@
 	if p.reservations >= maxReservations {
 		return
 	}
-	p.reservations++
 	if p.keepReserved(u, r.Tasks) > 0 {
 		u.step.reserved = nil
 		if !p.maySearch(u) {
@@ -40,6 +40,7 @@
 		}
 		u.step.reserved = at
 	}
+	p.reservations++
 	p.reserve(u)
 }
 
@@ -49,14 +50,33 @@
 	if !u.step.searchFailedAt.IsZero() && p.now.Sub(u.step.searchFailedAt) < searchRetryDelay {
 		return false
 	}
-	if p.victimSearches >= maxVictimSearches {
+	first := u.step.searchFailedAt.IsZero()
+	over := p.victimSearches >= maxVictimSearches || (!first && p.repeatedSearches >= maxRepeatedSearches)
+	switch {
+	case over && !first:
+		return false // stopping runs did not free enough, so others may start meanwhile
+	case !p.fitsWhenIdle(u):
+		u.step.searchFailedAt = p.now
+		return false
+	case over:
 		p.postponed[u.job.queue.Service] = true
 		return false
+	case !first:
+		p.repeatedSearches++
 	}
 	p.victimSearches++
 	return true
 }
 
+// fitsWhenIdle reports whether the tasks of a unit would fit on the listed workers with its
+// label if nothing ran there. A unit that would not has no runs to stop or to wait for.
+func (p *pass) fitsWhenIdle(u unit) bool {
+	if u.step.idleCheckedAt.IsZero() || p.now.Sub(u.step.idleCheckedAt) >= rackCheckInterval {
+		u.step.fitsIdle, u.step.idleCheckedAt = p.s.roomFor(p.now, u).empty >= u.step.tasksAtOnce(), p.now
+	}
+	return u.step.fitsIdle
+}
+
 // keepReserved drops the reserved workers of a unit that are not usable any more, have
 // become too small, or are more than its tasks, and returns the number of tasks without a
 // reserved worker.
@@ -64,7 +84,7 @@
 	kept := map[string]int{}
 	u.step.reserved = slices.DeleteFunc(u.step.reserved, func(id string) bool {
 		w, ok := p.s.workers[id]
-		if !ok || !w.usable(p.now) || !u.step.Need.Times(kept[id]+1).Fits(w.freeable(u)) {
+		if !ok || w.Service != u.job.queue.Service || !w.usable(p.now) || !u.step.Need.Times(kept[id]+1).Fits(p.s.freeable(w, u.job.urgent())) {
 			return true
 		}
 		kept[id]++
@@ -77,20 +97,24 @@
 }
 
 // freeable returns the resources of a worker that a unit may get: for an urgent one, what is
-// left once the runs that are being stopped have ended; another unit waits for all runs.
-func (w *worker) freeable(u unit) placer.Resources {
+// left once the runs that are being stopped have ended; another unit waits for all runs that
+// end by themselves.
+func (s *Scheduler) freeable(w *worker, urgent bool) placer.Resources {
 	left := w.Capacity
-	if !u.job.urgent() {
-		return left
-	}
 	for _, p := range w.order {
-		if !p.stopping {
+		if !p.stopping && (urgent || s.isLongRunning(p)) {
 			left = left.Minus(p.need)
 		}
 	}
 	return left
 }
 
+// isLongRunning reports whether a run ends only when it is stopped.
+func (s *Scheduler) isLongRunning(p *placement) bool {
+	_, st, _ := s.findTask(p.task)
+	return st != nil && st.LongRunning
+}
+
 func (p *pass) reserve(u unit) {
 	for _, id := range u.step.reserved {
 		p.reduceFree(u.job.queue.Service, id, u.step.Need)
@@ -113,11 +137,15 @@
 // yet, and reports whether all of them have one then. If no resources can be added to the
 // reserved ones, all are chosen anew.
 func (p *pass) freeResources(u unit, r placer.Request, missing int) bool {
+	need := r.Tasks * u.step.Need.Accelerators
+	withinGuarantee := p.urgentAccelerators[u.job.Organisation]+need <= p.s.config.Guaranteed[u.job.Organisation]
+	if p.knownNotToBeFreed(u, r, withinGuarantee) {
+		u.step.searchFailedAt = p.now
+		return false
+	}
 	if !p.maySearch(u) {
 		return false
 	}
-	need := r.Tasks * u.step.Need.Accelerators
-	withinGuarantee := p.urgentAccelerators[u.job.Organisation]+need <= p.s.config.Guaranteed[u.job.Organisation]
 	borrowers := p.preemptibleRuns(u, preemptionCost)
 	if withinGuarantee {
 		borrowers = append(slices.Clip(borrowers), p.preemptibleLongRunning(u)...)
@@ -138,17 +166,35 @@
 	for _, v := range victims {
 		cost += v.Cost
 	}
+	if !ok && p.triesAll(u) {
+		p.failedSearches = append(p.failedSearches, failedSearch{failedRequest{u.job.queue.Service, r}, withinGuarantee})
+	}
 	if !ok || (!withinGuarantee && cost > maxPreemptionCost*p.s.relativeValue(u.job)) {
 		u.step.searchFailedAt = p.now
 		return false
 	}
-	u.step.reserved = at
+	u.step.reserved, u.step.reservedAt = at, p.now
 	for _, v := range victims {
 		p.evict(u, v)
 	}
 	return true
 }
 
+// failedSearch is a search for runs to stop for an urgent request that found none.
+type failedSearch struct {
+	failedRequest
+
+	withinGuarantee bool // long-running tasks could have been stopped too
+}
+
+// knownNotToBeFreed reports whether stopping runs does not free enough for a unit, as it did
+// not for a request of the same pass that needs no more.
+func (p *pass) knownNotToBeFreed(u unit, r placer.Request, withinGuarantee bool) bool {
+	return slices.ContainsFunc(p.failedSearches, func(f failedSearch) bool {
+		return f.covers(u.job.queue.Service, r) && (f.withinGuarantee || !withinGuarantee)
+	})
+}
+
 // besideReserved returns the workers that may run the rest of a unit, without the resources
 // reserved for it: those of the same rack if it needs one.
 func (p *pass) besideReserved(u unit, r placer.Request) []placer.Worker {
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -28,10 +28,16 @@
 
 	released        bool  // another VM may lead already
 	ticked          bool  // the present call handles a tick
+	tickedSincePass bool  // a tick was handled after the last placement pass
 	recovering      bool  // workers that have not answered yet may have runs of earlier leaders
 	lastRun         int64 // number of the last run
 	placementDue    bool
 	nextPassAt      time.Time // earliest time of the next placement pass
+	waitsReportedAt time.Time
+
+	rooms  map[roomKey]room     // for steps, in this pass
+	listed map[string][]*worker // workers by service, in this pass, nil before they are needed
+
 	storeInFlight   bool
 	storedAt        time.Time
 	storeSoon       bool // a worker or caller waits for the next store
@@ -47,7 +53,8 @@
 	outage           quarantiner.Outage
 	meanWork         map[string]float64 // core-seconds of a job, by queue
 	adviceInFlight   bool
-	nextAdviceAt     time.Time // earliest time of the next call for advice
+	adviceDue        *adviceRequest // found by the present pass
+	nextAdviceAt     time.Time      // earliest time of the next call for advice
 	tracking         tracking
 	effects          []Effect
 }
@@ -76,6 +83,7 @@
 	if s.placementDue && !now.Before(s.nextPassAt) {
 		s.placementDue = false
 		s.place(now)
+		s.sendAdviceRequest(now)
 	}
 	s.sendHolds(now)
 	s.storeProgress(now)
@@ -94,7 +102,7 @@
 func (s *Scheduler) handle(now time.Time, e Event) {
 	switch e := e.(type) {
 	case Ticked:
-		s.ticked = true
+		s.ticked, s.tickedSincePass = true, true
 		s.placementDue = true
 		s.runTimers(now)
 	case Submitted:
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -23,6 +23,11 @@
 func (w *world) commands() scripter.Commands {
 	c := scripter.Commands{
 		"worker": w.addWorker,
+		"workers": func(count, perRack, gpus int) {
+			for i := range count {
+				w.addWorker(fmt.Sprintf("w%02d", i+1), fmt.Sprintf("r%d", i/perRack+1), gpus)
+			}
+		},
 		"wave": func(number, most int, machines ...string) {
 			w.knownWaves = append(w.knownWaves, scheduler.Wave{Number: number, Machines: machines, MaxDown: most, Duration: time.Minute})
 			w.feed(scheduler.WavesChanged{Waves: w.knownWaves})
@@ -35,7 +40,9 @@
 			w.config.Queues[name] = scheduler.Queue{Service: service, Priority: priority, MaxAttempts: attempts, Stretch: 3, ObjectiveMS: 1000}
 			w.feed(scheduler.ConfigChanged{Config: w.config})
 		},
-		"worker-of": w.addWorkerTo,
+		"waves-lost": func() { w.wavesLost = true },
+		"waves-kept": func() { w.wavesLost = false },
+		"worker-of":  w.addWorkerTo,
 		"pool": func(name string) {
 			w.config.Pools[name] = false
 			w.feed(scheduler.ConfigChanged{Config: w.config})
@@ -48,6 +55,14 @@
 		"fixed":     func(machine string) { w.unmovable[machine] = true },
 		"guarantee": func(org string, gpus int) { w.config.Guaranteed[org] = gpus },
 		"job":       w.submitJob,
+		"hopeless": func(count int, queue, organisation string, words ...string) error {
+			for i := range count {
+				if err := w.submitJob(fmt.Sprintf("hopeless-%d", i), queue, organisation, words...); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
 		"scheduled": func(times int, delay, interval time.Duration, id, queue, organisation string, words ...string) error {
 			w.schedule.times, w.schedule.delay, w.schedule.interval = times, delay, interval
 			return w.submitJob(id, queue, organisation, words...)
@@ -59,6 +74,7 @@
 			}
 			w.feed(scheduler.ConfigChanged{Config: w.config})
 		},
+		"advice-fails": func(id string) { w.unadvised = id },
 		"allow": func(ids ...string) {
 			for _, id := range ids {
 				w.allowed[id] = true
@@ -69,8 +85,11 @@
 			v.info.Labels = append(v.info.Labels, label)
 			w.sendList()
 		},
-		"cancel": func(id string) { w.feed(scheduler.Cancelled{Job: id}) },
-		"lead":   w.startLeader,
+		"cancel": func(id string) {
+			w.cancelled[id] = true
+			w.feed(scheduler.Cancelled{Job: id})
+		},
+		"lead": w.startLeader,
 		"lead-without": func(id string) {
 			w.unreadJob = id
 			w.startLeader()
@@ -81,7 +100,10 @@
 			w.unreadJob = ""
 			w.feed(e)
 		},
-		"release":    func() { w.feed(scheduler.Released{}) },
+		"release": func() {
+			w.releasedEpoch = w.epoch
+			w.feed(scheduler.Released{})
+		},
 		"unsure":     func() { w.renewalsLost = true },
 		"sure":       func() { w.renewalsLost = false },
 		"cut":        func(id string) { w.unreachable[id] = true },
@@ -89,6 +111,7 @@
 		"deafen":     func(id string) { w.answersLost[id] = true },
 		"undeafen":   func(id string) { delete(w.answersLost, id) },
 		"fail":       func(id string) { w.workers[id].failing = true },
+		"doomed":     func(job string) { w.doomed[job] = true },
 		"recover":    func(id string) { w.workers[id].failing = false },
 		"store-down": func() { w.storeUp = false },
 		"store-up":   func() { w.storeUp = true },
@@ -150,6 +173,7 @@
 		},
 	}
 	w.addChecks(c)
+	w.addStandingCommands(c)
 	return c
 }
 
@@ -172,6 +196,31 @@
 		}
 		return nil
 	}
+	c["logged"] = func(want int, words ...string) error {
+		if n := w.logged[strings.Join(words, " ")]; n != want {
+			return fmt.Errorf("it was logged %d times", n)
+		}
+		return nil
+	}
+	c["logged-at-most"] = func(most int, words ...string) error {
+		if n := w.logged[strings.Join(words, " ")]; n > most {
+			return fmt.Errorf("it was logged %d times", n)
+		}
+		return nil
+	}
+	// "waits JOB CONDITION [FIELD VALUE ...]" checks the last line about a waiting job.
+	c["waits"] = func(job, condition string, fields ...string) error {
+		d := w.waits[job]
+		for i, f := range append([]string{"condition", condition}, fields...) {
+			if i%2 == 1 {
+				continue
+			}
+			if got, want := fmt.Sprint(d[f]), append([]string{"condition", condition}, fields...)[i+1]; got != want {
+				return fmt.Errorf("field %s is %s in %v", f, got, d)
+			}
+		}
+		return nil
+	}
 	c["state"] = func(job, want string) error {
 		if got := w.stored[job].State; string(got) != want {
 			return fmt.Errorf("the stored state is %q", got)
@@ -234,6 +283,28 @@
 	}
 }
 
+// setAmount applies an option of the form NAME:NUMBER to a step.
+func setAmount(s *scheduler.Step, option string) error {
+	name, amount, _ := strings.Cut(option, ":")
+	n, err := strconv.Atoi(amount)
+	if err != nil {
+		return fmt.Errorf("unknown option %q", option)
+	}
+	switch name {
+	case "cores":
+		s.Need.MilliCores = 1000 * n
+	case "memory": // in GB
+		s.Need.MemoryMB = 1000 * n
+	case "per-worker":
+		s.PerWorker = n
+	case "may-miss":
+		s.MaxUnavailable = n
+	default:
+		return fmt.Errorf("unknown option %q", option)
+	}
+	return nil
+}
+
 // submitJob submits a job: "job ID QUEUE ORGANISATION TASKS GPUS SECONDS [option
 // ...]". The word "/" begins another step, which depends on the previous one.
 func (w *world) submitJob(id, queue, organisation string, words ...string) error {
@@ -283,8 +354,12 @@
 				s.Label = "special"
 			case "data-r2":
 				s.DataRack = "r2"
+			case "fails":
+				w.faulty[id] = true
 			default:
-				return fmt.Errorf("unknown option %q", o)
+				if err := setAmount(&s, o); err != nil {
+					return err
+				}
 			}
 		}
 		e.Job.Steps = append(e.Job.Steps, s)
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	listInterval      = 700 * time.Millisecond // between requests for the list of machines while a wave is in progress
-	evacuationTimeout = 3 * time.Second        // for which runs without checkpoints may continue on a machine before its upkeep
-	upkeepRetryDelay  = 500 * time.Millisecond // before a call without an answer is sent again
+	listInterval       = 700 * time.Millisecond // between requests for the list of machines while a wave is in progress
+	evacuationTimeout  = 3 * time.Second        // for which runs without checkpoints may continue on a machine before its upkeep
+	maxEvacuationStall = 6 * time.Second        // without the end of a run on a machine whose long-running tasks have to move
+	evacuationPause    = 5 * time.Second        // after an evacuation that was suspended
+	upkeepRetryDelay   = 500 * time.Millisecond // before a call without an answer is sent again
+	upkeepBeginTime    = 500 * time.Millisecond // after which a machine whose upkeep was requested is listed as in upkeep
 )
 
 // Wave is a request for the upkeep of machines.
@@ -27,10 +30,12 @@
 
 // Machine is a machine as the platform lists it.
 type Machine struct {
-	ID     string
-	Up     bool
-	Down   bool   // switched off or failed
-	Worker string // its current worker, empty for none
+	ID   string
+	Up   bool
+	Down bool // switched off or failed
+
+	InUpkeep bool
+	Worker   string // its current worker, empty for none
 
 	Pool     string // service that its worker belongs to
 	Capacity placer.Resources
@@ -94,6 +99,11 @@
 	since    time.Time
 	worker   string // worker of the machine when its evacuation began
 	inFlight bool   // a call is in flight
+
+	refused        bool      // the platform knows a newer epoch for the machine
+	suspendedUntil time.Time // no evacuation before
+	runs           int       // on the worker, as seen last
+	progressAt     time.Time // when that number last changed
 }
 
 // wave is a wave with the state of its machines.
@@ -133,7 +143,8 @@
 		}
 		s.requestMachines(now)
 		if now.Sub(s.machinesListedAt) > maxMachineListAge || s.recovering {
-			return // the machines may have other workers by now
+			s.suspendEvacuations(now, v)
+			continue // the machines may have other workers by now
 		}
 		s.advanceWave(now, v)
 	}
@@ -157,7 +168,7 @@
 		u := v.machines[id]
 		switch u.phase {
 		case phaseWaiting:
-			if started < v.MaxDown {
+			if started < v.MaxDown && !u.refused && !now.Before(u.suspendedUntil) {
 				started++
 				s.evacuate(now, v, id, u)
 			}
@@ -180,6 +191,24 @@
 	}
 }
 
+// suspendEvacuations lets the machines of a wave run tasks again whose evacuation goes on for
+// long because the list of machines is not available.
+func (s *Scheduler) suspendEvacuations(now time.Time, v *wave) {
+	for id, u := range v.machines {
+		evacuated := u.phase == phaseEvacuating || (u.phase == phaseRequested && !u.inFlight)
+		if evacuated && now.Sub(u.since) > evacuationTimeout {
+			s.suspendEvacuation(now, v, id, u)
+		}
+	}
+}
+
+// suspendEvacuation ends an evacuation for evacuationPause at least.
+func (s *Scheduler) suspendEvacuation(now time.Time, v *wave, id string, u *upkeep) {
+	s.logDecision(Decision{Message: "evacuation of a machine is suspended", Worker: u.worker, Details: Details{detailMachine: id, detailWave: v.Number, detailAfterMS: now.Sub(u.since).Milliseconds()}})
+	u.phase, u.since, u.suspendedUntil = phaseWaiting, now, now.Add(evacuationPause)
+	s.endEvacuation(u.worker)
+}
+
 // machinesByLoad returns the machines of a wave, those with the fewest runs first.
 func (s *Scheduler) machinesByLoad(v *wave) []string {
 	load := func(id string) int {
@@ -196,7 +225,7 @@
 // evacuate withholds new tasks from a machine and stops the runs that can resume
 // elsewhere from a checkpoint.
 func (s *Scheduler) evacuate(now time.Time, v *wave, id string, u *upkeep) {
-	u.phase, u.since, u.worker = phaseEvacuating, now, s.machines[id].Worker
+	u.phase, u.since, u.worker, u.progressAt = phaseEvacuating, now, s.machines[id].Worker, now
 	s.logDecision(Decision{Message: "machine is evacuated for upkeep", Worker: u.worker, Details: Details{detailMachine: id, detailWave: v.Number}})
 	w, ok := s.workers[u.worker]
 	if !ok {
@@ -212,18 +241,28 @@
 }
 
 // beginUpkeep requests the upkeep of a machine that is idle or has been evacuating
-// for evacuationTimeout. Long-running tasks are moved first, however long that
-// takes.
+// for evacuationTimeout. Long-running tasks are moved first. If one can't move, as too many of
+// its step are unavailable, the evacuation is suspended.
 func (s *Scheduler) beginUpkeep(now time.Time, v *wave, id string, u *upkeep) {
-	if w, ok := s.workers[u.worker]; ok {
-		if now.Sub(u.since) < evacuationTimeout && len(w.runs) > 0 {
-			return
+	w, ok := s.workers[u.worker]
+	if !ok {
+		s.sendUpkeep(now, v, id, u)
+		return
+	}
+	if n := len(w.runs); n != u.runs {
+		u.runs, u.progressAt = n, now
+	}
+	if now.Sub(u.since) < evacuationTimeout && len(w.runs) > 0 {
+		return
+	}
+	for _, p := range w.order {
+		if !s.isLongRunning(p) {
+			continue
 		}
-		for _, p := range w.runs {
-			if _, st, t := s.findTask(p.task); t != nil && st.LongRunning {
-				return
-			}
+		if now.Sub(u.progressAt) > maxEvacuationStall {
+			s.suspendEvacuation(now, v, id, u)
 		}
+		return
 	}
 	s.sendUpkeep(now, v, id, u)
 }
@@ -254,6 +293,10 @@
 		s.emit(StoreWave{Number: v.Number, Started: v.Started})
 	case OutcomeObsolete:
 		u.phase = phaseDone
+		s.endEvacuation(u.worker)
+	case OutcomeFenced: // repeating it in this epoch would be refused again
+		u.phase, u.since, u.refused = phaseWaiting, now, true
+		s.endEvacuation(u.worker)
 	default:
 		u.since = now
 	}
@@ -273,11 +316,47 @@
 	s.markGoneWorkers(now)
 	for _, v := range s.waves {
 		for id, u := range v.machines {
-			m, ok := s.machines[id]
-			returned := u.phase == phaseDown && m.Up && m.Worker != u.worker
-			if !ok || returned {
-				u.phase = phaseDone
-			}
+			s.updateUpkeep(now, v, id, u)
 		}
 	}
 }
+
+// updateUpkeep updates the upkeep of a machine after a list of machines.
+func (s *Scheduler) updateUpkeep(now time.Time, v *wave, id string, u *upkeep) {
+	m, ok := s.machines[id]
+	switch {
+	case u.phase == phaseDone || v.Completed:
+	case !ok:
+		u.phase = phaseDone
+	case m.InUpkeep && u.phase == phaseWaiting && !s.hasUpkeepIn(id, v): // an earlier leader began it
+		u.phase, u.since, u.worker = phaseDown, now, m.Worker
+		v.Started = append(v.Started, id)
+		s.emit(StoreWave{Number: v.Number, Started: v.Started})
+	case u.phase != phaseDown || !m.Up:
+	case m.Worker != u.worker:
+		u.phase = phaseDone
+	case s.machinesAskedAt.Sub(u.since) > upkeepBeginTime: // it was over before it was requested again
+		u.phase = phaseDone
+		s.logDecision(Decision{Message: "upkeep of a machine was complete already", Worker: u.worker, Details: Details{detailMachine: id, detailWave: v.Number}})
+		s.endEvacuation(u.worker)
+	}
+}
+
+// hasUpkeepIn reports whether another unfinished wave than the given one has a machine.
+func (s *Scheduler) hasUpkeepIn(id string, except *wave) bool {
+	for _, v := range s.waves {
+		if _, ok := v.machines[id]; ok && v != except && !v.Completed {
+			return true
+		}
+	}
+	return false
+}
+
+// endEvacuation lets a worker whose machine stays up take tasks again.
+func (s *Scheduler) endEvacuation(id string) {
+	if w, ok := s.workers[id]; ok && w.evacuating {
+		w.evacuating = false
+		s.touch(w)
+		s.placementDue = true
+	}
+}
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -132,9 +132,8 @@
 func (w *worker) noteAnswerTime(e HoldResult) {
 	at := e.Sent
 	if sinceLast := e.ClockMS - w.answerClockMS; w.answerClockMS != 0 && sinceLast >= 0 {
-		if t := w.answeredAt.Add(time.Duration(sinceLast) * time.Millisecond); t.After(at) {
-			at = t
-		}
+		t := w.answeredAt.Add(time.Duration(sinceLast) * time.Millisecond)
+		at = at.Add(max(0, leastElapsed(t, at))) // t would keep a wall clock that was set since
 	}
 	w.answeredAt, w.answerClockMS = at, e.ClockMS
 }
@@ -204,9 +203,12 @@
 func (w *worker) usable(now time.Time) bool { return w.aloneRuns == 0 && w.available(now) }
 
 // available reports whether tasks may be started on the worker.
-func (w *worker) available(now time.Time) bool {
+func (w *worker) available(now time.Time) bool { return w.reachable() && !now.Before(w.excludedUntil) }
+
+// reachable reports whether the worker would carry out a start, whatever it failed lately.
+func (w *worker) reachable() bool {
 	return w.listed && w.fenced && w.unconfirmedSince.IsZero() && w.orphanRuns == 0 &&
-		!w.listsTooManyEnds() && !w.Draining && !w.evacuating && w.unresponsiveSince.IsZero() && !now.Before(w.excludedUntil)
+		!w.listsTooManyEnds() && !w.Draining && !w.evacuating && w.unresponsiveSince.IsZero()
 }
 
 // countFailure counts a failed run against the worker, once per job: a job may fail
@@ -219,8 +221,7 @@
 	w.failedRuns++
 	if w.failedRuns >= exclusionFailures {
 		w.excludedUntil = now.Add(exclusionTime)
-		w.failedRuns = exclusionFailures - 1 // the next failure excludes it again
-		w.failedJobs = nil
+		w.failedRuns = exclusionFailures - 1 // the next failure of yet another job excludes it again
 	}
 }
 
@@ -322,6 +323,7 @@
 	if t == nil || !st.removeRun(p.task.Index, w.ID, p.run) {
 		return
 	}
+	t.requeuedAt = now
 	s.logDecision(Decision{Message: "run is lost", Job: j.ID, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"reason": reason, detailAfterMS: now.Sub(p.sentAt).Milliseconds()}})
 	if st.Gang {
 		s.stopGang(now, j, p.task.Step, p.run)
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -41,6 +41,7 @@
 	starts         map[string]int  // started runs, by job
 	allowed        map[string]bool // workers that get tickets
 	ticketLifetime time.Duration
+	unadvised      string // job for which every call for advice fails
 	adviceCalls    int
 	paceChanges    int
 	ackedTasks     map[scheduler.TaskID]bool // tasks whose success was acknowledged
@@ -49,15 +50,24 @@
 
 	waves                     map[int]scheduler.StoreWave // as stored
 	knownWaves                []scheduler.Wave
+	wavesLost                 bool     // the progress of waves is not stored
 	upkeepDone                []string // machines that have had their upkeep
 	down, maxDown, cutOffRuns int
 
-	deadly       map[string]time.Duration // jobs whose tasks 0 crash their workers that long after each start
-	crashes      map[scheduler.TaskID]int // workers that crashed under a deadly task
-	laterStarts  map[scheduler.TaskID]int // starts of such a task after three crashes
-	replaced     map[string]bool          // workers whose address another worker has
-	machinesDown bool                     // the list of machines is not available
-	counters     map[string]int           // of decisions
+	doomed       map[string]bool              // jobs whose tasks fail wherever they start
+	deadly       map[string]time.Duration     // jobs whose tasks 0 crash their workers that long after each start
+	crashes      map[scheduler.TaskID]int     // workers that crashed under a deadly task
+	laterStarts  map[scheduler.TaskID]int     // starts of such a task after three crashes
+	replaced     map[string]bool              // workers whose address another worker has
+	machinesDown bool                         // the list of machines is not available
+	counters     map[string]int               // of decisions
+	logged       map[string]int               // decisions, by message
+	waits        map[string]scheduler.Details // last line about waiting tasks, by job
+
+	cancelled     map[string]bool // jobs
+	faulty        map[string]bool // jobs whose runs all fail
+	releasedEpoch int64           // last epoch whose leader released the leadership
+	watch         *standingWatch  // checks that no job stands, nil for none
 
 	poweredOff      []scheduler.Machine // switched-off machines
 	unmovable       map[string]bool     // machines that the platform does not move
@@ -82,8 +92,8 @@
 		durations: map[string][]time.Duration{}, starts: map[string]int{}, stored: map[string]scheduler.Progress{}, storeUp: true,
 		allowed: map[string]bool{}, ackedTasks: map[scheduler.TaskID]bool{}, lastStarts: map[scheduler.TaskID]time.Time{}, unreachable: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, answersLost: map[string]bool{},
 		config:    scheduler.Config{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Pools: map[string]bool{}},
-		unmovable: map[string]bool{}, deadly: map[string]time.Duration{}, crashes: map[scheduler.TaskID]int{}, laterStarts: map[scheduler.TaskID]int{},
-		replaced: map[string]bool{}, counters: map[string]int{},
+		unmovable: map[string]bool{}, doomed: map[string]bool{}, deadly: map[string]time.Duration{}, crashes: map[scheduler.TaskID]int{}, laterStarts: map[scheduler.TaskID]int{},
+		replaced: map[string]bool{}, counters: map[string]int{}, logged: map[string]int{}, waits: map[string]scheduler.Details{}, cancelled: map[string]bool{}, faulty: map[string]bool{},
 	}
 	w.began = w.now
 	w.startLeader()
@@ -100,7 +110,7 @@
 	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, Machines: true}, Epoch: w.epoch, LeadingSince: w.now, LastInheritedOffset: int64(len(w.jobs)) - 1}
 	w.feed(scheduler.ConfigChanged{Config: w.config})
 	for _, e := range slices.SortedFunc(maps.Values(w.jobs), func(a, b scheduler.Submitted) int { return cmp.Compare(a.Offset, b.Offset) }) {
-		e.Progress = w.stored[e.Job.ID]
+		e.Progress, e.Cancelled = w.stored[e.Job.ID], w.cancelled[e.Job.ID]
 		e.Occurrences = map[int]scheduler.Progress{}
 		for k := range e.Job.Times {
 			e.Occurrences[k] = w.stored[scheduler.OccurrenceID(e.Job.ID, k)]
@@ -179,6 +189,9 @@
 				e.Tickets[id] = w.now.Add(w.ticketLifetime).Format(time.RFC3339Nano)
 			}
 		}
+		if f.Job == w.unadvised {
+			e.Outcome = scheduler.OutcomeUnhealthy
+		}
 		w.adviceCalls++
 		w.deliverAfter(f.Limit, e)
 	case scheduler.ListMachines:
@@ -186,7 +199,7 @@
 		for _, id := range slices.Sorted(maps.Keys(w.workers)) {
 			v := w.workers[id]
 			e.Machines = append(e.Machines, scheduler.Machine{
-				ID: "m-" + machineOf(id), Up: v.alive, Worker: id, Pool: v.info.Service, Capacity: v.info.Capacity, Labels: v.info.Labels,
+				ID: "m-" + machineOf(id), Up: v.alive, InUpkeep: !v.alive && slices.Contains(w.upkeepDone, "m-"+machineOf(id)), Worker: id, Pool: v.info.Service, Capacity: v.info.Capacity, Labels: v.info.Labels,
 			})
 		}
 		e.Machines = append(e.Machines, w.poweredOff...)
@@ -199,9 +212,13 @@
 	case scheduler.StoreLoans:
 		w.loans = f.Loans
 	case scheduler.StoreWave:
-		w.waves[f.Number] = f
+		if !w.wavesLost {
+			w.waves[f.Number] = f
+		}
 	case scheduler.Decision:
 		w.counters[f.Counter]++
+		w.logged[f.Message]++
+		w.noteWait(f)
 		if n, ok := f.Details["alone"].(int); ok && n > 0 {
 			w.counters["suspects-alone"]++
 		}
@@ -209,6 +226,20 @@
 	}
 }
 
+// maxWaitLine is the size of a line about waiting tasks: hundreds may wait at once.
+const maxWaitLine = 400
+
+// noteWait keeps the last line about the waiting tasks of a job.
+func (w *world) noteWait(d scheduler.Decision) {
+	if d.Message != "tasks wait" {
+		return
+	}
+	w.waits[d.Job] = d.Details
+	if n := len(fmt.Sprint(d.Details)); n > maxWaitLine {
+		w.violation = fmt.Sprintf("the line about job %s has %d bytes: %v", d.Job, n, d.Details)
+	}
+}
+
 func (w *world) store(f scheduler.Store) {
 	if !w.storeUp {
 		epoch := w.epoch
@@ -259,6 +290,7 @@
 func (w *world) addWorker(id, rack string, gpus int) { w.addWorkerTo("s", id, rack, gpus) }
 
 func (w *world) addWorkerTo(service, id, rack string, gpus int) {
+	delete(w.replaced, id) // another machine may get the name again
 	w.workers[id] = &fakeWorker{
 		info: scheduler.WorkerInfo{
 			ID: id, Address: id, Service: service, Rack: rack, StartedMS: w.now.UnixMilli(), Labels: []string{"a", rack},
@@ -471,6 +503,9 @@
 			return fmt.Errorf("at %v: worker %s runs %+v of %+v", w.now.Sub(w.began), id, used, v.info.Capacity)
 		}
 	}
+	if w.watch != nil {
+		return w.watch.check(w)
+	}
 	return nil
 }
 
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -52,7 +52,9 @@
 	config         atomic.Pointer[gatekeeper.Config]
 	storeDownSince atomic.Int64 // Unix time in milliseconds when the current outage of the store began, 0 if there is none
 	leaving        atomic.Bool
+	operatorRead   atomic.Bool // the operator's topic was read at least once
 	leading        atomic.Bool
+	releasing      atomic.Bool // this process has begun to release the leadership
 	electorEvents  chan electorEvent
 	claimNumber    int64                     // number of claims and renewals sent
 	unconfirmed    map[int64]time.Time       // send times of claims and renewals that are not known to be stored, by number
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -59,7 +59,6 @@
 		case <-shutdown:
 			shutdown = nil
 			e.Leave()
-			a.release(ctx, e)
 		case v := <-a.electorEvents:
 			a.applyElectorEvent(e, v)
 		case <-t.C:
@@ -69,6 +68,8 @@
 			a.claim(ctx, e, 0)
 		case elector.Renew:
 			a.claim(ctx, e, e.Epoch())
+		case elector.Release:
+			a.release(ctx, e)
 		case elector.NoAction:
 		}
 		if l := e.Leader(); l != leader {
@@ -96,7 +97,12 @@
 // updateLeadership starts or ends a leadership to match the elector's state.
 func (a *Assembler) updateLeadership(ctx context.Context, e *elector.Elector, l leadership) leadership {
 	if e.Leading() && l.stop != nil && l.epoch == e.Epoch() {
-		return l
+		select {
+		case <-l.done: // the others see a leader, but nothing schedules
+			e.End(l.epoch)
+		default:
+			return l
+		}
 	}
 	l.end()
 	if !e.Leading() {
@@ -195,19 +201,20 @@
 
 // release tells the other VMs that they may claim the leadership.
 func (a *Assembler) release(ctx context.Context, e *elector.Elector) {
-	if !e.Leading() {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	a.releasing.Store(true)
 	if err := a.commander.PostAndWait(ctx, scheduler.Released{}); err != nil {
 		a.log("elect").WithField("epoch", e.Epoch()).WithError(err).Warn("leadership is not released: jobs read meanwhile might start twice")
 		return
 	}
 	c := elector.Claim{Holder: a.Settings.VM, Instance: a.instance, Epoch: e.Epoch(), Released: true}
 	offset, err := a.appendClaim(ctx, c, e.NextOffset())
+	if errors.Is(err, accessor.ErrOffsetMismatch) {
+		a.readClaims(ctx, e) // a renewal or the release itself was stored without an answer
+	}
 	if err != nil {
-		a.log("elect").WithField("epoch", e.Epoch()).WithError(err).Warn("can't release the leadership")
+		a.log("elect").WithField("epoch", e.Epoch()).WithError(err).Warn("can't release the leadership; retrying")
 		return
 	}
 	e.Apply(a.Now(), offset, c)
@@ -227,6 +234,7 @@
 		l.WithError(err).Info("leadership ended before the scheduler started")
 		return
 	}
+	a.awaitOperatorRecords(ctx)
 	storedWaves, loans := a.readWavesAndLoans(ctx)
 	nextJob, _ := a.registrar.NextOffset(registrar.TopicJobs)
 	s := &scheduler.Scheduler{
@@ -243,16 +251,24 @@
 	a.commander.DeleteJobs = w.deleteJobs
 	x, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var following sync.WaitGroup
 	err := a.commander.Lead(x, s, func() []scheduler.Event {
-		go a.followWorkers(x)
-		return append(a.initialEvents(), scheduler.WavesChanged{Waves: storedWaves}, scheduler.LoansRestored{Loans: loans})
+		following.Go(func() { a.followWorkers(x) })
+		return append(a.initialEvents(), scheduler.WavesChanged{Waves: storedWaves},
+			scheduler.WavesChanged{Waves: a.waves.list()}, // those read since; the scheduler ignores the ones that it knows
+			scheduler.LoansRestored{Loans: loans})
 	})
+	cancel()
+	following.Wait() // a list that was read in this term must not reach the next one
 	l.WithError(err).WithField("after-ms", a.Now().Sub(began).Milliseconds()).Info("leadership ended")
 }
 
 // initialEvents returns the configuration and all known jobs as events.
 func (a *Assembler) initialEvents() []scheduler.Event {
 	var all []scheduler.Event
+	if a.releasing.Load() {
+		all = append(all, scheduler.Released{}) // there was no scheduler yet that release could tell
+	}
 	if c := a.config.Load(); c != nil {
 		all = append(all, scheduler.ConfigChanged{Config: c.SchedulerConfig()})
 	}
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -57,6 +58,10 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	events chan postedEvent
+
+	// Those of the Commander when the term began: the next term has others.
+	storeProgress func(context.Context, map[string]scheduler.Progress) error
+	deleteJobs    func(ctx context.Context, jobs []string)
 }
 
 // postedEvent is an event with the time at which it was posted.
@@ -116,7 +121,7 @@
 func (c *Commander) Lead(ctx context.Context, s *scheduler.Scheduler, initial func() []scheduler.Event) error {
 	x, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	l := &leadership{ctx: x, cancel: cancel, events: make(chan postedEvent, queueSize)}
+	l := &leadership{ctx: x, cancel: cancel, events: make(chan postedEvent, queueSize), storeProgress: c.StoreProgress, deleteJobs: c.DeleteJobs}
 	c.mu.Lock()
 	c.current = l
 	c.mu.Unlock()
@@ -230,7 +235,7 @@
 	}
 	c.mu.Unlock()
 	e := c.Hold(l.ctx, h.At(c.Now()), margin)
-	c.observe(e.Outcome)
+	c.observe(l.ctx, e.Outcome)
 	c.postResult(l, e, e.Outcome)
 }
 
@@ -243,7 +248,7 @@
 	sent := false
 	for range startTries {
 		e = c.Start(ctx, f, c.margin())
-		c.observe(e.Outcome)
+		c.observe(ctx, e.Outcome)
 		if sent {
 			e.Outcome = afterUnanswered(e.Outcome)
 		}
@@ -281,14 +286,24 @@
 	return c.pacer.Crowded()
 }
 
-func (c *Commander) observe(o scheduler.Outcome) {
+// observe notes whether a call was answered in time, unless the end of its term cancelled it.
+func (c *Commander) observe(ctx context.Context, o scheduler.Outcome) {
+	if ctx.Err() != nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pacer.Observe(o != scheduler.OutcomeUnknown)
 }
 
-// execute executes one effect and posts its result.
+// execute executes one effect and posts its result. The scheduler would wait for the result
+// of one that panicked for ever, so the leadership ends then.
 func (c *Commander) execute(l *leadership, f scheduler.Effect) {
+	defer func() {
+		if v := recover(); v != nil {
+			l.cancel(fmt.Errorf("execute %T: panic: %v\n%s", f, v, debug.Stack()))
+		}
+	}()
 	switch f := f.(type) {
 	case scheduler.Hold:
 		c.hold(l, f)
@@ -299,7 +314,7 @@
 		c.postResult(l, e, e.Outcome)
 	case scheduler.Stop:
 		e := c.Stop(l.ctx, f, c.margin())
-		c.observe(e.Outcome)
+		c.observe(l.ctx, e.Outcome)
 		c.postResult(l, e, e.Outcome)
 	case scheduler.Pace:
 		e := c.Pace(l.ctx, f)
@@ -309,23 +324,21 @@
 	case scheduler.ListMachines:
 		c.postTo(l, c.ListMachines(l.ctx))
 	case scheduler.BeginUpkeep:
-		e := c.BeginUpkeep(l.ctx, f)
-		c.postResult(l, e, e.Outcome)
+		c.postTo(l, c.BeginUpkeep(l.ctx, f)) // a fence of one machine is no proof of a newer leader
 	case scheduler.MoveMachine:
-		e := c.MoveMachine(l.ctx, f)
-		c.postResult(l, e, e.Outcome)
+		c.postTo(l, c.MoveMachine(l.ctx, f)) // likewise
 	case scheduler.StoreWave:
 		c.StoreWave(l.ctx, f)
 	case scheduler.StoreLoans:
 		c.StoreLoans(l.ctx, f)
 	case scheduler.Store:
-		if err := c.StoreProgress(l.ctx, f.Progress); err != nil {
+		if err := l.storeProgress(l.ctx, f.Progress); err != nil {
 			l.cancel(err)
 			return
 		}
 		c.postTo(l, scheduler.Stored{})
 	case scheduler.DeleteJobs:
-		c.DeleteJobs(l.ctx, f.Jobs)
+		l.deleteJobs(l.ctx, f.Jobs)
 	}
 }
 
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,3 +123,156 @@
 		})
 	}
 }
+
+// The pool recovers from panics. A worker whose hold never gets a result would be left out,
+// and a store without one would hold up all others, for the rest of the term.
+func TestPanicOfAnEffectEndsTheLeadership(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	c := &commander.Commander{
+		Hold: func(context.Context, scheduler.Hold, time.Duration) scheduler.HoldResult {
+			panic("malformed answer")
+		},
+		LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
+	}
+	s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+	err := c.Lead(ctx, s, func() []scheduler.Event {
+		return []scheduler.Event{scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{ID: "w", Address: "w", Service: "s", StartedMS: 1}}}}
+	})
+	is.NoErr(ctx.Err()) // the term has ended by itself
+	is.True(strings.Contains(err.Error(), "malformed answer"))
+}
+
+// An effect may wait for a slot until its term has ended and this VM leads again. It must not
+// store the progress that the earlier term knew as the later one.
+func TestStoreOfAnEndedTermDoesNotReachTheNextOne(t *testing.T) {
+	is := is.New(t)
+	const tasks = 600 // more starts than there are slots
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	release, stored := make(chan struct{}), make(chan string, tasks)
+	var starts, open atomic.Int64
+	store := func(term string) func(context.Context, map[string]scheduler.Progress) error {
+		return func(context.Context, map[string]scheduler.Progress) error {
+			stored <- term
+			return nil
+		}
+	}
+	c := &commander.Commander{
+		Hold: func(_ context.Context, h scheduler.Hold, _ time.Duration) scheduler.HoldResult {
+			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli(), StartedMS: 1}
+		},
+		Start: func(_ context.Context, s scheduler.Start, _ time.Duration) scheduler.StartResult {
+			if starts.Add(1) > 1 {
+				open.Add(1)
+				<-release
+			}
+			return scheduler.StartResult{Start: s, Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli()}
+		},
+		StoreProgress: store("first"),
+		LogDecision:   func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
+	}
+	queue := scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 3, ObjectiveMS: 1000}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: time.Now(), ConfirmedAt: time.Now().Add(time.Hour), LastInheritedOffset: -1}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- c.Lead(ctx, s, func() []scheduler.Event {
+			return []scheduler.Event{
+				scheduler.ConfigChanged{Config: scheduler.Config{Queues: map[string]scheduler.Queue{"q": queue}}},
+				scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{ID: "w", Address: "w", Service: "s", Rack: "r", StartedMS: 1, Capacity: placer.Resources{MilliCores: 1e6, MemoryMB: 1e6, Accelerators: tasks}}}},
+				scheduler.Submitted{Job: scheduler.Job{
+					ID: "j", Queue: "q", Organisation: "o", AcceptedMS: time.Now().UnixMilli(), QueueConfig: queue,
+					Steps: []scheduler.Step{{Tasks: tasks, Need: placer.Resources{MilliCores: 1, MemoryMB: 1, Accelerators: 1}, EstimateMS: 60000}},
+				}},
+			}
+		})
+	}()
+	for range 500 { // until all slots are taken
+		if open.Load() == 512 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond) // the progress of the started task is due
+	cancel()
+	is.True(<-ended != nil)
+	c.StoreProgress = store("second")
+	close(release)
+	is.Equal(<-stored, "first")
+}
+
+// The calls that a term's end cancels say nothing about the link of this VM.
+func TestEndOfATermDoesNotSlowTheNextOneDown(t *testing.T) {
+	is := is.New(t)
+	const workers = 100
+	var infos []scheduler.WorkerInfo
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		infos = append(infos, scheduler.WorkerInfo{ID: id, Address: id, Service: "s", StartedMS: 1})
+	}
+	c := &commander.Commander{LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now}
+	firstMargin := func() time.Duration {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		margins := make(chan time.Duration, workers)
+		var calls, answered atomic.Int64
+		c.Hold = func(ctx context.Context, h scheduler.Hold, margin time.Duration) scheduler.HoldResult {
+			defer answered.Add(1)
+			margins <- margin
+			if calls.Add(1) == workers {
+				cancel()
+			}
+			<-ctx.Done()
+			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeUnknown}
+		}
+		s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+		err := c.Lead(ctx, s, func() []scheduler.Event { return []scheduler.Event{scheduler.WorkersListed{Workers: infos}} })
+		is.True(err != nil)
+		for answered.Load() < calls.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(10 * time.Millisecond) // until the results are counted
+		return <-margins
+	}
+	before := firstMargin()
+	is.Equal(firstMargin(), before)
+}
+
+// The machine service keeps a token for each machine, and a higher one of somebody else is no
+// newer leader. A leader that ended for it would end again with each attempt.
+func TestFencedMachineDoesNotEndTheLeadership(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var mu sync.Mutex
+	var begun []string
+	c := &commander.Commander{
+		Hold: func(_ context.Context, h scheduler.Hold, _ time.Duration) scheduler.HoldResult {
+			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli(), StartedMS: 1}
+		},
+		ListMachines: func(context.Context) scheduler.MachinesListed {
+			return scheduler.MachinesListed{OK: true, Machines: []scheduler.Machine{{ID: "m1", Up: true, Worker: "w1", Pool: "s"}, {ID: "m2", Up: true, Worker: "w2", Pool: "s"}}}
+		},
+		BeginUpkeep: func(_ context.Context, b scheduler.BeginUpkeep) scheduler.UpkeepResult {
+			mu.Lock()
+			defer mu.Unlock()
+			if begun = append(begun, b.Machine); len(begun) == 2 {
+				cancel()
+			}
+			return scheduler.UpkeepResult{Begin: b, Outcome: scheduler.OutcomeFenced}
+		},
+		StoreWave:   func(context.Context, scheduler.StoreWave) {},
+		LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
+	}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Machines: true}, Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+	err := c.Lead(ctx, s, func() []scheduler.Event {
+		return []scheduler.Event{
+			scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{
+				{ID: "w1", Address: "w1", Service: "s", StartedMS: 1}, {ID: "w2", Address: "w2", Service: "s", StartedMS: 1},
+			}},
+			scheduler.WavesChanged{Waves: []scheduler.Wave{{Number: 1, Machines: []string{"m1", "m2"}, MaxDown: 1, Duration: time.Minute}}},
+		}
+	})
+	is.True(errors.Is(err, context.Canceled)) // by the attempt for the second machine
+	is.Equal(begun, []string{"m1", "m2"})
+}
--- a/internal/node/elector/elector.go
+++ b/internal/node/elector/elector.go
@@ -17,6 +17,7 @@
 	vacantSpread   = 300 * time.Millisecond
 	largestVMCores = 0.8                    // CPU share of the largest VMs, in cores
 	claimInterval  = 500 * time.Millisecond // between two claims by one VM
+	releaseRetry   = 200 * time.Millisecond // between two attempts to release
 )
 
 // Claim is a record of the leadership topic: a claim, a renewal or a release. The epoch
@@ -58,6 +59,7 @@
 	NoAction Action = iota
 	MakeClaim
 	Renew
+	Release
 )
 
 // Elector tracks the leadership topic for one VM.
@@ -73,6 +75,8 @@
 	actedAt    time.Time // when Decide last returned an action
 	storeDown  bool
 	leaving    bool
+	endedEpoch int64     // leadership of this process that has ended without a newer one
+	triedAt    time.Time // when Decide last returned Release
 }
 
 // Apply applies a record of the topic. A record of an older epoch only moves the end.
@@ -105,9 +109,14 @@
 	e.storeDown = !up
 }
 
-// Leave records that the VM is shutting down; it makes no further claims.
+// Leave records that the VM is shutting down. It makes no further claims, renews no more, and
+// releases the leadership if it has it or turns out to have claimed it.
 func (e *Elector) Leave() { e.leaving = true }
 
+// End records that the scheduler of this process's leadership has ended although the topic
+// shows no newer one. The VM claims a new one at once instead of renewing it.
+func (e *Elector) End(epoch int64) { e.endedEpoch = epoch }
+
 // NextOffset returns the offset at which the topic must end for an append to succeed.
 func (e *Elector) NextOffset() int64 { return e.nextOffset }
 
@@ -124,21 +133,18 @@
 
 // Leading reports whether this process is the leader. After a release it remains the
 // leader until another VM has claimed the leadership.
-func (e *Elector) Leading() bool {
-	return e.latest.Holder == e.Self && e.latest.Instance == e.Instance
-}
+func (e *Elector) Leading() bool { return e.holds() && e.latest.Epoch != e.endedEpoch }
+
+// holds reports whether the newest claim is this process's own.
+func (e *Elector) holds() bool { return e.latest.Holder == e.Self && e.latest.Instance == e.Instance }
 
 // Decide returns the action to take now.
 func (e *Elector) Decide(now time.Time) Action {
 	if !e.caughtUp || e.storeDown {
 		return NoAction
 	}
-	if e.Leading() {
-		if e.latest.Released || now.Sub(e.actedAt) < renewInterval {
-			return NoAction
-		}
-		e.actedAt = now
-		return Renew
+	if e.Leading() || (e.leaving && e.holds()) {
+		return e.decideAsLeader(now)
 	}
 	if e.leaving || now.Sub(e.actedAt) < claimInterval || now.Sub(e.heardAt) < e.claimDelay() {
 		return NoAction
@@ -147,6 +153,26 @@
 	return MakeClaim
 }
 
+// decideAsLeader returns the action of the leader. An append may get lost, so a release is
+// repeated until the topic shows it.
+func (e *Elector) decideAsLeader(now time.Time) Action {
+	switch {
+	case e.latest.Released:
+		return NoAction
+	case e.leaving:
+		if now.Sub(e.triedAt) < releaseRetry {
+			return NoAction
+		}
+		e.triedAt = now
+		return Release
+	case now.Sub(e.actedAt) < renewInterval:
+		return NoAction
+	default:
+		e.actedAt = now
+		return Renew
+	}
+}
+
 // claimDelay returns how long the leader must have been silent before this VM claims.
 func (e *Elector) claimDelay() time.Duration {
 	h := fnv.New32a()
@@ -156,7 +182,7 @@
 		permille += int64(1000 * max(0, 1-e.Cores/largestVMCores))
 	}
 	if e.latest.Holder == e.Self {
-		return 0 // an earlier process of this VM, which has ended
+		return 0 // an earlier process or an earlier leadership of this VM, which has ended
 	}
 	if e.latest.Holder == "" || e.latest.Released {
 		return vacantDelay + time.Duration(permille*int64(vacantSpread)/1000)
