Log what proves the end of a task's earlier run and who may still have leases

Observability for the incident of two runs of one task; no decision changes. The users' record could not tell whether a recovery had waited for the worker of the earlier run, what proved that run's end, or until when the earlier leader had granted leases.

- 'task placed' names the previous run, its worker, what proved its end and when; for a job of an earlier leader, whether all workers were heard.
- 'recovery ended' names the workers that were not heard, 20 at most.
- 'leadership ended' says whether the leadership was released, the age of the last renewal, and for how long leases that it granted last.

--- a/internal/jobs/scheduler/ends.go
+++ b/internal/jobs/scheduler/ends.go
@@ -63,6 +63,9 @@
 		return
 	}
 	current := st.removeRun(e.Task.Index, w.ID, e.Run)
+	if current {
+		st.tasks[e.Task.Index].previous = listedEnd(now, w, e)
+	}
 	if e.Reason == EndReasonFailed {
 		w.countFailure(now, j.ID)
 		if !slices.Contains(st.failedWorkers, w.ID) {
@@ -85,6 +88,7 @@
 	}
 	if st.removeRun(e.Task.Index, w.ID, e.Run) {
 		st.tasks[e.Task.Index].requeuedAt = now
+		st.tasks[e.Task.Index].previous = listedEnd(now, w, e)
 	}
 }
 
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -118,8 +118,9 @@
 	suspicion  quarantiner.Record // whether it crashes workers
 	apartSince time.Time          // when it first found no worker that suits its suspicion, else zero; of a gang, on its first task
 
-	preemptions int       // how often its runs were stopped for urgent jobs
-	requeuedAt  time.Time // when its last run ended or was lost
+	preemptions int          // how often its runs were stopped for urgent jobs
+	requeuedAt  time.Time    // when its last run ended or was lost
+	previous    *previousRun // nil if this leader knows of none
 }
 
 // step is a step of a job with its tasks. A gang keeps its run, checkpoint, failures and
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -18,7 +18,7 @@
 		}
 		if len(w.runs) > 0 && w.clockMS != 0 && w.unresponsiveSince.IsZero() { // leases on an unresponsive worker must be able to expire
 			h.DeadlineMS = w.minClock(now) + s.Settings.Lease.Milliseconds()
-			w.leaseDeadlineMS = max(w.leaseDeadlineMS, h.DeadlineMS)
+			s.noteGrant(now, w, h.DeadlineMS)
 		}
 		if len(w.runs) > 0 && w.fenced && w.unresponsiveSince.IsZero() && w.handledEnd == w.storedEnd && (mayAck || !ackDue) {
 			h.Wait = s.pollWait(w)
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -281,7 +281,9 @@
 	t.worker, t.run = id, run
 	t.apartSince = time.Time{}
 	p.startRun(u, index, id, run)
-	s.logDecision(Decision{Message: "task placed", Job: u.job.ID, Task: TaskID{u.job.ID, u.index, index}, Run: run, Worker: id, Details: Details{"waited-ms": p.now.Sub(u.job.acceptedAt).Milliseconds()}})
+	d := Details{"waited-ms": p.now.Sub(u.job.acceptedAt).Milliseconds()}
+	s.describePrevious(p.now, d, u.job, t)
+	s.logDecision(Decision{Message: "task placed", Job: u.job.ID, Task: TaskID{u.job.ID, u.index, index}, Run: run, Worker: id, Details: d})
 }
 
 // startRun sends the start of a run.
@@ -295,7 +297,7 @@
 		serving: u.step.Serving, filler: u.step.Filler, pace: fullPace, level: u.step.tasks[index].suspicion.Level(),
 	}
 	s.addRun(w, r)
-	w.leaseDeadlineMS = max(w.leaseDeadlineMS, deadlineMS)
+	s.noteGrant(p.now, w, deadlineMS)
 	p.reduceFree(u.job.queue.Service, id, u.step.Need)
 	if w.aloneRuns > 0 {
 		p.withhold(u.job.queue.Service, id)
--- /dev/null
+++ b/internal/jobs/scheduler/proof.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// maxUnheardLogged is the number of workers that the line about the end of a recovery names.
+const maxUnheardLogged = 20
+
+// previousRun is the last run of a task that this leader knew of, and what proved its end.
+type previousRun struct {
+	run    int64
+	worker string
+	proof  string
+	at     time.Time
+}
+
+// recoveryEnd is how the recovery ended.
+type recoveryEnd struct {
+	at      time.Time
+	unheard bool // a worker had not answered
+}
+
+// listedEnd returns a run as the previous one of its task after its worker has listed its end.
+func listedEnd(now time.Time, w *worker, e End) *previousRun {
+	return &previousRun{run: e.Run, worker: w.ID, proof: "listed as " + string(e.Reason), at: now}
+}
+
+// describePrevious adds what proved that no earlier run of a task exists any more.
+func (s *Scheduler) describePrevious(now time.Time, d Details, j *job, t *task) {
+	switch v := t.previous; {
+	case v != nil:
+		d["previous-run"], d["previous-worker"] = v.run, v.worker
+		d["previous-ended-by"], d["previous-ended-ms"] = v.proof, now.Sub(v.at).Milliseconds()
+	case j.offset <= s.LastInheritedOffset && s.recovery.unheard:
+		d["previous-ended-by"], d["previous-ended-ms"] = "recovery timed out", now.Sub(s.recovery.at).Milliseconds()
+	case j.offset <= s.LastInheritedOffset:
+		d["previous-ended-by"], d["previous-ended-ms"] = "all workers were heard", now.Sub(s.recovery.at).Milliseconds()
+	}
+}
+
+// unheardWorkers returns the workers that have not answered this leader, at most
+// maxUnheardLogged.
+func (s *Scheduler) unheardWorkers() []string {
+	all := slices.Sorted(maps.Keys(s.tracking.unanswered))
+	return all[:min(len(all), maxUnheardLogged)]
+}
+
+// noteGrant records the latest end of a lease on a worker.
+func (s *Scheduler) noteGrant(now time.Time, w *worker, deadlineMS int64) {
+	w.leaseDeadlineMS = max(w.leaseDeadlineMS, deadlineMS)
+	left := time.Duration(deadlineMS-w.minClock(now)) * time.Millisecond * 100 / minClockRatePercent
+	if at := now.Add(left); at.After(s.grantedUntil) {
+		s.grantedUntil = at
+	}
+}
+
+// GrantedUntil returns the latest time, by this VM's clock, at which a lease that this leader
+// has granted may end, the zero value for none. It must not be called while Reduce runs.
+func (s *Scheduler) GrantedUntil() time.Time { return s.grantedUntil }
--- a/internal/jobs/scheduler/quarantine.go
+++ b/internal/jobs/scheduler/quarantine.go
@@ -276,7 +276,7 @@
 	s.touch(w)
 	p.sentAt, p.progressedAt = now, now
 	p.startDeadlineMS = w.minClock(now) + s.Settings.startWindow().Milliseconds()
-	w.leaseDeadlineMS = max(w.leaseDeadlineMS, p.startDeadlineMS)
+	s.noteGrant(now, w, p.startDeadlineMS)
 	h.start.DeadlineMS, h.start.Address = p.startDeadlineMS, w.Address
 	s.emit(h.start)
 	s.logDecision(Decision{Message: "held start is sent", Job: p.task.Job, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"quarantine": p.level.String(), "other-runs": len(w.order) - 1}})
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -38,7 +38,11 @@
 	if unanswered {
 		s.abandonInherited()
 	}
-	s.logDecision(Decision{Message: "recovery ended", Details: Details{"epoch": s.Epoch, detailAfterMS: now.Sub(s.LeadingSince).Milliseconds(), "timed-out": timedOut}})
+	s.recovery = recoveryEnd{at: now, unheard: unanswered}
+	s.logDecision(Decision{Message: "recovery ended", Details: Details{
+		"epoch": s.Epoch, detailAfterMS: now.Sub(s.LeadingSince).Milliseconds(), "timed-out": timedOut, "workers": len(s.workerIDs),
+		"unheard": s.unheardWorkers(), "unheard-count": len(s.tracking.unanswered),
+	}})
 }
 
 // allListed reports whether the list contains the workers of all machines that are
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -26,7 +26,9 @@
 	jobs      map[string]*job
 	active    []*job // jobs that have not ended, by offset
 
-	released        bool  // another VM may lead already
+	released        bool      // another VM may lead already
+	grantedUntil    time.Time // latest end of a lease that this leader has granted, by its own clock
+	recovery        recoveryEnd
 	ticked          bool  // the present call handles a tick
 	tickedSincePass bool  // a tick was handled after the last placement pass
 	recovering      bool  // workers that have not answered yet may have runs of earlier leaders
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -324,6 +324,7 @@
 		return
 	}
 	t.requeuedAt = now
+	t.previous = &previousRun{run: p.run, worker: w.ID, proof: reason, at: now}
 	s.logDecision(Decision{Message: "run is lost", Job: j.ID, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"reason": reason, detailAfterMS: now.Sub(p.sentAt).Milliseconds()}})
 	if st.Gang {
 		s.stopGang(now, j, p.task.Step, p.run)
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -260,7 +260,11 @@
 	})
 	cancel()
 	following.Wait() // a list that was read in this term must not reach the next one
-	l.WithError(err).WithField("after-ms", a.Now().Sub(began).Milliseconds()).Info("leadership ended")
+	now := a.Now()
+	l.WithError(err).WithFields(logrus.Fields{
+		"after-ms": now.Sub(began).Milliseconds(), "released": a.releasing.Load(), "unconfirmed-ms": now.Sub(s.ConfirmedAt).Milliseconds(),
+		"leases-end-ms": max(0, s.GrantedUntil().Sub(now).Milliseconds()),
+	}).Info("leadership ended")
 }
 
 // initialEvents returns the configuration and all known jobs as events.
