Leases end within one lease of any claim by another leader

What callers saw: a task ran twice at the same time, started by two leaders.

Cause: a new leader waits for one lease from its claim and concludes that nothing runs on workers it has not reached. The earlier leader extended leases by a whole lease for as long as its scheduler ran: while it could not renew, and after it had released the leadership, until it read the claim or a worker rejected it. A worker that only the earlier leader reaches rejects nothing.

Change: a lease granted more than 2.4 s after the last confirmed renewal was sent, or after a release, is shortened by the time since. In the last 2.5 s of what may be granted nothing is started.

TestLostRunRestartsOnlyAfterLeaseFromEarlierLeader now confirms the leadership before the restart that it expects: it let 11 s pass without a renewal, in which another VM may have started the task. What it checks is the same.

Ruled out: waiting for longer in the successor, as nothing bounds the time until the earlier leader learns of it. Why it works: the bound depends only on what the earlier leader knows, and each claim comes later than it assumes.

--- a/internal/jobs/scheduler/earlier_leader_test.go
+++ b/internal/jobs/scheduler/earlier_leader_test.go
@@ -101,6 +101,7 @@
 		}
 		first.step(now, began)
 		if second != nil {
+			second.s.Reduce(now, scheduler.Confirmed{Sent: now})
 			second.step(now, began)
 		}
 	}
@@ -119,3 +120,19 @@
 		t.Fatalf("the lease of the first run ends %v after the second start", d)
 	}
 }
+
+func TestTaskDoesNotStartOnceASuccessorMayHaveStartedIt(t *testing.T) {
+	is := is.New(t)
+	began := time.Unix(1_000_000, 0)
+	r := newRival(began, 1)
+	for now := began; now.Before(began.Add(12 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		if now.Sub(began) == 11*time.Second {
+			r.answers = []string{"w1"}
+		}
+		r.step(now, began)
+	}
+	is.Equal(len(r.starts["w1"]), 0)
+	now := began.Add(12 * time.Second)
+	r.apply(r.s.Reduce(now, scheduler.Confirmed{Sent: now}))
+	is.Equal(len(r.starts["w1"]), 1)
+}
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -17,7 +17,7 @@
 			h.Ack, h.MaxAckDelay = w.storedEnd, delay
 		}
 		if len(w.runs) > 0 && w.clockMS != 0 && w.unresponsiveSince.IsZero() { // leases on an unresponsive worker must be able to expire
-			h.DeadlineMS = w.minClock(now) + s.Settings.Lease.Milliseconds()
+			h.DeadlineMS = s.leaseDeadline(now, w)
 			s.noteGrant(now, w, h.DeadlineMS)
 		}
 		if len(w.runs) > 0 && w.fenced && w.unresponsiveSince.IsZero() && w.handledEnd == w.storedEnd && (mayAck || !ackDue) {
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -46,6 +46,11 @@
 // place starts the tasks that fit, the most urgent first.
 func (s *Scheduler) place(now time.Time) {
 	s.forgetRooms()
+	if !s.mayStart(now) {
+		s.recordStarvation(now, nil)
+		s.reportWaits(now, nil)
+		return
+	}
 	units := s.runnableUnits(now)
 	if len(units) == 0 && !s.anyStalled(now) && !s.anySpeculative() {
 		s.recordStarvation(now, nil)
--- a/internal/jobs/scheduler/quarantine.go
+++ b/internal/jobs/scheduler/quarantine.go
@@ -260,7 +260,7 @@
 		switch {
 		case (!h.storing || !stored) && (h.sendAt.IsZero() || now.Before(h.sendAt)):
 			s.held = append(s.held, h)
-		case h.run.stopping || !w.reachable() || !w.used.Fits(w.Capacity) || w.StartedMS != h.startedMS:
+		case h.run.stopping || !s.mayStart(now) || !w.reachable() || !w.used.Fits(w.Capacity) || w.StartedMS != h.startedMS:
 			s.loseRun(now, w, h.run, "its start was not sent")
 		default:
 			s.sendHeldStart(now, w, h)
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -27,6 +27,7 @@
 	active    []*job // jobs that have not ended, by offset
 
 	released        bool      // another VM may lead already
+	releasedAt      time.Time // when released was set
 	grantedUntil    time.Time // latest end of a lease that this leader has granted, by its own clock
 	recovery        recoveryEnd
 	ticked          bool  // the present call handles a tick
@@ -138,7 +139,9 @@
 	case Stored:
 		s.handleStored(now)
 	case Released:
-		s.released = true
+		if !s.released {
+			s.released, s.releasedAt = true, now
+		}
 	case Confirmed:
 		s.confirmLeadership(e)
 	}
--- a/internal/jobs/scheduler/waits.go
+++ b/internal/jobs/scheduler/waits.go
@@ -22,7 +22,7 @@
 // The conditions.
 const (
 	conditionRecovery    condition = "recovery"         // workers that an earlier leader may have used have not answered yet
-	conditionUnconfirmed condition = "unconfirmed"      // another VM may have led when the job was read, and no renewal has succeeded since
+	conditionUnconfirmed condition = "unconfirmed"      // another VM may lead, or may have led when the job was read, and no renewal has succeeded since
 	conditionStore       condition = "store"            // a mark on its tasks is not stored yet
 	conditionGangStops   condition = "gang-stops"       // members of its gang are being stopped
 	conditionQuarantine  condition = "quarantine"       // it is suspected of crashing workers, and none suits its level
@@ -128,11 +128,11 @@
 
 // heldBy returns what keeps all tasks of a job from being placed, conditionNone if nothing
 // does.
-func (s *Scheduler) heldBy(j *job) condition {
+func (s *Scheduler) heldBy(now time.Time, j *job) condition {
 	switch {
 	case s.recovering && j.offset <= s.LastInheritedOffset:
 		return conditionRecovery
-	case !j.unconfirmedSince.IsZero():
+	case !j.unconfirmedSince.IsZero() || !s.mayStart(now):
 		return conditionUnconfirmed
 	case j.awaitingStore:
 		return conditionStore
@@ -180,7 +180,7 @@
 // logged long ago, and reports whether it did.
 func (s *Scheduler) reportWait(now time.Time, p *pass, u unit) bool {
 	n := s.roomFor(now, u)
-	c := s.heldBy(u.job)
+	c := s.heldBy(now, u.job)
 	if c == conditionNone && p != nil {
 		c = p.waitCondition(u, n)
 	}
