A leader that may have been replaced starts nothing on a worker it has not just heard

What callers could see: a task runs twice. A restarted worker has lost its fence, so it accepts a start by an earlier leader although the present one had reached it before the restart. An earlier leader learnt of a restart only from an answer or the list; a start could be its first call to the new instance, and its deadline does not protect, as the worker's clock starts anew. The same holds for a start that was decided before the VM stood still and is sent after it.

Change: outside the confirmed time a start is held until its worker has answered within 0.5 s, and looks for held starts don't wait. Starts carry the time of their decision and for how long they may be sent; commander drops late ones.

Evidence: TestLeaderThatCannotRenewStartsNothingOnAWorkerThatHasRestarted started one task on the restarted worker before, none after; TestLateStartIsNotSent fails without the check.

Ruled out: no starts at all without confirmation, as jobs must go on while the store is down; the expected instance in the header, as a worker may restart under its id. Why it works: within 0.5 s of an answer no worker can have crashed, started again and been reached by another leader.

--- a/internal/jobs/scheduler/earlier_leader_test.go
+++ b/internal/jobs/scheduler/earlier_leader_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -18,24 +19,33 @@
 type rival struct {
 	s       *scheduler.Scheduler
 	answers []string
-	ends    map[string]int64   // latest end of a lease that it has granted, by worker and on its clock
-	starts  map[string][]int64 // runs, by worker
-	holds   map[string]bool    // in flight
+	ends    map[string]int64             // latest end of a lease that it has granted, by worker and on its clock
+	starts  map[string][]scheduler.Start // by worker
+	holds   map[string]bool              // in flight
 	storing bool
+
+	restarted map[string]bool // workers that have restarted
+	over      bool            // the first run has ended
 }
 
+var rivalNeed = placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}
+
 func newRival(now time.Time, epoch int64, answers ...string) *rival {
+	return newRivalWith(now, epoch, []scheduler.Step{{Tasks: 1, Need: rivalNeed, EstimateMS: 60_000}}, answers...)
+}
+
+func newRivalWith(now time.Time, epoch int64, steps []scheduler.Step, answers ...string) *rival {
 	r := &rival{
 		s:       &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: epoch, LeadingSince: now, LastInheritedOffset: epoch - 2}, // the first leader accepts the job
-		answers: answers, ends: map[string]int64{}, starts: map[string][]int64{}, holds: map[string]bool{},
+		answers: answers, ends: map[string]int64{}, starts: map[string][]scheduler.Start{}, holds: map[string]bool{}, restarted: map[string]bool{},
 	}
 	var workers []scheduler.WorkerInfo
 	for _, id := range []string{"w1", "w2"} {
-		workers = append(workers, scheduler.WorkerInfo{ID: id, Address: id, Service: "s", Rack: "r", StartedMS: 1, Capacity: placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}})
+		workers = append(workers, scheduler.WorkerInfo{ID: id, Address: id, Service: "s", Rack: "r", StartedMS: 1, Capacity: rivalNeed})
 	}
 	r.apply(r.s.Reduce(now, scheduler.Submitted{Job: scheduler.Job{
 		ID: "a", Queue: "q", QueueConfig: scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 3}, AcceptedMS: now.UnixMilli(),
-		Steps: []scheduler.Step{{Tasks: 1, Need: placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}, EstimateMS: 60_000}},
+		Steps: steps,
 	}}, scheduler.WorkersListed{Workers: workers}))
 	return r
 }
@@ -49,7 +59,7 @@
 		case scheduler.Store:
 			r.storing = true
 		case scheduler.Start:
-			r.starts[f.Worker] = append(r.starts[f.Worker], f.Run)
+			r.starts[f.Worker] = append(r.starts[f.Worker], f)
 			r.ends[f.Worker] = max(r.ends[f.Worker], f.DeadlineMS)
 		}
 	}
@@ -66,16 +76,29 @@
 		delete(r.holds, id)
 		e := scheduler.HoldResult{Worker: id, Sent: now, Outcome: scheduler.OutcomeUnknown}
 		if slices.Contains(r.answers, id) {
-			e.Outcome, e.ClockMS, e.StartedMS = scheduler.OutcomeDone, workerClock(now, began), 1
-			for _, run := range r.starts[id] {
-				e.Running = append(e.Running, scheduler.Running{Task: scheduler.TaskID{Job: "a"}, Run: run, Percent: 1})
-			}
+			r.answer(&e, workerClock(now, began))
 		}
 		events = append(events, e)
 	}
 	r.apply(r.s.Reduce(now, append(events, scheduler.Ticked{})...))
 }
 
+// answer fills in what a worker answers to a hold.
+func (r *rival) answer(e *scheduler.HoldResult, clock int64) {
+	e.Outcome, e.ClockMS, e.StartedMS = scheduler.OutcomeDone, clock, 1
+	if r.restarted[e.Worker] {
+		e.StartedMS = 2
+		return
+	}
+	for i, f := range r.starts[e.Worker] {
+		if i == 0 && r.over {
+			e.Ends = []scheduler.End{{Number: 1, Task: f.Task, Run: f.Run, Reason: scheduler.EndReasonDone}}
+			continue
+		}
+		e.Running = append(e.Running, scheduler.Running{Task: f.Task, Run: f.Run, Percent: 1})
+	}
+}
+
 func workerClock(now, began time.Time) int64 {
 	return 1000 + now.Sub(began).Milliseconds()*rivalClock/100
 }
@@ -136,3 +159,23 @@
 	r.apply(r.s.Reduce(now, scheduler.Confirmed{Sent: now}))
 	is.Equal(len(r.starts["w1"]), 1)
 }
+
+func TestLeaderThatCannotRenewStartsNothingOnAWorkerThatHasRestarted(t *testing.T) {
+	is := is.New(t)
+	began := time.Unix(1_000_000, 0)
+	r := newRivalWith(began, 1, []scheduler.Step{
+		{Tasks: 1, Need: rivalNeed, EstimateMS: 4000},
+		{Tasks: 2, Need: rivalNeed, EstimateMS: 4000, After: []int{0}},
+	}, "w1", "w2")
+	r.step(began.Add(100*time.Millisecond), began)
+	first := slices.Sorted(maps.Keys(r.starts))
+	is.Equal(len(first), 1)
+	other := map[string]string{"w1": "w2", "w2": "w1"}[first[0]]
+	for now := began.Add(200 * time.Millisecond); now.Before(began.Add(8 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		r.over = now.Sub(began) >= 4*time.Second
+		r.restarted[other] = r.over
+		r.step(now, began)
+	}
+	is.Equal(len(r.starts[first[0]]), 2) // it has just answered
+	is.Equal(len(r.starts[other]), 0)
+}
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -171,6 +171,8 @@
 	DeadlineMS int64 // on the worker's clock
 	Checkpoint string
 	Ticket     string // of a queue with advice
+	DecidedAt  time.Time
+	MaxDelay   time.Duration // after DecidedAt, in which the start may be sent; 0 for no limit
 }
 
 // Stop stops a run, or prevents its start.
--- a/internal/jobs/scheduler/lease.go
+++ b/internal/jobs/scheduler/lease.go
@@ -6,6 +6,9 @@
 // that does not answer have ended. So no lease that this leader grants may last for longer
 // than one lease after the latest time at which no other VM can have claimed the leadership.
 
+// maxLookAge is the age of a worker's last answer up to which it cannot have restarted since.
+const maxLookAge = 500 * time.Millisecond
+
 // unconfirmedFor returns for how long another VM may have been the leader.
 func (s *Scheduler) unconfirmedFor(now time.Time) time.Duration {
 	d := elapsed(now, s.ConfirmedAt) - confirmWindow
@@ -26,3 +29,20 @@
 	d := s.unconfirmedFor(now)
 	return d == 0 || s.Settings.Lease-d >= s.Settings.startWindow()
 }
+
+// needsLook reports whether a worker must answer before a task is started on it: another VM
+// may lead, and the worker may have restarted, in which case it rejects no earlier leader.
+func (s *Scheduler) needsLook(now time.Time, w *worker) bool {
+	return s.unconfirmedFor(now) > 0 && elapsed(now, w.answeredAt) > maxLookAge
+}
+
+// maxStartDelay returns for how long after now a start may be sent.
+func (s *Scheduler) maxStartDelay(now time.Time) time.Duration {
+	return max(maxLookAge, confirmWindow-elapsed(now, s.ConfirmedAt))
+}
+
+// Late reports whether the start must not be sent any more: this VM may have been paused,
+// another one may lead, and the worker may have restarted.
+func (f Start) Late(now time.Time) bool {
+	return f.MaxDelay > 0 && elapsed(now, f.DecidedAt) > f.MaxDelay
+}
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -23,6 +23,9 @@
 		if len(w.runs) > 0 && w.fenced && w.unresponsiveSince.IsZero() && w.handledEnd == w.storedEnd && (mayAck || !ackDue) {
 			h.Wait = s.pollWait(w)
 		}
+		if w.lookDue {
+			w.lookDue, h.Wait = false, 0
+		}
 		w.holdInFlight = true
 		w.holdSentAt = now
 		s.emit(h)
@@ -61,7 +64,7 @@
 		at = w.callFailedAt.Add(pause)
 	}
 	switch {
-	case !w.fenced || !w.unresponsiveSince.IsZero():
+	case !w.fenced || !w.unresponsiveSince.IsZero() || w.lookDue:
 		return at, true
 	case w.withheldEnd != 0 && len(w.runs) == 0 && len(w.orphanEnds) == 0 && w.lastAckable() <= w.ackedEnd:
 		return at, false
@@ -123,6 +126,9 @@
 	s.handleEnds(now, w, e.Ends)
 	s.reconcileRuns(now, w, e)
 	s.closeOpenStarts(now, w)
+	if len(s.held) > 0 {
+		s.sendHeldStarts(now, false)
+	}
 }
 
 // reconcileRuns compares the runs that a worker lists with the expected ones.
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -296,7 +296,8 @@
 	s, w := p.s, p.s.workers[id]
 	task := TaskID{u.job.ID, u.index, index}
 	deadlineMS := w.minClock(p.now) + s.Settings.startWindow().Milliseconds()
-	hold := u.step.mustHold(index)
+	unstored := u.step.mustHold(index)
+	hold := unstored || s.needsLook(p.now, w)
 	r := &placement{
 		task: task, run: run, need: u.step.Need, startDeadlineMS: deadlineMS, sentAt: p.now, progressedAt: p.now, startOpen: !hold, held: hold,
 		serving: u.step.Serving, filler: u.step.Filler, pace: fullPace, level: u.step.tasks[index].suspicion.Level(),
@@ -314,10 +315,10 @@
 	f := Start{
 		Worker: id, Address: w.Address, Epoch: s.Epoch, Task: task, Run: run,
 		Spec: u.job.Spec, DeadlineMS: deadlineMS, Checkpoint: u.step.primary(index).checkpoint,
-		Ticket: u.step.tickets[id].value,
+		Ticket: u.step.tickets[id].value, DecidedAt: p.now, MaxDelay: s.maxStartDelay(p.now),
 	}
 	if hold {
-		s.hold(p.now, f, w, r)
+		s.hold(p.now, f, w, r, unstored)
 		return
 	}
 	if v := u.step.tasks[index].suspicion.Open; v != nil {
--- a/internal/jobs/scheduler/quarantine.go
+++ b/internal/jobs/scheduler/quarantine.go
@@ -13,11 +13,12 @@
 const maxHold = 500 * time.Millisecond
 
 // heldStart is a start that is sent once the record of it is stored, so that no leader can
-// miss a crash that it causes.
+// miss a crash that it causes, or once its worker has answered (needsLook).
 type heldStart struct {
 	start     Start
 	run       *placement
 	startedMS int64     // of the worker's instance
+	unstored  bool      // the record must be stored first
 	storing   bool      // the store in flight covers the record
 	sendAt    time.Time // when it is sent without being stored, zero for never
 }
@@ -223,11 +224,16 @@
 	return s.LongRunning && s.highestLevel() <= quarantiner.Apart
 }
 
-// hold keeps a start until the record of it is stored.
-func (s *Scheduler) hold(now time.Time, f Start, w *worker, p *placement) {
+// hold keeps a start until its worker has answered and, if it is unstored, the record of it
+// is stored.
+func (s *Scheduler) hold(now time.Time, f Start, w *worker, p *placement, unstored bool) {
 	p.startDeadlineMS = 0 // set when it is sent
-	h := &heldStart{start: f, run: p, startedMS: w.StartedMS}
+	h := &heldStart{start: f, run: p, startedMS: w.StartedMS, unstored: unstored}
 	s.held = append(s.held, h)
+	if !unstored {
+		w.lookDue = true
+		return
+	}
 	j, st, t := s.findTask(p.task)
 	if st.mayStartUnstored() {
 		h.sendAt = now.Add(maxHold)
@@ -257,11 +263,18 @@
 		if !ok || w.runs[placementKey{h.start.Task, h.start.Run}] != h.run {
 			continue
 		}
+		if h.storing && stored {
+			h.unstored = false
+		}
 		switch {
-		case (!h.storing || !stored) && (h.sendAt.IsZero() || now.Before(h.sendAt)):
+		case h.unstored && (h.sendAt.IsZero() || now.Before(h.sendAt)):
 			s.held = append(s.held, h)
 		case h.run.stopping || !s.mayStart(now) || !w.reachable() || !w.used.Fits(w.Capacity) || w.StartedMS != h.startedMS:
 			s.loseRun(now, w, h.run, "its start was not sent")
+		case s.needsLook(now, w):
+			w.lookDue = true
+			s.touch(w)
+			s.held = append(s.held, h)
 		default:
 			s.sendHeldStart(now, w, h)
 		}
@@ -278,6 +291,7 @@
 	p.startDeadlineMS = w.minClock(now) + s.Settings.startWindow().Milliseconds()
 	s.noteGrant(now, w, p.startDeadlineMS)
 	h.start.DeadlineMS, h.start.Address = p.startDeadlineMS, w.Address
+	h.start.DecidedAt, h.start.MaxDelay = now, s.maxStartDelay(now)
 	s.emit(h.start)
 	s.logDecision(Decision{Message: "held start is sent", Job: p.task.Job, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"quarantine": p.level.String(), "other-runs": len(w.order) - 1}})
 }
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -54,6 +54,7 @@
 
 	fenced            bool // it has answered a hold of this epoch
 	holdInFlight      bool
+	lookDue           bool      // a held start waits for its answer
 	holdSentAt        time.Time // time of the last hold
 	answeredAt        time.Time // earliest time at which the last answer to a hold can have been sent
 	heardAt           time.Time // when that answer was handled
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -242,11 +242,17 @@
 // StartRun starts a run. A start without an answer is sent again, as it may have been lost or
 // may be carried out late, which would hold up a whole gang: a worker that has the run
 // already answers that it runs. While many calls get no answer it is sent once, with a
-// longer time-out.
+// longer time-out. A start that is late is not sent.
 func (c *Commander) StartRun(ctx context.Context, f scheduler.Start) scheduler.StartResult {
 	e := scheduler.StartResult{Start: f, Outcome: scheduler.OutcomeUnknown}
 	sent := false
 	for range startTries {
+		if f.Late(c.Now()) {
+			if !sent {
+				e.Outcome = scheduler.OutcomeUnsent
+			}
+			break
+		}
 		e = c.Start(ctx, f, c.margin())
 		c.observe(ctx, e.Outcome)
 		if sent {
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -124,6 +124,25 @@
 	}
 }
 
+func TestLateStartIsNotSent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	tries := 0
+	c := &commander.Commander{
+		Start: func(_ context.Context, s scheduler.Start, _ time.Duration) scheduler.StartResult {
+			tries++
+			now = now.Add(400 * time.Millisecond)
+			return scheduler.StartResult{Start: s, Outcome: scheduler.OutcomeUnknown}
+		},
+		ObserveDuration: func(string, time.Duration) {}, Now: func() time.Time { return now },
+	}
+	f := scheduler.Start{DecidedAt: now, MaxDelay: 500 * time.Millisecond}
+	is.Equal(c.StartRun(t.Context(), f).Outcome, scheduler.OutcomeUnknown)
+	is.Equal(tries, 2)
+	is.Equal(c.StartRun(t.Context(), f).Outcome, scheduler.OutcomeUnsent)
+	is.Equal(tries, 2)
+}
+
 // The pool recovers from panics. A worker whose hold never gets a result would be left out,
 // and a store without one would hold up all others, for the rest of the term.
 func TestPanicOfAnEffectEndsTheLeadership(t *testing.T) {
