A start that is late after one without an answer may have been carried out

What callers could see: a task runs twice. A start without an answer is sent again; if the second one was refused as late, the run was given up as refused and its task placed elsewhere. But the first one may have been carried out in time: a worker may check the deadline before it looks for the run. The two are more than 2.5 s apart only if this VM stood still in between.

Change: the outcome is then unknown, as for a lack of room: the run is stopped, and its task placed elsewhere once the worker no longer lists it.

--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -272,7 +272,7 @@
 	switch o {
 	case scheduler.OutcomeObsolete: // the run has ended there already; its worker lists the end
 		return scheduler.OutcomeDone
-	case scheduler.OutcomeUnsent, scheduler.OutcomeFull, scheduler.OutcomeUnhealthy, scheduler.OutcomeTicket, scheduler.OutcomeInvalid:
+	case scheduler.OutcomeUnsent, scheduler.OutcomeLate, scheduler.OutcomeFull, scheduler.OutcomeUnhealthy, scheduler.OutcomeTicket, scheduler.OutcomeInvalid:
 		return scheduler.OutcomeUnknown
 	default:
 		return o
