A new leader waits for a draining worker whose entry has expired

What callers could see: a task runs twice. A worker may run for many seconds after it has announced its shutdown. If its heartbeats do not reach the store, its entry expires meanwhile, and a new leader left it out of the workers that it asks, although an earlier leader could still extend its leases.

Change: such workers are asked like other expired ones.

Evidence: TestExpiredDrainingWorkerIsListedForNewLeader fails without the change. Ruled out: waiting for them without a list of machines, as each planned shutdown would then hold up a new leader for a whole lease.

--- a/internal/node/assembler/recentworkers.go
+++ b/internal/node/assembler/recentworkers.go
@@ -48,8 +48,8 @@
 	}
 	all := a.decodeWorkers(present)
 	for _, l := range a.decodeWorkers(slices.Collect(maps.Values(recent))) {
-		if l.Draining {
-			continue // it has announced its shutdown
+		if l.Draining && a.Settings.MachineService == "" {
+			continue // it has announced its shutdown, and no list of machines tells when it has left
 		}
 		a.log("lead").WithField("worker", l.ID).Info("worker entry has expired recently")
 		l.Expired = true
