A new leader waits for the workers of all machines that are up

A worker that does not reach the store is not listed, nor in the last 8.5 s of the list's history, but runs on while a leader extends its leases. A new leader ended its recovery after 2.5 s without such a worker, although the list of machines named it, or had not been available.

Change: the recovery ends when the workers of all machines that are up are listed and have answered, else after one lease; then inherited tasks are marked as given up, as for a worker that does not answer. The log names the workers.

Evidence: the scripts worker-that-does-not-reach-the-store-keeps-its-runs, and -while-the-list-of-machines-is-not-available, failed before: 'task {a 0 0} runs on w1 and w2' 2.6 s after the change of the leader.

The script crash-while-no-vm-leads-is-not-counted lost the list of machines for good, in which a new leader now waits for a lease; it gets the list back before the new leader starts, and checks the same. Ruled out: a longer history of the list, which may be deleted at any time.

--- a/internal/jobs/scheduler/proof.go
+++ b/internal/jobs/scheduler/proof.go
@@ -41,10 +41,10 @@
 	}
 }
 
-// unheardWorkers returns the workers that have not answered this leader, at most
-// maxUnheardLogged.
-func (s *Scheduler) unheardWorkers() []string {
-	all := slices.Sorted(maps.Keys(s.tracking.unanswered))
+// unheardWorkers returns the workers that have not answered this leader and those that are
+// unlisted, at most maxUnheardLogged.
+func (s *Scheduler) unheardWorkers(unlisted []string) []string {
+	all := append(slices.Sorted(maps.Keys(s.tracking.unanswered)), unlisted...)
 	return all[:min(len(all), maxUnheardLogged)]
 }
 
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -1,10 +1,9 @@
 package scheduler
 
-import "time"
-
-// listRecoveryTime is how long after an outage of the store the list may lack live
-// workers: two seconds by the platform's terms, and the list is read every 350 ms.
-const listRecoveryTime = 2500 * time.Millisecond
+import (
+	"slices"
+	"time"
+)
 
 // checkRecovery ends the recovery once each worker that an earlier leader may have
 // used has answered, has departed, or can hold no valid lease any more.
@@ -13,7 +12,8 @@
 		return
 	}
 	s.settle(now)
-	if !s.ticked && len(s.tracking.unanswered) > 0 || (len(s.workerIDs) == 0 && s.allListed(now)) {
+	unlisted, known := s.unlistedWorkers()
+	if !s.ticked && len(s.tracking.unanswered) > 0 || (len(s.workerIDs) == 0 && known && len(unlisted) == 0) {
 		return
 	}
 	expiry := s.Settings.Lease*100/minClockRatePercent + s.Settings.leaseEndSlack()
@@ -29,10 +29,11 @@
 		}
 		return
 	}
-	if !s.allListed(now) {
+	if (!known || len(unlisted) > 0) && !timedOut {
 		s.requestMachines(now)
 		return
 	}
+	unanswered = unanswered || !known || len(unlisted) > 0
 	s.recovering = false
 	s.placementDue = true
 	if unanswered {
@@ -41,26 +42,26 @@
 	s.recovery = recoveryEnd{at: now, unheard: unanswered}
 	s.logDecision(Decision{Message: "recovery ended", Details: Details{
 		"epoch": s.Epoch, detailAfterMS: now.Sub(s.LeadingSince).Milliseconds(), "timed-out": timedOut, "workers": len(s.workerIDs),
-		"unheard": s.unheardWorkers(), "unheard-count": len(s.tracking.unanswered),
+		"unheard": s.unheardWorkers(unlisted), "unheard-count": len(s.tracking.unanswered) + len(unlisted), "machines-known": known,
 	}})
 }
 
-// allListed reports whether the list contains the workers of all machines that are
-// up. During an outage of the store all entries may expire at once; a leader elected
-// right after it would then miss workers that have runs.
-func (s *Scheduler) allListed(now time.Time) bool {
-	if !s.Settings.Machines || now.Sub(s.LeadingSince) > listRecoveryTime {
-		return true
-	}
-	if s.machines == nil {
-		return false
+// unlistedWorkers returns the workers of machines that are up and that the list of workers
+// lacks, sorted, and false if the list of machines is not available. The entry of a worker
+// expires if its heartbeats do not reach the store, although its runs continue, and all
+// entries may expire during an outage of the store.
+func (s *Scheduler) unlistedWorkers() ([]string, bool) {
+	if !s.Settings.Machines {
+		return nil, true
 	}
+	var all []string
 	for _, m := range s.machines {
 		if _, ok := s.workers[m.Worker]; !ok && m.Up && m.Worker != "" {
-			return false
+			all = append(all, m.Worker)
 		}
 	}
-	return true
+	slices.Sort(all)
+	return all, s.machines != nil
 }
 
 // mayHaveLeft reports whether a worker that has not answered this leader may have
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -142,6 +142,7 @@
 		"crash":         w.crash,
 		"resize":        w.resize,
 		"machines-down": func() { w.machinesDown = true },
+		"machines-up":   func() { w.machinesDown = false },
 		"crash-unseen": func(id string) { // no worker follows at its address
 			w.crash(id)
 			w.deliveries = slices.DeleteFunc(w.deliveries, func(d delivery) bool { return d.do != nil && d.at.Sub(w.now) >= 3*time.Second })
