The restart of a worker ends no run whose start may still arrive there

What callers could see: a task runs twice. A start without an answer is sent again. If the worker listed the run meanwhile, or answered a stop, and then restarted, the first list of the new instance counted as proof that the run is gone. The next try of the start could still reach the new instance, which knows neither the run nor the stop nor the fence.

Change: a restart forgets what the old instance said of a run whose start is not answered yet. The run then ends only once the start has been answered, or a stop by the new instance, which rejects the start from then on.

Evidence: TestRestartOfAWorkerEndsNoRunWhoseStartMayStillArrive; before, the task was started again at once. Ruled out: to wait for the restart in commander, which does not know of it. Runs whose start was answered restart at once as before (tasks-of-a-restarted-worker-restart-at-once).

--- a/internal/jobs/scheduler/earlier_leader_test.go
+++ b/internal/jobs/scheduler/earlier_leader_test.go
@@ -179,3 +179,27 @@
 	is.Equal(len(r.starts[first[0]]), 2) // it has just answered
 	is.Equal(len(r.starts[other]), 0)
 }
+
+func TestRestartOfAWorkerEndsNoRunWhoseStartMayStillArrive(t *testing.T) {
+	is := is.New(t)
+	began := time.Unix(1_000_000, 0)
+	r := newRival(began, 1, "w1", "w2")
+	now := began.Add(100 * time.Millisecond)
+	r.step(now, began)
+	first := slices.Sorted(maps.Keys(r.starts))
+	is.Equal(len(first), 1)
+	start := r.starts[first[0]][0]
+	r.step(now.Add(100*time.Millisecond), began) // the worker lists the run before it answers the start
+	r.restarted[first[0]] = true
+	for now = now.Add(200 * time.Millisecond); now.Before(began.Add(2 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		r.step(now, began)
+	}
+	is.Equal(len(r.starts["w1"])+len(r.starts["w2"]), 1)
+	r.apply(r.s.Reduce(now, scheduler.StartResult{Start: start, Outcome: scheduler.OutcomeUnknown}))
+	r.apply(r.s.Reduce(now, scheduler.StopResult{Stop: scheduler.Stop{Worker: start.Worker, Task: start.Task, Run: start.Run}, Outcome: scheduler.OutcomeDone}))
+	for range 5 {
+		now = now.Add(100 * time.Millisecond)
+		r.step(now, began)
+	}
+	is.Equal(len(r.starts["w1"])+len(r.starts["w2"]), 2) // the task is started again
+}
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -293,6 +293,9 @@
 	w.leaseDeadlineMS = s.Settings.Lease.Milliseconds() // an earlier start may have begun a lease just now
 	for _, p := range w.runs {
 		p.startDeadlineMS = 0 // it referred to the clock of the previous instance
+		if p.startOpen {      // the next try may reach the new instance
+			p.confirmedAt, p.stopAnsweredAt = time.Time{}, time.Time{}
+		}
 	}
 	w.clearFailures()
 	w.evacuating = false
