A start without an answer may have begun a whole lease with its last try

What callers could see: a task runs twice. A start is tried for up to 1.8 s. Its deadline refers to the clock of the instance that the leader knows; one that has restarted grants a whole lease from the arrival of the last try. The leader counted from its decision, or from when it learnt of the restart, so the first run could exist for another 1.1 s beside the second one.

Change: the lease counts from the result of such a start. Ruled out: a call to each idle worker before a start, which costs a round trip for what happens only behind a cut. Where the worker answers again nothing changes, as the run is then stopped and listed.

--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -62,6 +62,8 @@
 	s.logDecision(Decision{Message: "start failed", Job: e.Start.Task.Job, Task: e.Start.Task, Run: e.Start.Run, Worker: w.ID, Details: Details{detailOutcome: e.Outcome}})
 	switch e.Outcome {
 	case OutcomeUnknown:
+		// An instance that this leader does not know may have granted a whole lease just now.
+		s.noteGrant(now, w, w.minClock(now)+s.Settings.Lease.Milliseconds())
 		s.noteFailedCall(now, w, e.Outcome)
 		if j, st, _ := s.findTask(p.task); st != nil && st.Gang {
 			s.stopGang(now, j, p.task.Step, p.run)
