Late answers of a worker's old instance say nothing of the new one

What callers could see: a task runs twice. Answers overtake each other, and those to starts and stops carry no instance. (1) A start's answer by the old instance, handled after the first list of the new one, set the worker's clock far ahead: later starts had a deadline that never passes, and the end of their leases was never concluded. (2) An answer to a stop that was sent before the restart counted as one of the new instance, which may still accept a try of the start.

Change: the clock of such an answer is not used, and such a stop is sent again. Evidence: TestLateAnswerOfAnOldInstanceDoesNotSetTheClockOfTheNewOne and ...ToAStopEndsNoRunInTheNewOne failed before. Ruled out: comparing clocks, as answers of one instance overtake each other too.

--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -50,7 +50,7 @@
 	}
 	s.touch(w)
 	w.noteStartAnswer(now, p, e)
-	if e.ClockMS != 0 {
+	if e.ClockMS != 0 && !w.restartedSince(e.Start.DecidedAt) {
 		w.noteAnswer(now, e.ClockMS)
 	}
 	if e.Outcome == OutcomeDone {
@@ -99,6 +99,10 @@
 	s.touch(w)
 	switch e.Outcome {
 	case OutcomeDone, OutcomeObsolete:
+		if w.restartedSince(p.stopSentAt) {
+			s.sendStop(now, w, p)
+			return
+		}
 		p.stopAnsweredAt = now
 	case OutcomeUnknown, OutcomeUnsent:
 		s.noteFailedCall(now, w, e.Outcome)
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -60,6 +60,7 @@
 	heardAt           time.Time // when that answer was handled
 	openStarts        int       // starts without an answer
 	unansweredStartAt time.Time // when the answer to a start was last given up, else zero
+	instanceSince     time.Time // when this leader learnt of the present instance, zero for the first one
 	clockWentBack     bool      // since that answer, the clock in another one showed a restart
 	answerClockMS     int64     // the worker's clock in that answer, 0 before the first
 	crashNoted        bool      // the end of its last known instance was noted
@@ -115,6 +116,12 @@
 	return w.minClock(now) > w.leaseDeadlineMS+slack.Milliseconds()
 }
 
+// restartedSince reports whether this leader has learnt of a restart since a call was decided.
+// Its answer may come from the previous instance.
+func (w *worker) restartedSince(decided time.Time) bool {
+	return !decided.After(w.instanceSince) && !w.instanceSince.IsZero()
+}
+
 // noteAnswer records an answered call and the clock in the answer.
 func (w *worker) noteAnswer(now time.Time, clockMS int64) {
 	w.callFailedAt = time.Time{}
@@ -278,6 +285,7 @@
 	s.noteCrash(now, w, evidenceRestarted)
 	w.crashNoted = w.crashNoted && w.StartedMS == born
 	w.StartedMS = born
+	w.instanceSince = now
 	w.fenced = false
 	w.unconfirmedSince = s.unconfirmedSince(now)
 	w.orphanEnds = nil
