A start reaches its worker in time or not at all

What callers could see: a task runs twice, as a worker that has restarted accepts a start by an earlier leader. The time in which a start may be sent had gaps: - After a release it counted from the last renewal, up to 2.4 s, although another VM may claim at once. It is now 0.5 s, also for earlier decisions. - Outside the confirmed time, 0.5 s from the worker's answer to the decision and 0.5 s from there to the call added up. Both count from the answer now. - The time was checked before a call, which may wait for a connection for up to 2.4 s. The time-out of a call now ends with the time in which it may arrive.

Evidence: TestStartAfterAReleaseIsSentAtOnceOrNotAtAll, TestStartByALeaderThatCannotRenewIsNotSentLongAfterTheAnswerOfItsWorker and TestStartDoesNotReachItsWorkerLate failed before. Ruled out: 0.5 s for every start, as tries of a start without an answer need longer.

--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -172,7 +172,7 @@
 	Checkpoint string
 	Ticket     string // of a queue with advice
 	DecidedAt  time.Time
-	MaxDelay   time.Duration // after DecidedAt, in which the start may be sent; 0 for no limit
+	MaxDelay   time.Duration // after DecidedAt, in which the start may reach its worker; 0 for no limit
 }
 
 // Stop stops a run, or prevents its start.
--- a/internal/jobs/scheduler/lease.go
+++ b/internal/jobs/scheduler/lease.go
@@ -36,13 +36,30 @@
 	return s.unconfirmedFor(now) > 0 && elapsed(now, w.answeredAt) > maxLookAge
 }
 
-// maxStartDelay returns for how long after now a start may be sent.
-func (s *Scheduler) maxStartDelay(now time.Time) time.Duration {
-	return max(maxLookAge, confirmWindow-elapsed(now, s.ConfirmedAt))
+// maxStartDelay returns for how long after now a start on a worker may reach it, not 0: until
+// the end of the time in which no other VM can lead, or until the worker may have restarted.
+func (s *Scheduler) maxStartDelay(now time.Time, w *worker) time.Duration {
+	d := maxLookAge - elapsed(now, w.answeredAt)
+	if !s.released {
+		d = max(d, confirmWindow-elapsed(now, s.ConfirmedAt))
+	}
+	return max(d, time.Millisecond)
+}
+
+// Late reports whether the start must not reach its worker any more: this VM may have been
+// paused, another one may lead, and the worker may have restarted.
+func (f Start) Late(now time.Time) bool { return f.TimeLeft(now) < 0 }
+
+// TimeLeft returns for how long the start may still reach its worker.
+func (f Start) TimeLeft(now time.Time) time.Duration {
+	if f.MaxDelay == 0 {
+		return time.Hour
+	}
+	return f.MaxDelay - elapsed(now, f.DecidedAt)
 }
 
-// Late reports whether the start must not be sent any more: this VM may have been paused,
-// another one may lead, and the worker may have restarted.
-func (f Start) Late(now time.Time) bool {
-	return f.MaxDelay > 0 && elapsed(now, f.DecidedAt) > f.MaxDelay
+// WithRelease returns the start as it may be sent once the leadership is released.
+func (f Start) WithRelease() Start {
+	f.MaxDelay = min(f.MaxDelay, maxLookAge)
+	return f
 }
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -315,7 +315,7 @@
 	f := Start{
 		Worker: id, Address: w.Address, Epoch: s.Epoch, Task: task, Run: run,
 		Spec: u.job.Spec, DeadlineMS: deadlineMS, Checkpoint: u.step.primary(index).checkpoint,
-		Ticket: u.step.tickets[id].value, DecidedAt: p.now, MaxDelay: s.maxStartDelay(p.now),
+		Ticket: u.step.tickets[id].value, DecidedAt: p.now, MaxDelay: s.maxStartDelay(p.now, w),
 	}
 	if hold {
 		s.hold(p.now, f, w, r, unstored)
--- a/internal/jobs/scheduler/quarantine.go
+++ b/internal/jobs/scheduler/quarantine.go
@@ -291,7 +291,7 @@
 	p.startDeadlineMS = w.minClock(now) + s.Settings.startWindow().Milliseconds()
 	s.noteGrant(now, w, p.startDeadlineMS)
 	h.start.DeadlineMS, h.start.Address = p.startDeadlineMS, w.Address
-	h.start.DecidedAt, h.start.MaxDelay = now, s.maxStartDelay(now)
+	h.start.DecidedAt, h.start.MaxDelay = now, s.maxStartDelay(now, w)
 	s.emit(h.start)
 	s.logDecision(Decision{Message: "held start is sent", Job: p.task.Job, Task: p.task, Run: p.run, Worker: w.ID, Details: Details{"quarantine": p.level.String(), "other-runs": len(w.order) - 1}})
 }
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -48,6 +49,8 @@
 	ObserveDuration func(event string, d time.Duration) // called with the durations of decisions and starts
 	Now             func() time.Time
 
+	released atomic.Bool // in the present term
+
 	mu      sync.Mutex
 	current *leadership
 	pacer   pacer.Pacer
@@ -122,6 +125,7 @@
 	x, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	l := &leadership{ctx: x, cancel: cancel, events: make(chan postedEvent, queueSize), storeProgress: c.StoreProgress, deleteJobs: c.DeleteJobs}
+	c.released.Store(false)
 	c.mu.Lock()
 	c.current = l
 	c.mu.Unlock()
@@ -202,6 +206,11 @@
 func (c *Commander) process(l *leadership, p pools, s *scheduler.Scheduler, events []scheduler.Event, oldest time.Time) {
 	began := c.Now()
 	effects := s.Reduce(began, events...)
+	for _, e := range events {
+		if _, ok := e.(scheduler.Released); ok {
+			c.released.Store(true)
+		}
+	}
 	now := c.Now()
 	c.ObserveDuration("decision", now.Sub(began))
 	c.ObserveDuration("decision-lag", now.Sub(oldest))
@@ -247,13 +256,17 @@
 	e := scheduler.StartResult{Start: f, Outcome: scheduler.OutcomeUnknown}
 	sent := false
 	for range startTries {
-		if f.Late(c.Now()) {
+		if c.released.Load() {
+			f = f.WithRelease()
+		}
+		left := f.TimeLeft(c.Now())
+		if left <= 0 {
 			if !sent {
 				e.Outcome = scheduler.OutcomeUnsent
 			}
 			break
 		}
-		e = c.Start(ctx, f, c.margin())
+		e = c.Start(ctx, f, min(c.margin(), left)) // a call may wait for a connection until its time-out
 		c.observe(ctx, e.Outcome)
 		if sent {
 			e.Outcome = afterUnanswered(e.Outcome)
