A try of a start without an answer may reach a worker after its restart

What callers could see: a task runs twice. A call without an answer may be carried out seconds later. If a later try of the start was answered, the start counted as answered; when the worker then restarted, its task started again at once, although the new instance had been told of no stop and would still accept the first try.

Change: the result of a start says whether an earlier try got no answer. After a restart such a run is stopped on the new instance, which then rejects the start, before its task starts again. Ruled out: treating such a start as unanswered altogether, as it would be stopped although it runs.

--- a/internal/jobs/scheduler/acknowledge.go
+++ b/internal/jobs/scheduler/acknowledge.go
@@ -31,6 +31,7 @@
 // noteStartAnswer records that the start of a run was answered, or that its answer was
 // lost.
 func (w *worker) noteStartAnswer(now time.Time, p *placement, e StartResult) {
+	p.tryOpen = e.Unanswered
 	if e.Outcome == OutcomeUnknown {
 		w.unansweredStartAt = now
 		return
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -119,6 +119,8 @@
 	Start   Start
 	Outcome Outcome
 	ClockMS int64
+
+	Unanswered bool // an earlier try got no answer: it may still be carried out
 }
 
 // StopResult is the result of a Stop effect.
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -31,6 +31,7 @@
 	stopInFlight    bool
 	stopsSent       int
 	startOpen       bool  // its start has not been answered
+	tryOpen         bool  // an earlier try of its start has not been answered
 	startDeadlineMS int64 // by the worker's clock; a later start is refused
 	measure         int   // as last reported
 	pace            int   // percent confirmed by the worker, or unknownPace
@@ -299,10 +300,14 @@
 	w.handledEnd, w.storingEnd, w.storedEnd, w.ackedEnd, w.withheldEnd = 0, 0, 0, 0, 0
 	w.clockMS, w.clockAt, w.answerClockMS = 0, now, 0
 	w.leaseDeadlineMS = s.Settings.Lease.Milliseconds() // an earlier start may have begun a lease just now
-	for _, p := range w.runs {
+	for _, p := range w.sortedRuns() {
 		p.startDeadlineMS = 0 // it referred to the clock of the previous instance
-		if p.startOpen {      // the next try may reach the new instance
-			p.confirmedAt, p.stopAnsweredAt = time.Time{}, time.Time{}
+		if !p.startOpen && !p.tryOpen {
+			continue
+		}
+		p.confirmedAt, p.stopAnsweredAt = time.Time{}, time.Time{} // a try may reach the new instance
+		if !p.startOpen {
+			s.stopRun(now, w, p) // which then rejects it
 		}
 	}
 	w.clearFailures()
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -269,7 +269,7 @@
 		e = c.Start(ctx, f, min(c.margin(), left)) // a call may wait for a connection until its time-out
 		c.observe(ctx, e.Outcome)
 		if sent {
-			e.Outcome = afterUnanswered(e.Outcome)
+			e.Outcome, e.Unanswered = afterUnanswered(e.Outcome), true
 		}
 		sent = sent || e.Outcome != scheduler.OutcomeUnsent
 		if e.Outcome != scheduler.OutcomeUnknown || ctx.Err() != nil || c.crowded() {
