A release during the takeover counts from its own time

What callers could see: a task runs twice. A VM that releases while it takes over has no scheduler yet. Its scheduler was told of the release at its own start and took that time for the time of the release, so it granted leases until 12.4 s after the last renewal, while another VM may claim 0.15 s after the release and concludes 10.5 s later that nothing runs on a worker that it does not reach.

Change: the event carries the time. Ruled out: not starting the scheduler at all after a release, as nothing might lead then while the release is not stored.

--- a/internal/jobs/scheduler/confirm.go
+++ b/internal/jobs/scheduler/confirm.go
@@ -13,7 +13,9 @@
 // Released reports that this VM is about to release the leadership. Another VM may lead
 // from then on, within less than confirmWindow, so this one starts nothing that it learns
 // of later. It continues with the rest until another VM leads.
-type Released struct{}
+type Released struct {
+	At time.Time // when the release began, before its record was sent; zero for now
+}
 
 func (Confirmed) isEvent() {}
 func (Released) isEvent()  {}
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -140,7 +141,7 @@
 		s.handleStored(now)
 	case Released:
 		if !s.released {
-			s.released, s.releasedAt = true, now
+			s.released, s.releasedAt = true, cmp.Or(e.At, now)
 		}
 	case Confirmed:
 		s.confirmLeadership(e)
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -54,7 +54,7 @@
 	leaving        atomic.Bool
 	operatorRead   atomic.Bool // the operator's topic was read at least once
 	leading        atomic.Bool
-	releasing      atomic.Bool // this process has begun to release the leadership
+	releasedAt     atomic.Pointer[time.Time] // when this process began to release the leadership, nil before
 	electorEvents  chan electorEvent
 	claimNumber    int64                     // number of claims and renewals sent
 	unconfirmed    map[int64]time.Time       // send times of claims and renewals that are not known to be stored, by number
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -203,8 +203,9 @@
 func (a *Assembler) release(ctx context.Context, e *elector.Elector) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	a.releasing.Store(true)
-	if err := a.commander.PostAndWait(ctx, scheduler.Released{}); err != nil {
+	now := a.Now()
+	a.releasedAt.CompareAndSwap(nil, &now)
+	if err := a.commander.PostAndWait(ctx, scheduler.Released{At: *a.releasedAt.Load()}); err != nil {
 		a.log("elect").WithField("epoch", e.Epoch()).WithError(err).Warn("leadership is not released: jobs read meanwhile might start twice")
 		return
 	}
@@ -262,7 +263,7 @@
 	following.Wait() // a list that was read in this term must not reach the next one
 	now := a.Now()
 	l.WithError(err).WithFields(logrus.Fields{
-		"after-ms": now.Sub(began).Milliseconds(), "released": a.releasing.Load(), "unconfirmed-ms": now.Sub(s.ConfirmedAt).Milliseconds(),
+		"after-ms": now.Sub(began).Milliseconds(), "released": a.releasedAt.Load() != nil, "unconfirmed-ms": now.Sub(s.ConfirmedAt).Milliseconds(),
 		"leases-end-ms": max(0, s.GrantedUntil().Sub(now).Milliseconds()),
 	}).Info("leadership ended")
 }
@@ -270,8 +271,8 @@
 // initialEvents returns the configuration and all known jobs as events.
 func (a *Assembler) initialEvents() []scheduler.Event {
 	var all []scheduler.Event
-	if a.releasing.Load() {
-		all = append(all, scheduler.Released{}) // there was no scheduler yet that release could tell
+	if at := a.releasedAt.Load(); at != nil {
+		all = append(all, scheduler.Released{At: *at}) // there was no scheduler yet that release could tell
 	}
 	if c := a.config.Load(); c != nil {
 		all = append(all, scheduler.ConfigChanged{Config: c.SchedulerConfig()})
