Leases end on a worker that restarts, answers one start and falls silent

What callers could see: a task waits for ever (LOST). An idle worker restarts and answers a start with its new clock before the leader learns of the restart. The deadline that was sent refers to the old clock, an hour ahead, so the run was never given up once the worker fell silent.

Change: where the clock of an answer went back, the deadline is one lease from it. Evidence: TestLeasesEndOnAWorkerWhoseClockWentBackBeforeItFellSilent failed before, one start within 30 s. Ruled out: to treat the answer as a restart, as it does not name the instance.

--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -51,6 +51,9 @@
 	s.touch(w)
 	w.noteStartAnswer(now, p, e)
 	if e.ClockMS != 0 && !w.restartedSince(e.Start.DecidedAt) {
+		if w.clockWentBack { // by a restart: the deadlines that were sent refer to another clock
+			w.leaseDeadlineMS = e.ClockMS + s.Settings.Lease.Milliseconds()
+		}
 		w.noteAnswer(now, e.ClockMS)
 	}
 	if e.Outcome == OutcomeDone {
