A start that is still being tried does not end with the machine of its worker

What callers could see: a task runs twice. Cause: markGoneWorkers gave up all runs on a worker that refuses connections and that no running machine has. A run whose start has no answer yet may still begin: the worker comes up again under its name, knows neither the run nor its stop, and takes the next try.

Change: such a run is kept. It ends with the answer to its start, with a stop by the next instance, or when its lease must have expired; a start that found no connection is given up at once as before. The cost is one lease for a task whose start got no answer from a worker that crashed then for good.

Ruled out: to wait with the whole worker, as its other runs have ended.

--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -111,7 +111,9 @@
 		s.logDecision(Decision{Message: "departed worker has no machine any more", Worker: id, Details: Details{"machines": len(s.machines), "listed": w.listed, detailRuns: len(w.runs)}})
 		s.noteCrash(now, w, evidenceNoMachine)
 		for _, p := range w.sortedRuns() {
-			s.loseRun(now, w, p, "no machine runs its worker any more")
+			if !p.startOpen { // else a try may reach the next instance
+				s.loseRun(now, w, p, "no machine runs its worker any more")
+			}
 		}
 		s.touch(w)
 	}
