A leader that cannot renew repeats no task of a worker that has crashed

What callers could see: a task starts again after its success was acknowledged. Cause: a leader without confirmation may have a successor. When a worker crashes, restarts or is replaced, its runs were given up and started elsewhere at once. That nothing runs there is true, but the successor may have acknowledged a success of that run before the crash, and the fence that would tell is lost with the instance.

Change: a run that is given up without an answer by its own instance, outside the confirmed time, lets its job wait until a renewal succeeds, as for jobs that are read then. Long-running tasks do not wait, as they start again however they end, nor steps that allow copies. What an instance lists itself counts as before: it would reject this leader if another had reached it. An expired lease needs no such wait, as its mark has to be stored first, which a newer leader prevents.

The cost: while the store is away for all, tasks of crashed workers wait for its return.

--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -159,16 +159,25 @@
 		}
 	}
 	if len(listed) < len(w.order) {
-		for _, p := range w.sortedRuns() {
-			if !listed[placementKey{p.task, p.run}] && p.confirmedAbsent(e) {
-				s.loseRun(now, w, p, "its worker no longer lists it")
-			}
-		}
+		s.loseUnlisted(now, w, e, listed)
 	}
 	s.detectStall(now, w)
 	s.paceFillers(now, w)
 }
 
+// loseUnlisted loses the runs that are not among the listed ones and can't start any more.
+func (s *Scheduler) loseUnlisted(now time.Time, w *worker, e HoldResult, listed map[placementKey]bool) {
+	lose := s.loseRun
+	if !w.unconfirmedSince.IsZero() {
+		lose = s.giveUpRun // they may have been in an earlier instance
+	}
+	for _, p := range w.sortedRuns() {
+		if !listed[placementKey{p.task, p.run}] && p.confirmedAbsent(e) {
+			lose(now, w, p, "its worker no longer lists it")
+		}
+	}
+}
+
 // confirmedAbsent reports whether a run that a list lacks is not on the worker and
 // can't start there any more.
 func (p *placement) confirmedAbsent(e HoldResult) bool {
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -112,7 +112,7 @@
 		s.noteCrash(now, w, evidenceNoMachine)
 		for _, p := range w.sortedRuns() {
 			if !p.startOpen { // else a try may reach the next instance
-				s.loseRun(now, w, p, "no machine runs its worker any more")
+				s.giveUpRun(now, w, p, "no machine runs its worker any more")
 			}
 		}
 		s.touch(w)
--- a/internal/jobs/scheduler/rivals_ends_test.go
+++ b/internal/jobs/scheduler/rivals_ends_test.go
@@ -89,3 +89,20 @@
 	}
 	is.Equal(len(r.starts[otherWorker(start.Worker)]), 1) // no other leads
 }
+
+func TestLeaderThatCannotRenewDoesNotRepeatATaskOfARestartedWorker(t *testing.T) {
+	is := is.New(t)
+	r, start, now := startWithMachines(t)
+	r.apply(r.s.Reduce(now, scheduler.StartResult{Start: start, Outcome: scheduler.OutcomeDone, ClockMS: workerClock(now, rivalsBegan)}))
+	for ; now.Before(rivalsBegan.Add(7 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		r.restarted[start.Worker] = now.Sub(rivalsBegan) >= 4*time.Second
+		r.step(now, rivalsBegan)
+	}
+	is.Equal(len(r.starts["w1"])+len(r.starts["w2"]), 1)
+	for range 5 {
+		now = now.Add(100 * time.Millisecond)
+		r.apply(r.s.Reduce(now, scheduler.Confirmed{Sent: now}))
+		r.step(now, rivalsBegan)
+	}
+	is.Equal(len(r.starts["w1"])+len(r.starts["w2"]), 2) // no other leads
+}
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -319,13 +319,22 @@
 func (s *Scheduler) workerReplaced(now time.Time, w *worker) {
 	s.noteCrash(now, w, evidenceReplaced)
 	for _, p := range w.sortedRuns() {
-		s.loseRun(now, w, p, "another worker now has its address")
+		s.giveUpRun(now, w, p, "another worker now has its address")
 	}
 	s.workerRestarted(now, w, w.StartedMS)
 	w.departed = true
 	w.noteFailedCall(now)
 }
 
+// giveUpRun loses a run of an instance that has ended. Outside the confirmed time, a later
+// leader may have acknowledged its success before, so its job waits for a renewal.
+func (s *Scheduler) giveUpRun(now time.Time, w *worker, p *placement, reason string) {
+	if j, st, _ := s.findTask(p.task); st != nil && !st.LongRunning && !st.Speculative && j.unconfirmedSince.IsZero() {
+		j.unconfirmedSince = s.unconfirmedSince(now)
+	}
+	s.loseRun(now, w, p, reason)
+}
+
 // loseRun removes a run that its worker no longer has and requeues its task. The
 // other members of a gang are stopped.
 func (s *Scheduler) loseRun(now time.Time, w *worker, p *placement, reason string) {
