--- a/internal/jobs/scheduler/rivals_term_test.go
+++ b/internal/jobs/scheduler/rivals_term_test.go
@@ -249,7 +249,7 @@
 		case link.refused || (!x.up && w.chance(80)):
 			v.after(latency, func() { settle(rivalAnswer{outcome: scheduler.OutcomeUnsent}) })
 		case w.now.Before(deadline): // it is sent again until its time-out
-			w.after(w.between(rivalsStep, timeout), func() {
+			w.after(rivalsStep+w.between(0, timeout), func() {
 				if !settled && !t.ended && w.now.Before(deadline) {
 					arrive()
 				}
