Limit the time until a start is sent, not the wait for its answer

What callers could see: starts that are carried out and then stopped. A start that was too late to be sent also counted as a refused connection, the first half of the proof that a worker has departed.

Change: the call is given up if its headers are not written in time, and is then known not to have been sent; its answer has the usual time-out. A start that is not sent at all has an outcome of its own. Ruled out: limiting dialling only, as a call also waits for a free connection.

--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -76,6 +76,9 @@
 		p.crashed = false
 		s.noteFailedCall(now, w, e.Outcome)
 		s.loseRun(now, w, p, "its start was not sent")
+	case OutcomeDropped:
+		p.crashed = false
+		s.loseRun(now, w, p, "its start was not sent")
 	default:
 		if _, st, _ := s.findTask(p.task); st != nil && st.tickets != nil && e.Outcome == OutcomeTicket {
 			st.tickets[w.ID] = ticket{} // to be asked for again
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -69,6 +69,7 @@
 	OutcomeReplaced  Outcome = "replaced"  // another instance of the worker answered
 	OutcomeUnknown   Outcome = "unknown"   // no answer: the call may have been executed, or may still be
 	OutcomeUnsent    Outcome = "unsent"    // no connection: the call has not been executed
+	OutcomeDropped   Outcome = "dropped"   // the call was not made, as it was late
 )
 
 // Running is a current run in the report of a worker.
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -34,7 +34,7 @@
 // called.
 type Commander struct {
 	Hold            func(ctx context.Context, h scheduler.Hold, margin time.Duration) scheduler.HoldResult
-	Start           func(ctx context.Context, s scheduler.Start, timeout time.Duration) scheduler.StartResult
+	Start           func(ctx context.Context, s scheduler.Start, sendTimeout, timeout time.Duration) scheduler.StartResult // gives up after sendTimeout if the call is not sent by then
 	Stop            func(ctx context.Context, s scheduler.Stop, timeout time.Duration) scheduler.StopResult
 	Pace            func(context.Context, scheduler.Pace) scheduler.PaceResult
 	Advise          func(context.Context, scheduler.Advise) scheduler.AdviceResult
@@ -262,11 +262,11 @@
 		left := f.TimeLeft(c.Now())
 		if left <= 0 {
 			if !sent {
-				e.Outcome = scheduler.OutcomeUnsent
+				e.Outcome = scheduler.OutcomeDropped
 			}
 			break
 		}
-		e = c.Start(ctx, f, min(c.margin(), left)) // a call may wait for a connection until its time-out
+		e = c.Start(ctx, f, min(c.margin(), left), c.margin())
 		c.observe(ctx, e.Outcome)
 		if sent {
 			e.Outcome, e.Unanswered = afterUnanswered(e.Outcome), true
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -40,7 +40,7 @@
 			}
 			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli(), StartedMS: 1}
 		},
-		Start: func(_ context.Context, s scheduler.Start, _ time.Duration) scheduler.StartResult {
+		Start: func(_ context.Context, s scheduler.Start, _, _ time.Duration) scheduler.StartResult {
 			started <- s.Task.Job
 			return scheduler.StartResult{Start: s, Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli()}
 		},
@@ -111,7 +111,7 @@
 			is := is.New(t)
 			tries := 0
 			c := &commander.Commander{
-				Start: func(_ context.Context, s scheduler.Start, _ time.Duration) scheduler.StartResult {
+				Start: func(_ context.Context, s scheduler.Start, _, _ time.Duration) scheduler.StartResult {
 					o := v.answers[tries]
 					tries++
 					return scheduler.StartResult{Start: s, Outcome: o}
@@ -129,7 +129,7 @@
 	now := time.Unix(1_000_000, 0)
 	tries := 0
 	c := &commander.Commander{
-		Start: func(_ context.Context, s scheduler.Start, _ time.Duration) scheduler.StartResult {
+		Start: func(_ context.Context, s scheduler.Start, _, _ time.Duration) scheduler.StartResult {
 			tries++
 			now = now.Add(400 * time.Millisecond)
 			return scheduler.StartResult{Start: s, Outcome: scheduler.OutcomeUnknown}
@@ -139,7 +139,7 @@
 	f := scheduler.Start{DecidedAt: now, MaxDelay: 500 * time.Millisecond}
 	is.Equal(c.StartRun(t.Context(), f).Outcome, scheduler.OutcomeUnknown)
 	is.Equal(tries, 2)
-	is.Equal(c.StartRun(t.Context(), f).Outcome, scheduler.OutcomeUnsent)
+	is.Equal(c.StartRun(t.Context(), f).Outcome, scheduler.OutcomeDropped)
 	is.Equal(tries, 2)
 }
 
@@ -182,7 +182,7 @@
 		Hold: func(_ context.Context, h scheduler.Hold, _ time.Duration) scheduler.HoldResult {
 			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli(), StartedMS: 1}
 		},
-		Start: func(_ context.Context, s scheduler.Start, _ time.Duration) scheduler.StartResult {
+		Start: func(_ context.Context, s scheduler.Start, _, _ time.Duration) scheduler.StartResult {
 			if starts.Add(1) > 1 {
 				open.Add(1)
 				<-release
