A start that is held for a look closes the open start before it

By reading, without a test: a start outside the confirmed time that waits for its worker's answer returned before the record of the previous start was closed, so a later leader might have blamed the task for a crash of the previous worker. Only a start whose own record must be stored first replaces that record there.

--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -317,13 +317,13 @@
 		Spec: u.job.Spec, DeadlineMS: deadlineMS, Checkpoint: u.step.primary(index).checkpoint,
 		Ticket: u.step.tickets[id].value, DecidedAt: p.now, MaxDelay: s.maxStartDelay(p.now, w),
 	}
+	if v := u.step.tasks[index].suspicion.Open; v != nil && !unstored {
+		s.closeStart(task, v.Run)
+	}
 	if hold {
 		s.hold(p.now, f, w, r, unstored)
 		return
 	}
-	if v := u.step.tasks[index].suspicion.Open; v != nil {
-		s.closeStart(task, v.Run)
-	}
 	s.emit(f)
 }
 
