A start at the end of the confirmed time waits like one after it

What callers could see: a start decided in the last milliseconds of the confirmed time could hardly be sent before its end, and was dropped or stopped. It is now held for its worker's answer if less than 100 ms are left to send it. A negative deadline, after a clock step or on a young worker, is sent as none.

Ruled out: a longer confirmed time, as another VM may claim 0.2 s after it.

--- a/internal/jobs/scheduler/lease.go
+++ b/internal/jobs/scheduler/lease.go
@@ -6,8 +6,10 @@
 // that does not answer have ended. So no lease that this leader grants may last for longer
 // than one lease after the latest time at which no other VM can have claimed the leadership.
 
-// maxLookAge is the age of a worker's last answer up to which it cannot have restarted since.
-const maxLookAge = 500 * time.Millisecond
+const (
+	maxLookAge  = 500 * time.Millisecond // age of a worker's last answer up to which it cannot have restarted since
+	minSendTime = 100 * time.Millisecond // for which a start may be sent
+)
 
 // unconfirmedFor returns for how long another VM may have been the leader.
 func (s *Scheduler) unconfirmedFor(now time.Time) time.Duration {
@@ -21,7 +23,7 @@
 // leaseDeadline returns the latest end of a lease that may be granted now, on the worker's
 // clock.
 func (s *Scheduler) leaseDeadline(now time.Time, w *worker) int64 {
-	return w.minClock(now) + (s.Settings.Lease - s.unconfirmedFor(now)).Milliseconds()
+	return max(0, w.minClock(now)+(s.Settings.Lease-s.unconfirmedFor(now)).Milliseconds())
 }
 
 // mayStart reports whether leases may still be granted for long enough to start tasks.
@@ -33,17 +35,17 @@
 // needsLook reports whether a worker must answer before a task is started on it: another VM
 // may lead, and the worker may have restarted, in which case it rejects no earlier leader.
 func (s *Scheduler) needsLook(now time.Time, w *worker) bool {
-	return s.unconfirmedFor(now) > 0 && elapsed(now, w.answeredAt) > maxLookAge
+	return s.maxStartDelay(now, w) < minSendTime
 }
 
-// maxStartDelay returns for how long after now a start on a worker may reach it, not 0: until
-// the end of the time in which no other VM can lead, or until the worker may have restarted.
+// maxStartDelay returns for how long after now a start on a worker may be sent: until the end of
+// the time in which no other VM can lead, or until the worker may have restarted.
 func (s *Scheduler) maxStartDelay(now time.Time, w *worker) time.Duration {
 	d := maxLookAge - elapsed(now, w.answeredAt)
 	if !s.released {
 		d = max(d, confirmWindow-elapsed(now, s.ConfirmedAt))
 	}
-	return max(d, time.Millisecond)
+	return d
 }
 
 // Late reports whether the start must not reach its worker any more: this VM may have been
