A gang whose start waits for an answer is held as a whole

What callers could see: gangs that end 'alone' after their timeout. Outside the confirmed time each start was held on its own: a member on a worker that had just answered started at once, another one waited for its worker.

Change: if one member has to wait, all do, and all are sent together once each worker has answered lately. Evidence: TestGangStartsOnlyOnceAllItsWorkersHaveAnswered failed before, with a member on the busy worker started and the other one not. Ruled out: leaving out workers that have not answered lately, as idle ones are not called at all.

--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -41,6 +41,7 @@
 	repeatedSearches   int                          // of them, of units whose last search found nothing
 	postponed          map[string]bool              // services of units whose search is left to the next pass
 	borrowers          map[string][]placer.Borrower // runs that urgent units may stop, by service, once collected
+	lookFirst          bool                         // the gang that is being started waits for a worker's answer
 }
 
 // place starts the tasks that fit, the most urgent first.
@@ -270,9 +271,11 @@
 	u.step.reserved = nil
 	u.step.blockedSince = time.Time{}
 	p.s.lastRun++
+	p.lookFirst = slices.ContainsFunc(at, func(id string) bool { return p.s.needsLook(p.now, p.s.workers[id]) })
 	for k, id := range at {
 		p.placeTask(u, waiting[k], id, p.s.lastRun)
 	}
+	p.lookFirst = false
 }
 
 // placeTask starts a task on a worker.
@@ -297,7 +300,7 @@
 	task := TaskID{u.job.ID, u.index, index}
 	deadlineMS := w.minClock(p.now) + s.Settings.startWindow().Milliseconds()
 	unstored := u.step.mustHold(index)
-	hold := unstored || s.needsLook(p.now, w)
+	hold := unstored || p.lookFirst || s.needsLook(p.now, w)
 	r := &placement{
 		task: task, run: run, need: u.step.Need, startDeadlineMS: deadlineMS, sentAt: p.now, progressedAt: p.now, startOpen: !hold, held: hold,
 		serving: u.step.Serving, filler: u.step.Filler, pace: fullPace, level: u.step.tasks[index].suspicion.Level(),
--- a/internal/jobs/scheduler/quarantine.go
+++ b/internal/jobs/scheduler/quarantine.go
@@ -231,7 +231,7 @@
 	h := &heldStart{start: f, run: p, startedMS: w.StartedMS, unstored: unstored}
 	s.held = append(s.held, h)
 	if !unstored {
-		w.lookDue = true
+		w.lookDue = s.needsLook(now, w)
 		return
 	}
 	j, st, t := s.findTask(p.task)
@@ -258,6 +258,7 @@
 func (s *Scheduler) sendHeldStarts(now time.Time, stored bool) {
 	held := s.held
 	s.held = nil
+	lookDue := s.gangsToLookAt(now, held)
 	for _, h := range held {
 		w, ok := s.workers[h.start.Worker]
 		if !ok || w.runs[placementKey{h.start.Task, h.start.Run}] != h.run {
@@ -271,9 +272,11 @@
 			s.held = append(s.held, h)
 		case h.run.stopping || !s.mayStart(now) || !w.reachable() || !w.used.Fits(w.Capacity) || w.StartedMS != h.startedMS:
 			s.loseRun(now, w, h.run, "its start was not sent")
-		case s.needsLook(now, w):
-			w.lookDue = true
-			s.touch(w)
+		case s.needsLook(now, w) || lookDue[gangRun{h.start.Task.Job, h.start.Task.Step, h.start.Run}]:
+			if s.needsLook(now, w) {
+				w.lookDue = true
+				s.touch(w)
+			}
 			s.held = append(s.held, h)
 		default:
 			s.sendHeldStart(now, w, h)
@@ -281,6 +284,27 @@
 	}
 }
 
+// gangRun identifies a run of a gang.
+type gangRun struct {
+	job  string
+	step int
+	run  int64
+}
+
+// gangsToLookAt returns the runs of gangs of which a worker has to answer before any member
+// starts: a member that started alone would wait for the others.
+func (s *Scheduler) gangsToLookAt(now time.Time, held []*heldStart) map[gangRun]bool {
+	due := map[gangRun]bool{}
+	for _, h := range held {
+		_, st, _ := s.findTask(h.start.Task)
+		w, ok := s.workers[h.start.Worker]
+		if ok && st != nil && st.Gang && s.needsLook(now, w) {
+			due[gangRun{h.start.Task.Job, h.start.Task.Step, h.start.Run}] = true
+		}
+	}
+	return due
+}
+
 func (s *Scheduler) sendHeldStart(now time.Time, w *worker, h *heldStart) {
 	p := h.run
 	w.adjustCounts(p, -1)
