Moves and upkeeps begin only while no other VM can lead

What callers could see: more machines of a wave down than it allows (LIMIT), or long-running steps below what they may miss (AVAIL). A leader whose last renewal was sent 12 s ago took a machine down that another leader counts as up; fencing tokens apply to each machine separately and do not help.

Change: neither is ordered outside the confirmed time; waves and loans go on with the next renewal. Evidence: the script upkeep-begins-only-while-no-other-vm-can-lead failed before, one machine down; moves have the same guard and no test of their own. The same cause as two runs of one task: a leader acts on what only a leader may know.

--- a/internal/jobs/scheduler/relocation.go
+++ b/internal/jobs/scheduler/relocation.go
@@ -138,7 +138,7 @@
 func (s *Scheduler) relocateMachines(now time.Time) {
 	v := &s.relocation
 	switch {
-	case len(s.config.Pools) <= 1 || s.recovering || v.moveInFlight:
+	case len(s.config.Pools) <= 1 || s.recovering || v.moveInFlight || s.unconfirmedFor(now) > 0:
 		return
 	case v.pendingMove != MoveMachine{}:
 		if now.Sub(v.lastMoveAt) >= upkeepRetryDelay {
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -268,6 +268,9 @@
 }
 
 func (s *Scheduler) sendUpkeep(now time.Time, v *wave, id string, u *upkeep) {
+	if s.unconfirmedFor(now) > 0 {
+		return
+	}
 	u.phase, u.since, u.inFlight = phaseRequested, now, true
 	s.emit(BeginUpkeep{Machine: id, Wave: v.Number, Epoch: s.Epoch})
 }
