A full list of ends proves the absence of no run

Cause: a worker lists at most 500 ends at a time. A run in neither list of such an answer counted as lost, and a new leader took the answer as a full report, so that its recovery ended with ends still to come.

HoldResult.Incomplete, set where the platform lists a full page of ends, now keeps such an answer from proving that a run is gone. Its resources stay booked until its end is listed. A worker counts as heard for the recovery only after a complete answer. A worker that answers is waited for beyond the time limit, as its runs beyond the list have ended and their ends follow once progress can be stored; one with an end that must not be acknowledged is not, as it lists no further ends. Holds have no long poll until the list is complete.

Ruled out: stopping all starts on a worker with a full list, which would let workers idle through each outage.

--- a/internal/jobs/scheduler/abandon.go
+++ b/internal/jobs/scheduler/abandon.go
@@ -25,7 +25,7 @@
 func (s *Scheduler) manySilent() bool {
 	silent := 0
 	for _, w := range s.tracking.unanswered {
-		if w.listed {
+		if w.listed && !w.fenced {
 			silent++
 		}
 	}
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -112,6 +112,8 @@
 	Ack       int64 // that was sent
 	Running   []Running
 	Ends      []End
+
+	Incomplete bool // the worker may have further ends
 }
 
 // StartResult is the result of a Start effect.
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -20,7 +20,7 @@
 			h.DeadlineMS = s.leaseDeadline(now, w)
 			s.noteGrant(now, w, h.DeadlineMS)
 		}
-		if len(w.runs) > 0 && w.fenced && w.unresponsiveSince.IsZero() && w.handledEnd == w.storedEnd && (mayAck || !ackDue) {
+		if len(w.runs) > 0 && w.fenced && w.unresponsiveSince.IsZero() && !w.endsMissing && w.handledEnd == w.storedEnd && (mayAck || !ackDue) {
 			h.Wait = s.pollWait(w)
 		}
 		if w.lookDue {
@@ -46,7 +46,7 @@
 
 // nextHold returns when the next hold is due, or false if none is.
 func (w *worker) nextHold(recovering bool) (time.Time, bool) {
-	if !w.listed && len(w.runs) == 0 && (w.fenced || w.departed || !recovering) {
+	if !w.listed && len(w.runs) == 0 && (w.hasListedAll() || w.departed || !recovering) {
 		return time.Time{}, false
 	}
 	if w.departed {
@@ -118,7 +118,7 @@
 	if !w.fenced { // an earlier leader may have extended the leases until now
 		w.leaseDeadlineMS = max(w.leaseDeadlineMS, e.ClockMS+s.Settings.Lease.Milliseconds())
 	}
-	w.fenced = true
+	w.fenced, w.endsMissing = true, e.Incomplete
 	w.ackedEnd = max(w.ackedEnd, e.Ack)
 	w.noteAnswerTime(e)
 	w.clockWentBack = false
@@ -170,8 +170,11 @@
 }
 
 // confirmedAbsent reports whether a run that a list lacks is not on the worker and
-// can't start there any more.
+// can't start there any more, nor has an end that the list omits.
 func (p *placement) confirmedAbsent(e HoldResult) bool {
+	if e.Incomplete {
+		return false
+	}
 	return (!p.stopAnsweredAt.IsZero() && p.stopAnsweredAt.Before(e.Sent)) ||
 		(!p.confirmedAt.IsZero() && p.confirmedAt.Before(e.Sent)) ||
 		(p.startDeadlineMS != 0 && e.ClockMS > p.startDeadlineMS)
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -18,12 +18,13 @@
 	}
 	expiry := s.Settings.Lease*100/minClockRatePercent + s.Settings.leaseEndSlack()
 	timedOut := now.Sub(s.LeadingSince) > s.givesUpAfter(expiry)
-	unanswered, anyLeft := false, false
+	unanswered, anyLeft, endsFollow := false, false, false
 	for _, w := range s.tracking.unanswered {
+		endsFollow = endsFollow || w.listsFurtherEnds()
 		unanswered = unanswered || !w.departed
 		anyLeft = anyLeft || w.mayHaveLeft() || (w.refuses && !w.departed)
 	}
-	if unanswered && !timedOut {
+	if unanswered && (!timedOut || endsFollow) {
 		if anyLeft {
 			s.requestMachines(now)
 		}
@@ -63,6 +64,16 @@
 	return true
 }
 
+// hasListedAll reports whether the worker has answered a hold of this epoch and its last
+// answer has listed all its runs and ends.
+func (w *worker) hasListedAll() bool { return w.fenced && !w.endsMissing }
+
+// listsFurtherEnds reports whether the worker will list the ends that its last answer may
+// lack, once those before are stored.
+func (w *worker) listsFurtherEnds() bool {
+	return w.fenced && w.endsMissing && w.withheldEnd == 0 && w.unresponsiveSince.IsZero()
+}
+
 // mayHaveLeft reports whether a worker that has not answered this leader may have
 // left: it is unlisted or draining. The list keeps the entry of a worker for seconds
 // after it left.
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -246,7 +246,7 @@
 		s.expireLeases(now, w, unheard)
 		s.retryStops(now, w)
 		s.dropOrphans(now, w)
-		if w.listed || w.holdInFlight || len(w.runs) > 0 || (s.recovering && !w.fenced) {
+		if w.listed || w.holdInFlight || len(w.runs) > 0 || (s.recovering && !w.hasListedAll()) {
 			continue
 		}
 		gone = true
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -269,6 +269,12 @@
 		}
 		return nil
 	}
+	c["holds-at-most"] = func(most int) error {
+		if w.holdCalls > most {
+			return fmt.Errorf("%d holds were sent", w.holdCalls)
+		}
+		return nil
+	}
 	c["at"] = func(worker string, want int) error {
 		if n := len(w.workers[worker].runs); n != want {
 			return fmt.Errorf("%d tasks run on the worker", n)
--- a/internal/jobs/scheduler/tracking.go
+++ b/internal/jobs/scheduler/tracking.go
@@ -18,7 +18,7 @@
 	holdCandidates []*worker                  // touched ones that may be due for a hold
 	holdTimes      holdTimes                  // workers that are due for a hold later
 	watched        map[string]*worker         // workers on which something may become due by time alone
-	unanswered     map[string]*worker         // workers that have not answered a hold of this epoch
+	unanswered     map[string]*worker         // workers that have not listed all their runs and ends in this epoch
 	stalled        map[string]*worker         // workers with a stall that has not been forgotten
 	orphaned       map[string]*worker         // workers with orphaned runs or ends
 	usable         map[string][]placer.Worker // usable workers with their free resources, by service, sorted by ID
@@ -56,7 +56,7 @@
 		s.updateUsable(now, w)
 		known := s.workers[w.ID] == w
 		setMember(k.watched, w, known && w.needsWatch(now))
-		setMember(k.unanswered, w, known && !w.fenced)
+		setMember(k.unanswered, w, known && !w.hasListedAll())
 		if !w.holdCandidate {
 			w.holdCandidate = true
 			k.holdCandidates = append(k.holdCandidates, w)
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -53,6 +53,7 @@
 	departed bool // its instance has ended: no machine runs it any more, or another worker has its address
 
 	fenced            bool // it has answered a hold of this epoch
+	endsMissing       bool // its last answer may not have listed all its ends
 	holdInFlight      bool
 	lookDue           bool      // a held start waits for its answer
 	holdSentAt        time.Time // time of the last hold
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -16,6 +16,8 @@
 	worldStep   = 10 * time.Millisecond
 	runStopTime = 100 * time.Millisecond
 	lease       = 10 * time.Second
+
+	maxListedEnds = 500 // in one answer to a hold
 )
 
 // world simulates a leading VM, its workers, the platform and a store in virtual
@@ -38,6 +40,7 @@
 	unreachable    map[string]bool
 	answersLost    map[string]bool // workers that execute starts but whose answers are lost
 	storeCalls     int
+	holdCalls      int
 	starts         map[string]int  // started runs, by job
 	allowed        map[string]bool // workers that get tickets
 	ticketLifetime time.Duration
@@ -375,6 +378,7 @@
 }
 
 func (w *world) hold(h scheduler.Hold) {
+	w.holdCalls++
 	o, ok := w.reachable(h.Worker)
 	if !ok {
 		w.deliverAfter(w.refusalDelay(h.Worker), scheduler.HoldResult{Worker: h.Worker, Sent: w.now, Outcome: o})
@@ -413,7 +417,7 @@
 		w.deliverAfter(time.Second, scheduler.HoldResult{Worker: h.Worker, Sent: sent, Outcome: o})
 		return
 	}
-	e := scheduler.HoldResult{Worker: h.Worker, Sent: sent, Outcome: scheduler.OutcomeDone, ClockMS: v.clock(w.now), StartedMS: v.info.StartedMS, Ack: h.Ack, Ends: slices.Clone(v.ends)}
+	e := scheduler.HoldResult{Worker: h.Worker, Sent: sent, Outcome: scheduler.OutcomeDone, ClockMS: v.clock(w.now), StartedMS: v.info.StartedMS, Ack: h.Ack, Ends: slices.Clone(v.ends[:min(len(v.ends), maxListedEnds)]), Incomplete: len(v.ends) >= maxListedEnds}
 	for _, id := range slices.SortedFunc(maps.Keys(v.runs), compareTasks) {
 		r := v.runs[id]
 		percent := int(100 * (r.total - r.remaining) / r.total)
