A job is deleted before its progress, and until that is stored

Cause: a job is deleted by two appends. The one to the topic of jobs was given up when the store refused it, the one to the topic of progress was retried until it was stored. A VM that read the job afresh, without its progress, took it as queued.

The job is now deleted first, and this is retried once a second until it is stored or the term ends; only then is its progress deleted. A leader that ends in between leaves progress without a job: the next one deletes it when it has read all jobs, before it starts any. It spares jobs that it can't decode, and CatchUp fails now where it took a read without records as the end of the topic, as jobs that are not read must not pass for deleted. No job is deleted while progress is being stored, which may be its own end.

Ruled out: one append for both, as they are different topics, one of them with a fenced writer.

--- a/internal/jobs/registrar/registrar.go
+++ b/internal/jobs/registrar/registrar.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -36,6 +37,7 @@
 	Occurrences map[int]scheduler.Progress // of a scheduled job, by index; set only in entries that Submitted and Entries give out
 
 	progressOffset int64 // offset of the last progress record
+	hasProgress    bool  // it has progress in the store
 }
 
 // State returns the state of the job.
@@ -71,6 +73,8 @@
 	jobs             map[string]*Entry
 	unmatched        map[string]unmatched // progress of occurrences, and of jobs whose submission was not read yet
 	unmatchedCancels map[string]bool      // of jobs whose submission was not read yet
+	malformed        map[string]bool      // jobs whose submission can't be decoded
+	leftovers        map[string]bool      // deleted jobs whose progress is still stored
 	next             map[string]int64     // by topic, offset of the next record
 }
 
@@ -83,6 +87,8 @@
 		jobs:             map[string]*Entry{},
 		unmatched:        map[string]unmatched{},
 		unmatchedCancels: map[string]bool{},
+		malformed:        map[string]bool{},
+		leftovers:        map[string]bool{},
 		next:             map[string]int64{},
 	}
 }
@@ -124,7 +130,7 @@
 
 func (r *Registrar) applyJob(id string, v accessor.Record) (Entry, bool) {
 	if len(v.Value) == 0 {
-		delete(r.jobs, id)
+		r.deleteJob(id)
 		return Entry{}, false
 	}
 	if _, ok := r.jobs[id]; ok {
@@ -136,10 +142,14 @@
 		err = e.Job.Validate() // a leader relies on it
 	}
 	if err != nil {
+		r.malformed[id] = true
 		r.Malformed(v.Key, v.Offset, err)
 		return Entry{}, false
 	}
-	e.Progress, e.progressOffset = r.unmatched[id].progress, r.unmatched[id].offset
+	delete(r.malformed, id)
+	delete(r.leftovers, id)
+	u, ok := r.unmatched[id]
+	e.Progress, e.progressOffset, e.hasProgress = u.progress, u.offset, ok
 	e.Cancelled = r.unmatchedCancels[id]
 	delete(r.unmatched, id)
 	delete(r.unmatchedCancels, id)
@@ -147,6 +157,15 @@
 	return r.withOccurrences(e), true
 }
 
+// deleteJob removes a job. Its progress is left until that is deleted too.
+func (r *Registrar) deleteJob(id string) {
+	if e, ok := r.jobs[id]; ok && e.hasProgress {
+		r.leftovers[id] = true
+	}
+	delete(r.jobs, id)
+	delete(r.malformed, id)
+}
+
 // withOccurrences returns an entry with the progress of its occurrences.
 func (r *Registrar) withOccurrences(e *Entry) Entry {
 	n := *e
@@ -184,7 +203,7 @@
 	defer r.mu.Unlock()
 	for _, v := range b.Records {
 		if len(v.Value) == 0 {
-			delete(r.unmatched, v.Key)
+			r.deleteProgress(v)
 			continue
 		}
 		var p scheduler.Progress
@@ -194,7 +213,7 @@
 		}
 		if e, ok := r.jobs[v.Key]; ok {
 			if v.Offset >= e.progressOffset {
-				e.Progress, e.progressOffset = p, v.Offset
+				e.Progress, e.progressOffset, e.hasProgress = p, v.Offset, true
 			}
 			continue
 		}
@@ -205,10 +224,41 @@
 	r.advanceNext(TopicProgress, b.Next)
 }
 
+// deleteProgress applies the deletion of progress. A job that is still known keeps its state:
+// the record that deletes it was not read yet.
+func (r *Registrar) deleteProgress(v accessor.Record) {
+	delete(r.leftovers, v.Key)
+	if e, ok := r.jobs[v.Key]; ok && v.Offset >= e.progressOffset {
+		e.hasProgress = false
+	}
+	if u, ok := r.unmatched[v.Key]; ok && v.Offset >= u.offset {
+		delete(r.unmatched, v.Key)
+	}
+}
+
 func (r *Registrar) advanceNext(topic string, next int64) {
 	r.next[topic] = max(r.next[topic], next)
 }
 
+// RemoveLeftovers returns the IDs of progress whose ended jobs have been deleted, and forgets
+// it. It must be called only when all jobs are read that have progress.
+func (r *Registrar) RemoveLeftovers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := slices.Collect(maps.Keys(r.leftovers))
+	clear(r.leftovers)
+	for id, v := range r.unmatched {
+		job, _ := scheduler.SplitOccurrence(id)
+		if _, ok := r.jobs[job]; ok || r.malformed[job] || !v.progress.State.Ended() {
+			continue
+		}
+		left = append(left, id)
+		delete(r.unmatched, id)
+	}
+	slices.Sort(left)
+	return left
+}
+
 // NextOffset returns the offset of the next record of a topic, and whether the topic
 // has been read at all.
 func (r *Registrar) NextOffset(topic string) (int64, bool) {
--- a/internal/jobs/registrar/registrar_test.go
+++ b/internal/jobs/registrar/registrar_test.go
@@ -90,3 +90,36 @@
 	r.ApplyJobs(tailer.Batch{Records: []accessor.Record{job}, Next: 3})
 	is.Equal(len(r.Entries()), 1)
 }
+
+// A leader may end between the deletion of a job and that of its progress. The progress of a
+// job that exists must not be deleted with it, even if this VM can't decode the job.
+func TestProgressOfDeletedJobsIsLeftOver(t *testing.T) {
+	is := is.New(t)
+	r := registrar.New()
+	valid, ended := []byte(`{"id":"j","steps":[{"tasks":1}]}`), []byte(`{"state":"completed"}`)
+	r.ApplyProgress(tailer.Batch{Records: []accessor.Record{
+		{Key: "unread", Value: ended},
+		{Offset: 1, Key: "malformed", Value: ended},
+		{Offset: 2, Key: "present", Value: ended},
+		{Offset: 3, Key: "present#1", Value: ended},
+		{Offset: 4, Key: "deleted", Value: ended},
+		{Offset: 5, Key: "deleted#1", Value: ended},
+		{Offset: 6, Key: "running", Value: []byte(`{"state":"running"}`)},
+		{Offset: 7, Key: "repeated", Value: ended},
+		{Offset: 8, Key: "gone", Value: ended},
+	}, Next: 9})
+	r.ApplyJobs(tailer.Batch{Records: []accessor.Record{
+		{Key: "job/malformed", Value: []byte("{")},
+		{Offset: 1, Key: "job/present", Value: valid},
+		{Offset: 2, Key: "job/deleted", Value: valid},
+		{Offset: 3, Key: "job/deleted"},
+		{Offset: 4, Key: "job/repeated", Value: valid},
+		{Offset: 5, Key: "job/repeated"},
+		{Offset: 6, Key: "job/repeated", Value: valid},
+		{Offset: 7, Key: "job/gone", Value: valid},
+		{Offset: 8, Key: "job/gone"},
+	}, Next: 9})
+	r.ApplyProgress(tailer.Batch{Records: []accessor.Record{{Offset: 9, Key: "gone"}}, Next: 10})
+	is.Equal(r.RemoveLeftovers(), []string{"deleted", "deleted#1", "unread"})
+	is.Equal(len(r.RemoveLeftovers()), 0)
+}
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -299,7 +299,7 @@
 
 // deleteOldJobs deletes jobs that ended long ago.
 func (s *Scheduler) deleteOldJobs(now time.Time) {
-	if now.Sub(s.tracking.oldJobsAt) < oldJobsInterval {
+	if s.storeInFlight || now.Sub(s.tracking.oldJobsAt) < oldJobsInterval { // the end of a job must be stored
 		return
 	}
 	s.tracking.oldJobsAt = now
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -301,6 +301,7 @@
 type progressWriter struct {
 	assembler *Assembler
 	epoch     int64
+	deletions deletions
 
 	mu       sync.Mutex // serialises appends, as each uses the next sequence number
 	sequence int64
@@ -327,7 +328,7 @@
 			_ = sleeper.Sleep(ctx, storeRetryDelay) // fails only when the context ends
 		}
 	}
-	return nil
+	return w.deleteLeftovers(ctx)
 }
 
 // append appends records in the writer's epoch, and retries until they are stored.
@@ -371,15 +372,3 @@
 	}
 	return w.append(ctx, records)
 }
-
-// deleteJobs deletes the records of jobs that ended long ago.
-func (w *progressWriter) deleteJobs(ctx context.Context, jobs []string) {
-	var records, progress []accessor.Record
-	for _, id := range jobs {
-		records = append(records, registrar.DeletionRecords(id)...)
-		progress = append(progress, accessor.Record{Key: id})
-	}
-	if err := errors.Join(w.assembler.appendJobs(ctx, records), w.append(ctx, progress)); err != nil {
-		w.assembler.log("store").WithError(err).Warn("can't delete old jobs from the store")
-	}
-}
--- a/internal/store/tailer/catchup.go
+++ b/internal/store/tailer/catchup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
 )
@@ -28,7 +29,10 @@
 		if end < 0 {
 			end = e
 		}
-		if len(records) == 0 {
+		switch {
+		case len(records) == 0 && next < end:
+			return fmt.Errorf("topic %q ends at offset %d and has no record at offset %d", topic, end, next)
+		case len(records) == 0:
 			return nil
 		}
 		next += int64(len(records))
--- a/internal/store/tailer/catchup_test.go
+++ b/internal/store/tailer/catchup_test.go
@@ -70,3 +70,13 @@
 		})
 	}
 }
+
+// A new leader would take jobs that it has not read as deleted.
+func TestCatchUpFailsIfRecordsAreMissing(t *testing.T) {
+	is := is.New(t)
+	a := accessor.Client{Read: func(context.Context, string, int64, time.Duration) ([]accessor.Record, int64, error) {
+		return nil, 8, nil
+	}}
+	err := tailer.CatchUp(t.Context(), a, "t", 3, func(tailer.Batch) { t.Error("a batch without records is applied") })
+	is.True(err != nil)
+}
