The progress of an occurrence is kept as long as its job

Cause: an occurrence was deleted like a job of its own 150 s after its end. A later leader creates all occurrences of the job, found no progress for this one and took it as never started.

Occurrences are now deleted with their scheduled job, 150 s after its end, by the leader of that time, which knows them from the job itself. Of an ended occurrence only its state, the time of its end and runs given up are stored, and a job has 1,000 occurrences at most; the leader held them all in memory before, too. A job precedes its occurrences among the deletions, so that their progress goes after it here as well.

Ruled out: deleting occurrences by the time at which the next ones are due, which proves nothing of those that a leader may still name.

--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -189,7 +189,8 @@
 // Store stores the progress of jobs; at most one is in flight.
 type Store struct{ Progress map[string]Progress }
 
-// DeleteJobs deletes the stored records of jobs that ended long ago.
+// DeleteJobs deletes the stored records of jobs that ended long ago. Each job precedes its
+// occurrences.
 type DeleteJobs struct{ Jobs []string }
 
 // Decision is a decision to be logged.
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -297,7 +297,8 @@
 	}
 }
 
-// deleteOldJobs deletes jobs that ended long ago.
+// deleteOldJobs deletes jobs that ended long ago, with their occurrences: one that has ended
+// would run again if its job went on without its progress.
 func (s *Scheduler) deleteOldJobs(now time.Time) {
 	if s.storeInFlight || now.Sub(s.tracking.oldJobsAt) < oldJobsInterval { // the end of a job must be stored
 		return
@@ -305,8 +306,12 @@
 	s.tracking.oldJobsAt = now
 	var old []string
 	for id, j := range s.jobs {
-		if j.state.Ended() && !j.dirty && now.Sub(j.endedAt) > endedJobRetention {
-			old = append(old, id)
+		if j.parent != nil || !j.state.Ended() || j.dirty || now.Sub(j.endedAt) <= endedJobRetention {
+			continue
+		}
+		old = append(old, id)
+		for _, c := range j.occurrences {
+			old = append(old, c.ID)
 		}
 	}
 	if len(old) == 0 {
@@ -315,6 +320,7 @@
 	slices.Sort(old)
 	for _, id := range old {
 		delete(s.jobs, id)
+		delete(s.tracking.dirtyJobs, id)
 	}
 	s.emit(DeleteJobs{Jobs: old})
 }
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -228,6 +228,18 @@
 		}
 		return nil
 	}
+	c["records"] = func(job string, want int) error {
+		n := 0
+		for id := range w.stored {
+			if baseJob(id) == job {
+				n++
+			}
+		}
+		if n != want {
+			return fmt.Errorf("%d records of progress are stored", n)
+		}
+		return nil
+	}
 	c["asked"] = func(want int) error {
 		if w.adviceCalls != want {
 			return fmt.Errorf("advice was requested %d times", w.adviceCalls)
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -68,6 +68,7 @@
 	waits        map[string]scheduler.Details // last line about waiting tasks, by job
 
 	cancelled     map[string]bool // jobs
+	deleted       map[string]bool // jobs and occurrences whose records were deleted from the store
 	faulty        map[string]bool // jobs whose runs all fail
 	releasedEpoch int64           // last epoch whose leader released the leadership
 	watch         *standingWatch  // checks that no job stands, nil for none
@@ -96,7 +97,7 @@
 		allowed: map[string]bool{}, ackedTasks: map[scheduler.TaskID]bool{}, lastStarts: map[scheduler.TaskID]time.Time{}, unreachable: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, answersLost: map[string]bool{},
 		config:    scheduler.Config{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Pools: map[string]bool{}},
 		unmovable: map[string]bool{}, doomed: map[string]bool{}, deadly: map[string]time.Duration{}, crashes: map[scheduler.TaskID]int{}, laterStarts: map[scheduler.TaskID]int{},
-		replaced: map[string]bool{}, counters: map[string]int{}, logged: map[string]int{}, waits: map[string]scheduler.Details{}, cancelled: map[string]bool{}, faulty: map[string]bool{},
+		replaced: map[string]bool{}, counters: map[string]int{}, logged: map[string]int{}, waits: map[string]scheduler.Details{}, cancelled: map[string]bool{}, deleted: map[string]bool{}, faulty: map[string]bool{},
 	}
 	w.began = w.now
 	w.startLeader()
@@ -118,6 +119,9 @@
 		for k := range e.Job.Times {
 			e.Occurrences[k] = w.stored[scheduler.OccurrenceID(e.Job.ID, k)]
 		}
+		if w.deleted[e.Job.ID] {
+			continue
+		}
 		if e.Job.ID == w.unreadJob {
 			w.s.LastInheritedOffset = e.Offset - 1
 			continue
@@ -226,6 +230,10 @@
 			w.counters["suspects-alone"]++
 		}
 	case scheduler.DeleteJobs:
+		for _, id := range f.Jobs {
+			delete(w.stored, id)
+			w.deleted[id] = true
+		}
 	}
 }
 
