--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -50,7 +50,10 @@
 	}
 	s.touch(w)
 	w.noteStartAnswer(now, p, e)
-	if e.ClockMS != 0 {
+	if e.ClockMS != 0 && !w.restartedSince(e.Start.DecidedAt) {
+		if w.clockWentBack { // by a restart: the deadlines that were sent refer to another clock
+			w.leaseDeadlineMS = e.ClockMS + s.Settings.Lease.Milliseconds()
+		}
 		w.noteAnswer(now, e.ClockMS)
 	}
 	if e.Outcome == OutcomeDone {
@@ -62,6 +65,8 @@
 	s.logDecision(Decision{Message: "start failed", Job: e.Start.Task.Job, Task: e.Start.Task, Run: e.Start.Run, Worker: w.ID, Details: Details{detailOutcome: e.Outcome}})
 	switch e.Outcome {
 	case OutcomeUnknown:
+		// An instance that this leader does not know may have granted a whole lease just now.
+		s.noteGrant(now, w, w.minClock(now)+s.Settings.Lease.Milliseconds())
 		s.noteFailedCall(now, w, e.Outcome)
 		if j, st, _ := s.findTask(p.task); st != nil && st.Gang {
 			s.stopGang(now, j, p.task.Step, p.run)
@@ -97,6 +102,10 @@
 	s.touch(w)
 	switch e.Outcome {
 	case OutcomeDone, OutcomeObsolete:
+		if w.restartedSince(p.stopSentAt) {
+			s.sendStop(now, w, p)
+			return
+		}
 		p.stopAnsweredAt = now
 	case OutcomeUnknown, OutcomeUnsent:
 		s.noteFailedCall(now, w, e.Outcome)
