Runs whose ends a worker will never list are given up

Behind one that must not be (its task was started again after its lease had expired), the ends after the 500th are never listed.

Such runs are in no list of running ones, so they have ended, and nobody can take note of how. They are now marked as given up, which is stored before their tasks start again, so that no later leader counts their ends either. Where pages still advance up to the end that must not count, they are waited for.

Ruled out: no new tasks for the worker at an earlier number of ends, as what already runs there may exceed the page.

--- a/internal/jobs/scheduler/abandon.go
+++ b/internal/jobs/scheduler/abandon.go
@@ -123,3 +123,9 @@
 func (w *worker) listsTooManyEnds() bool {
 	return w.withheldEnd != 0 && w.handledEnd-w.withheldEnd >= maxUnacknowledgedEnds
 }
+
+// listsNoFurtherEnds reports whether the worker's full list of ends begins with one that
+// must not be acknowledged.
+func (w *worker) listsNoFurtherEnds() bool {
+	return w.endsMissing && w.withheldEnd != 0 && w.ackedEnd >= w.withheldEnd-1
+}
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -159,22 +159,30 @@
 		}
 	}
 	if len(listed) < len(w.order) {
-		for _, p := range w.sortedRuns() {
-			if !listed[placementKey{p.task, p.run}] && p.confirmedAbsent(e) {
-				s.loseRun(now, w, p, "its worker no longer lists it")
-			}
-		}
+		s.loseAbsentRuns(now, w, e, listed)
 	}
 	s.detectStall(now, w)
 	s.paceFillers(now, w)
 }
 
+// loseAbsentRuns gives up the runs on a worker that it lists neither as running nor as ended,
+// and whose ends it will not list either.
+func (s *Scheduler) loseAbsentRuns(now time.Time, w *worker, e HoldResult, listed map[placementKey]bool) {
+	for _, p := range w.sortedRuns() {
+		switch {
+		case listed[placementKey{p.task, p.run}] || !p.confirmedAbsent(e):
+		case !e.Incomplete:
+			s.loseRun(now, w, p, "its worker no longer lists it")
+		case w.listsNoFurtherEnds():
+			s.abandonRun(w, p)
+			s.loseRun(now, w, p, "its worker lists no further ends")
+		}
+	}
+}
+
 // confirmedAbsent reports whether a run that a list lacks is not on the worker and
-// can't start there any more, nor has an end that the list omits.
+// can't start there any more.
 func (p *placement) confirmedAbsent(e HoldResult) bool {
-	if e.Incomplete {
-		return false
-	}
 	return (!p.stopAnsweredAt.IsZero() && p.stopAnsweredAt.Before(e.Sent)) ||
 		(!p.confirmedAt.IsZero() && p.confirmedAt.Before(e.Sent)) ||
 		(p.startDeadlineMS != 0 && e.ClockMS > p.startDeadlineMS)
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -72,7 +72,7 @@
 // listsFurtherEnds reports whether the worker will list the ends that its last answer may
 // lack, once those before are stored.
 func (w *worker) listsFurtherEnds() bool {
-	return w.fenced && w.endsMissing && w.withheldEnd == 0 && w.unresponsiveSince.IsZero()
+	return w.fenced && w.endsMissing && !w.listsNoFurtherEnds() && w.unresponsiveSince.IsZero()
 }
 
 // mayHaveLeft reports whether a worker that has not answered this leader may have
