--- a/internal/jobs/scheduler/abandon.go
+++ b/internal/jobs/scheduler/abandon.go
@@ -25,7 +25,7 @@
 func (s *Scheduler) manySilent() bool {
 	silent := 0
 	for _, w := range s.tracking.unanswered {
-		if w.listed {
+		if w.listed && !w.fenced {
 			silent++
 		}
 	}
@@ -123,3 +123,9 @@
 func (w *worker) listsTooManyEnds() bool {
 	return w.withheldEnd != 0 && w.handledEnd-w.withheldEnd >= maxUnacknowledgedEnds
 }
+
+// listsNoFurtherEnds reports whether the worker's full list of ends begins with one that
+// must not be acknowledged.
+func (w *worker) listsNoFurtherEnds() bool {
+	return w.endsMissing && w.withheldEnd != 0 && w.ackedEnd >= w.withheldEnd-1
+}
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -228,6 +228,18 @@
 		}
 		return nil
 	}
+	c["records"] = func(job string, want int) error {
+		n := 0
+		for id := range w.stored {
+			if baseJob(id) == job {
+				n++
+			}
+		}
+		if n != want {
+			return fmt.Errorf("%d records of progress are stored", n)
+		}
+		return nil
+	}
 	c["asked"] = func(want int) error {
 		if w.adviceCalls != want {
 			return fmt.Errorf("advice was requested %d times", w.adviceCalls)
@@ -270,6 +282,12 @@
 		}
 		return nil
 	}
+	c["holds-at-most"] = func(most int) error {
+		if w.holdCalls > most {
+			return fmt.Errorf("%d holds were sent", w.holdCalls)
+		}
+		return nil
+	}
 	c["at"] = func(worker string, want int) error {
 		if n := len(w.workers[worker].runs); n != want {
 			return fmt.Errorf("%d tasks run on the worker", n)
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -16,6 +16,8 @@
 	worldStep   = 10 * time.Millisecond
 	runStopTime = 100 * time.Millisecond
 	lease       = 10 * time.Second
+
+	maxListedEnds = 500 // in one answer to a hold
 )
 
 // world simulates a leading VM, its workers, the platform and a store in virtual
@@ -38,6 +40,7 @@
 	unreachable    map[string]bool
 	answersLost    map[string]bool // workers that execute starts but whose answers are lost
 	storeCalls     int
+	holdCalls      int
 	starts         map[string]int  // started runs, by job
 	allowed        map[string]bool // workers that get tickets
 	ticketLifetime time.Duration
@@ -65,6 +68,7 @@
 	waits        map[string]scheduler.Details // last line about waiting tasks, by job
 
 	cancelled     map[string]bool // jobs
+	deleted       map[string]bool // jobs and occurrences whose records were deleted from the store
 	faulty        map[string]bool // jobs whose runs all fail
 	releasedEpoch int64           // last epoch whose leader released the leadership
 	watch         *standingWatch  // checks that no job stands, nil for none
@@ -93,7 +97,7 @@
 		allowed: map[string]bool{}, ackedTasks: map[scheduler.TaskID]bool{}, lastStarts: map[scheduler.TaskID]time.Time{}, unreachable: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, answersLost: map[string]bool{},
 		config:    scheduler.Config{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Pools: map[string]bool{}},
 		unmovable: map[string]bool{}, doomed: map[string]bool{}, deadly: map[string]time.Duration{}, crashes: map[scheduler.TaskID]int{}, laterStarts: map[scheduler.TaskID]int{},
-		replaced: map[string]bool{}, counters: map[string]int{}, logged: map[string]int{}, waits: map[string]scheduler.Details{}, cancelled: map[string]bool{}, faulty: map[string]bool{},
+		replaced: map[string]bool{}, counters: map[string]int{}, logged: map[string]int{}, waits: map[string]scheduler.Details{}, cancelled: map[string]bool{}, deleted: map[string]bool{}, faulty: map[string]bool{},
 	}
 	w.began = w.now
 	w.startLeader()
@@ -115,6 +119,9 @@
 		for k := range e.Job.Times {
 			e.Occurrences[k] = w.stored[scheduler.OccurrenceID(e.Job.ID, k)]
 		}
+		if w.deleted[e.Job.ID] {
+			continue
+		}
 		if e.Job.ID == w.unreadJob {
 			w.s.LastInheritedOffset = e.Offset - 1
 			continue
@@ -223,6 +230,10 @@
 			w.counters["suspects-alone"]++
 		}
 	case scheduler.DeleteJobs:
+		for _, id := range f.Jobs {
+			delete(w.stored, id)
+			w.deleted[id] = true
+		}
 	}
 }
 
@@ -375,6 +386,7 @@
 }
 
 func (w *world) hold(h scheduler.Hold) {
+	w.holdCalls++
 	o, ok := w.reachable(h.Worker)
 	if !ok {
 		w.deliverAfter(w.refusalDelay(h.Worker), scheduler.HoldResult{Worker: h.Worker, Sent: w.now, Outcome: o})
@@ -413,7 +425,7 @@
 		w.deliverAfter(time.Second, scheduler.HoldResult{Worker: h.Worker, Sent: sent, Outcome: o})
 		return
 	}
-	e := scheduler.HoldResult{Worker: h.Worker, Sent: sent, Outcome: scheduler.OutcomeDone, ClockMS: v.clock(w.now), StartedMS: v.info.StartedMS, Ack: h.Ack, Ends: slices.Clone(v.ends)}
+	e := scheduler.HoldResult{Worker: h.Worker, Sent: sent, Outcome: scheduler.OutcomeDone, ClockMS: v.clock(w.now), StartedMS: v.info.StartedMS, Ack: h.Ack, Ends: slices.Clone(v.ends[:min(len(v.ends), maxListedEnds)]), Incomplete: len(v.ends) >= maxListedEnds}
 	for _, id := range slices.SortedFunc(maps.Keys(v.runs), compareTasks) {
 		r := v.runs[id]
 		percent := int(100 * (r.total - r.remaining) / r.total)
