--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -168,14 +168,18 @@
 // loseAbsentRuns gives up the runs on a worker that it lists neither as running nor as ended,
 // and whose ends it will not list either.
 func (s *Scheduler) loseAbsentRuns(now time.Time, w *worker, e HoldResult, listed map[placementKey]bool) {
+	lose := s.loseRun
+	if !w.unconfirmedSince.IsZero() {
+		lose = s.giveUpRun // they may have been in an earlier instance
+	}
 	for _, p := range w.sortedRuns() {
 		switch {
 		case listed[placementKey{p.task, p.run}] || !p.confirmedAbsent(e):
 		case !e.Incomplete:
-			s.loseRun(now, w, p, "its worker no longer lists it")
+			lose(now, w, p, "its worker no longer lists it")
 		case w.listsNoFurtherEnds():
 			s.abandonRun(w, p)
-			s.loseRun(now, w, p, "its worker lists no further ends")
+			s.giveUpRun(now, w, p, "its worker lists no further ends")
 		}
 	}
 }
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -281,7 +281,7 @@
 	s.keepOpenStarts(w)
 	for _, p := range w.sortedRuns() {
 		s.abandonRun(w, p)
-		s.loseRun(now, w, p, "its lease expired on an unresponsive worker")
+		s.giveUpRun(now, w, p, "its lease expired on an unresponsive worker")
 	}
 	w.fenced = false
 }
