A soak in which several VMs believe to lead

The soaks cut VMs off from the store or executors off from all VMs, so a leader that was replaced reached nothing that its successor did not. Each VM now has addresses of its own for the store, the executors and the other VMs, so that each pair can be cut.

--- a/soak_standing_check_test.go
+++ b/soak_standing_check_test.go
@@ -246,7 +246,7 @@
 	for i, j := range jobs {
 		var a soakResponse
 		for n := range 3 {
-			a = soakCall(http.MethodGet, s.vms[(i+n)%standingVMs].callers, "/"+j.kind.queue+"/"+j.id, "")
+			a = soakCall(http.MethodGet, s.vms[(i+n)%len(s.vms)].callers, "/"+j.kind.queue+"/"+j.id, "")
 			if a.status == http.StatusOK {
 				break
 			}
--- a/soak_standing_job_test.go
+++ b/soak_standing_job_test.go
@@ -30,9 +30,10 @@
 	gpus      []int
 	work      time.Duration // mean
 	spread    float64
-	estimate  float64 // spread
-	gang      float64 // share of jobs
-	sameRack  float64 // share of gangs
+	maxWork   time.Duration // 0 for any
+	estimate  float64       // spread
+	gang      float64       // share of jobs
+	sameRack  float64       // share of gangs
 	labelled  float64
 	apart     float64 // share of jobs with anti-affinity
 	twoSteps  float64
@@ -63,6 +64,7 @@
 	standingLongFactor   = 20
 	standingRemoteFactor = 3
 	standingOccurrences  = 3
+	standingMinWork      = 500 * time.Millisecond // of kinds with a maximum
 )
 
 // standingStep is a step of a job and how its tasks proceed.
@@ -160,7 +162,11 @@
 		factor = standingLongFactor
 	}
 	for range st.tasks {
-		st.work = append(st.work, time.Duration(factor*logNormal(r, float64(k.work), k.spread)))
+		d := time.Duration(factor * logNormal(r, float64(k.work), k.spread))
+		if k.maxWork > 0 {
+			d = min(max(d, standingMinWork), k.maxWork)
+		}
+		st.work = append(st.work, d)
 	}
 	if st.lasting {
 		st.tasks, st.work = min(st.tasks, 6), st.work[:min(st.tasks, 6)]
@@ -249,7 +255,7 @@
 
 // post submits a job to a random VM once and reports whether it was accepted.
 func (s *standingSoak) post(j *standingJob, r *rand.Rand) bool {
-	a := soakCall(http.MethodPost, s.vms[r.IntN(standingVMs)].callers, "/"+j.kind.queue+"/"+j.id, j.body)
+	a := soakCall(http.MethodPost, s.vms[r.IntN(len(s.vms))].callers, "/"+j.kind.queue+"/"+j.id, j.body)
 	if a.status < http.StatusOK || a.status >= http.StatusMultipleChoices {
 		return false
 	}
@@ -279,5 +285,5 @@
 	s.mu.Lock()
 	j.cancelled = true
 	s.mu.Unlock()
-	soakCall(http.MethodDelete, s.vms[r.IntN(standingVMs)].callers, "/"+j.kind.queue+"/"+j.id, "")
+	soakCall(http.MethodDelete, s.vms[r.IntN(len(s.vms))].callers, "/"+j.kind.queue+"/"+j.id, "")
 }
--- a/soak_standing_test.go
+++ b/soak_standing_test.go
@@ -22,9 +22,9 @@
 )
 
 var (
-	soakProgram = flag.String("soak.program", "lacewingdoor", "program that TestSoakStanding runs")
+	soakProgram = flag.String("soak.program", "lacewingdoor", "program that TestSoakStanding and TestSoakRivals run")
 	soakFull    = flag.Bool("soak.full", false, "let TestSoakStanding check the promise also while half of the service or more is in use")
-	soakRounds  = flag.Int("soak.rounds", 2, "series of faults in each run of TestSoakStanding")
+	soakRounds  = flag.Int("soak.rounds", 2, "series of faults in each run of TestSoakStanding and TestSoakRivals")
 )
 
 const (
@@ -70,6 +70,8 @@
 	workers   []*standingWorker
 	vms       []*standingVM
 	version   int // of the configuration
+	kinds     []standingKind
+	gangs     *platformstandin.Gangs
 	faultRand *rand.Rand
 	inEffect  sync.WaitGroup // faults
 
@@ -134,47 +136,61 @@
 func newStandingSoak(t *testing.T, seed uint64) *standingSoak {
 	s := &standingSoak{
 		t: t, seed: seed, dir: t.TempDir(), store: platformstandin.NewStore(),
-		faultRand: rand.New(rand.NewPCG(seed, 17)), jobs: map[string]*standingJob{}, calmSince: time.Now(),
+		faultRand: rand.New(rand.NewPCG(seed, 17)), jobs: map[string]*standingJob{}, calmSince: time.Now(), kinds: standingKinds,
+		gangs: &platformstandin.Gangs{Timeout: 3 * time.Second},
 	}
 	s.storeURL = s.serve(&platformstandin.StoreProxy{Store: s.store})
 	s.configure()
-	gangs := &platformstandin.Gangs{Timeout: 3 * time.Second}
-	for i := range standingExecutors {
-		w := &standingWorker{id: fmt.Sprintf("x%d", i), labels: [2]string{"a", fmt.Sprintf("r1-%d", i/standingRack)}, room: standingNeed{128000, 262144, 8}}
-		if i%4 == 3 {
-			w.labels[0] = "b"
-		}
-		x := platformstandin.NewExecutor()
-		x.Gangs, x.Rack, x.Work = gangs, w.labels[1], s.work
-		x.Started, x.Ended = s.recordStart, s.recordEnd
-		s.executors, s.workers = append(s.executors, x), append(s.workers, w)
-		w.link = &standingLink{executor: x}
+	for range standingExecutors {
+		w := s.addWorker()
 		w.address = s.serve(w.link)
 		s.list(w)
 	}
-	for i := range standingVMs {
-		s.addVM(i)
+	for range standingVMs {
+		v := s.addVM()
+		b, err := platformstandin.SettingsFile(v.name, s.storeURL, v.callers, v.readiness, v.peers, standingLease)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.startFirst(v, b)
 	}
 	t.Cleanup(s.stopAll)
 	return s
 }
 
-func (s *standingSoak) addVM(i int) {
+// addWorker adds an executor, which has no address yet.
+func (s *standingSoak) addWorker() *standingWorker {
+	i := len(s.workers)
+	w := &standingWorker{id: fmt.Sprintf("x%d", i), labels: [2]string{"a", fmt.Sprintf("r1-%d", i/standingRack)}, room: standingNeed{128000, 262144, 8}}
+	if i%4 == 3 {
+		w.labels[0] = "b"
+	}
+	x := platformstandin.NewExecutor()
+	x.Gangs, x.Rack, x.Work = s.gangs, w.labels[1], s.work
+	x.Started, x.Ended = s.recordStart, s.recordEnd
+	w.link = &standingLink{executor: x}
+	s.executors, s.workers = append(s.executors, x), append(s.workers, w)
+	return w
+}
+
+func (s *standingSoak) addVM() *standingVM {
 	v := &standingVM{soakVM: soakVM{
-		name: fmt.Sprintf("vm%d", i), callers: freeAddress(s.t), readiness: freeAddress(s.t), peers: freeAddress(s.t),
+		name: fmt.Sprintf("vm%d", len(s.vms)), callers: freeAddress(s.t), readiness: freeAddress(s.t), peers: freeAddress(s.t),
 	}}
 	v.settings = filepath.Join(s.dir, v.name+".json")
-	b, err := platformstandin.SettingsFile(v.name, s.storeURL, v.callers, v.readiness, v.peers, standingLease)
+	s.vms = append(s.vms, v)
+	return v
+}
+
+// startFirst starts a VM for the first time.
+func (s *standingSoak) startFirst(v *standingVM, settings []byte) {
+	err := os.WriteFile(v.settings, settings, 0o600)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	if err := os.WriteFile(v.settings, b, 0o600); err != nil {
-		s.t.Fatal(err)
-	}
 	if v.log, err = os.Create(filepath.Join(s.dir, v.name+".log")); err != nil {
 		s.t.Fatal(err)
 	}
-	s.vms = append(s.vms, v)
 	s.start(v)
 }
 
@@ -184,6 +200,9 @@
 	if l, ok := h.(*standingLink); ok {
 		server.Config.ConnContext = l.executor.ConnContext
 	}
+	if l, ok := h.(*rivalEndpoint); ok && l.executor != nil {
+		server.Config.ConnContext = l.executor.ConnContext
+	}
 	server.Start()
 	s.t.Cleanup(server.CloseClientConnections) // a server that is closed waits for its connections
 	return server.Listener.Addr().String()
@@ -355,6 +374,12 @@
 	if r.IntN(3) == 0 {
 		grace = time.Duration(r.IntN(1500)) * time.Millisecond
 	}
+	s.interrupt(v, signal, pause, grace, delay)
+}
+
+// interrupt sends a signal to a VM. It lets a paused VM run again after the pause, kills
+// another one after the grace period unless it has exited, and restarts it after the delay.
+func (s *standingSoak) interrupt(v *standingVM, signal syscall.Signal, pause, grace, delay time.Duration) {
 	if !v.mu.TryLock() {
 		return
 	}
@@ -403,8 +428,7 @@
 // submitInHandover submits jobs while the leader changes, and repeats them at other VMs.
 func (s *standingSoak) submitInHandover(callers *sync.WaitGroup, r *rand.Rand) {
 	for range 1 + r.IntN(3) {
-		k := &standingKinds[r.IntN(len(standingKinds))]
-		j := s.newJob(k, r)
+		j := s.newJob(&s.kinds[r.IntN(len(s.kinds))], r)
 		own := rand.New(rand.NewPCG(r.Uint64(), 0))
 		callers.Go(func() {
 			time.Sleep(time.Duration(own.IntN(800)) * time.Millisecond)
--- a/soak_test.go
+++ b/soak_test.go
@@ -26,7 +26,7 @@
 	soakRuns  = flag.Int("soak.runs", 1, "number of seeds to run")
 	soakVMs   = flag.Int("soak.vms", 3, "entry VMs per run")
 	soakSpan  = flag.Duration("soak.span", 5*time.Second, "how long each run injects faults")
-	soakBreak = flag.String("soak.break", "", "promise to break deliberately, to show that its check fails: twice, lost, refused, crash, capacity or stands")
+	soakBreak = flag.String("soak.break", "", "promise to break deliberately, to show that its check fails: twice, lost, refused, crash, capacity, stands or rivals")
 )
 
 const (
