--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -140,7 +141,7 @@
 		s.handleStored(now)
 	case Released:
 		if !s.released {
-			s.released, s.releasedAt = true, now
+			s.released, s.releasedAt = true, cmp.Or(e.At, now)
 		}
 	case Confirmed:
 		s.confirmLeadership(e)
@@ -246,7 +247,7 @@
 		s.expireLeases(now, w, unheard)
 		s.retryStops(now, w)
 		s.dropOrphans(now, w)
-		if w.listed || w.holdInFlight || len(w.runs) > 0 || (s.recovering && !w.fenced) {
+		if w.listed || w.holdInFlight || len(w.runs) > 0 || s.recovering {
 			continue
 		}
 		gone = true
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -31,6 +31,7 @@
 	stopInFlight    bool
 	stopsSent       int
 	startOpen       bool  // its start has not been answered
+	tryOpen         bool  // an earlier try of its start has not been answered
 	startDeadlineMS int64 // by the worker's clock; a later start is refused
 	measure         int   // as last reported
 	pace            int   // percent confirmed by the worker, or unknownPace
@@ -60,6 +61,7 @@
 	heardAt           time.Time // when that answer was handled
 	openStarts        int       // starts without an answer
 	unansweredStartAt time.Time // when the answer to a start was last given up, else zero
+	instanceSince     time.Time // when this leader learnt of the present instance, zero for the first one
 	clockWentBack     bool      // since that answer, the clock in another one showed a restart
 	answerClockMS     int64     // the worker's clock in that answer, 0 before the first
 	crashNoted        bool      // the end of its last known instance was noted
@@ -115,6 +117,12 @@
 	return w.minClock(now) > w.leaseDeadlineMS+slack.Milliseconds()
 }
 
+// restartedSince reports whether this leader has learnt of a restart since a call was decided.
+// Its answer may come from the previous instance.
+func (w *worker) restartedSince(decided time.Time) bool {
+	return !decided.After(w.instanceSince) && !w.instanceSince.IsZero()
+}
+
 // noteAnswer records an answered call and the clock in the answer.
 func (w *worker) noteAnswer(now time.Time, clockMS int64) {
 	w.callFailedAt = time.Time{}
@@ -278,6 +286,7 @@
 	s.noteCrash(now, w, evidenceRestarted)
 	w.crashNoted = w.crashNoted && w.StartedMS == born
 	w.StartedMS = born
+	w.instanceSince = now
 	w.fenced = false
 	w.unconfirmedSince = s.unconfirmedSince(now)
 	w.orphanEnds = nil
@@ -291,10 +300,14 @@
 	w.handledEnd, w.storingEnd, w.storedEnd, w.ackedEnd, w.withheldEnd = 0, 0, 0, 0, 0
 	w.clockMS, w.clockAt, w.answerClockMS = 0, now, 0
 	w.leaseDeadlineMS = s.Settings.Lease.Milliseconds() // an earlier start may have begun a lease just now
-	for _, p := range w.runs {
+	for _, p := range w.sortedRuns() {
 		p.startDeadlineMS = 0 // it referred to the clock of the previous instance
-		if p.startOpen {      // the next try may reach the new instance
-			p.confirmedAt, p.stopAnsweredAt = time.Time{}, time.Time{}
+		if !p.startOpen && !p.tryOpen {
+			continue
+		}
+		p.confirmedAt, p.stopAnsweredAt = time.Time{}, time.Time{} // a try may reach the new instance
+		if !p.startOpen {
+			s.stopRun(now, w, p) // which then rejects it
 		}
 	}
 	w.clearFailures()
