--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -69,6 +69,7 @@
 	OutcomeReplaced  Outcome = "replaced"  // another instance of the worker answered
 	OutcomeUnknown   Outcome = "unknown"   // no answer: the call may have been executed, or may still be
 	OutcomeUnsent    Outcome = "unsent"    // no connection: the call has not been executed
+	OutcomeDropped   Outcome = "dropped"   // the call was not made, as it was late
 )
 
 // Running is a current run in the report of a worker.
@@ -112,6 +113,8 @@
 	Ack       int64 // that was sent
 	Running   []Running
 	Ends      []End
+
+	Incomplete bool // the worker may have further ends
 }
 
 // StartResult is the result of a Start effect.
@@ -189,7 +192,8 @@
 // Store stores the progress of jobs; at most one is in flight.
 type Store struct{ Progress map[string]Progress }
 
-// DeleteJobs deletes the stored progress of jobs that ended long ago.
+// DeleteJobs deletes the stored records of jobs that ended long ago. Each job precedes its
+// occurrences.
 type DeleteJobs struct{ Jobs []string }
 
 // Decision is a decision to be logged.
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -20,7 +20,7 @@
 			h.DeadlineMS = s.leaseDeadline(now, w)
 			s.noteGrant(now, w, h.DeadlineMS)
 		}
-		if len(w.runs) > 0 && w.fenced && w.unresponsiveSince.IsZero() && w.handledEnd == w.storedEnd && (mayAck || !ackDue) {
+		if len(w.runs) > 0 && w.fenced && w.unresponsiveSince.IsZero() && !w.endsMissing && w.handledEnd == w.storedEnd && (mayAck || !ackDue) {
 			h.Wait = s.pollWait(w)
 		}
 		if w.lookDue {
@@ -46,7 +46,7 @@
 
 // nextHold returns when the next hold is due, or false if none is.
 func (w *worker) nextHold(recovering bool) (time.Time, bool) {
-	if !w.listed && len(w.runs) == 0 && (w.fenced || w.departed || !recovering) {
+	if !w.listed && len(w.runs) == 0 && (w.hasListedAll() || w.departed || !recovering) {
 		return time.Time{}, false
 	}
 	if w.departed {
@@ -118,7 +118,7 @@
 	if !w.fenced { // an earlier leader may have extended the leases until now
 		w.leaseDeadlineMS = max(w.leaseDeadlineMS, e.ClockMS+s.Settings.Lease.Milliseconds())
 	}
-	w.fenced = true
+	w.fenced, w.endsMissing = true, e.Incomplete
 	w.ackedEnd = max(w.ackedEnd, e.Ack)
 	w.noteAnswerTime(e)
 	w.clockWentBack = false
@@ -159,21 +159,27 @@
 		}
 	}
 	if len(listed) < len(w.order) {
-		s.loseUnlisted(now, w, e, listed)
+		s.loseAbsentRuns(now, w, e, listed)
 	}
 	s.detectStall(now, w)
 	s.paceFillers(now, w)
 }
 
-// loseUnlisted loses the runs that are not among the listed ones and can't start any more.
-func (s *Scheduler) loseUnlisted(now time.Time, w *worker, e HoldResult, listed map[placementKey]bool) {
+// loseAbsentRuns gives up the runs on a worker that it lists neither as running nor as ended,
+// and whose ends it will not list either.
+func (s *Scheduler) loseAbsentRuns(now time.Time, w *worker, e HoldResult, listed map[placementKey]bool) {
 	lose := s.loseRun
 	if !w.unconfirmedSince.IsZero() {
 		lose = s.giveUpRun // they may have been in an earlier instance
 	}
 	for _, p := range w.sortedRuns() {
-		if !listed[placementKey{p.task, p.run}] && p.confirmedAbsent(e) {
+		switch {
+		case listed[placementKey{p.task, p.run}] || !p.confirmedAbsent(e):
+		case !e.Incomplete:
 			lose(now, w, p, "its worker no longer lists it")
+		case w.listsNoFurtherEnds():
+			s.abandonRun(w, p)
+			s.giveUpRun(now, w, p, "its worker lists no further ends")
 		}
 	}
 }
