The soak of rival leaders asks for the states of jobs while it runs

Kinds with failing tasks now last 15 s at most, and callers ask for all jobs during the run. New: a job that is shown as completed, failed or cancelled without reason is a finding.

--- a/soak_rivals_test.go
+++ b/soak_rivals_test.go
@@ -25,7 +25,8 @@
 	rivalLease     = 10 * time.Second
 	rivalWarmUp    = 5 * time.Second        // before the first fault
 	rivalInterval  = 50 * time.Millisecond  // between two looks at what runs
-	rivalStates    = 200 * time.Millisecond // between two queries for the state of a job
+	rivalStates    = 200 * time.Millisecond // between two queries for the states of all jobs
+	rivalAnswer    = 500 * time.Millisecond // longest wait for one of them
 )
 
 // rivalClockRates are the clock rates of executors in percent; clocks may run 2 % slow.
@@ -39,10 +40,10 @@
 var rivalKinds = []standingKind{
 	{
 		queue: "template-rebuild", attempts: 3, perSecond: 0.7, width: 6, maxWidth: 30, need: standingNeed{11000, 16000, 0}, gpus: []int{1},
-		work: 12 * time.Second, spread: 0.9, maxWork: 40 * time.Second, estimate: 0.9, labelled: 0.1, apart: 0.1, failing: 0.05, cancelled: 0.05,
+		work: 12 * time.Second, spread: 0.9, maxWork: 40 * time.Second, estimate: 0.9, labelled: 0.1, apart: 0.1, cancelled: 0.05,
 	}, {
 		queue: "template-rebuild", attempts: 3, perSecond: 0.25, width: 4, maxWidth: 12, need: standingNeed{11000, 16000, 0}, gpus: []int{1},
-		work: 5 * time.Second, spread: 0.8, maxWork: 15 * time.Second, estimate: 0.9, twoSteps: 1,
+		work: 5 * time.Second, spread: 0.8, maxWork: 15 * time.Second, estimate: 0.9, twoSteps: 1, failing: 0.05,
 	}, {
 		queue: "promo-batch", attempts: 2, perSecond: 0.2, width: 3, maxWidth: 8, need: standingNeed{26000, 55000, 0}, gpus: []int{1, 2},
 		work: 6 * time.Second, spread: 0.5, maxWork: 10 * time.Second, estimate: 0.5, gang: 1, sameRack: 0.5, failing: 0.05,
@@ -84,8 +85,9 @@
 	machines  *platformstandin.MachineService
 	ledger    *rivalLedger
 
-	presence []rivalPresence // by executor; standingSoak.mu protects it, and outages
-	outages  int             // of the store, that have not ended
+	ends     map[string]string // by job, state that a VM has shown; standingSoak.mu protects it
+	presence []rivalPresence   // by executor; standingSoak.mu protects it, and outages
+	outages  int               // of the store, that have not ended
 }
 
 // rivalPresence says why an executor has no entry in the store.
@@ -99,6 +101,7 @@
 		},
 		machines: &platformstandin.MachineService{},
 		ledger:   newRivalLedger(),
+		ends:     map[string]string{},
 	}
 	vms, executors := rivalVMs, rivalExecutors
 	if *soakLarge {
@@ -182,6 +185,7 @@
 	stop, trafficEnd := make(chan struct{}), make(chan struct{})
 	var callers, checks sync.WaitGroup
 	checks.Go(func() { s.checkRunning(stop) })
+	checks.Go(func() { s.askForStates(stop) })
 	callers.Go(func() { s.runTraffic(trafficEnd, &callers) })
 	time.Sleep(rivalWarmUp)
 	for range *soakRounds {
@@ -192,7 +196,6 @@
 	close(trafficEnd)
 	callers.Wait()
 	s.awaitJobs()
-	s.checkKnown()
 	close(stop)
 	checks.Wait()
 	s.mu.Lock()
@@ -225,43 +228,64 @@
 	}
 }
 
-// awaitJobs waits until callers are told that each accepted job has ended, and until nothing
-// runs any more.
+// awaitJobs waits until callers have been told that each accepted job has ended, and until
+// nothing runs any more.
 func (s *rivalSoak) awaitJobs() {
-	end := time.Now().Add(soakSettleTimeout)
-	for _, j := range s.accepted() {
-		for i := 0; !s.shownAsEnded(j, i); i++ {
-			if time.Now().After(end) {
-				s.problemf("job %s was accepted and has not ended %v after the last fault\n%s", j.id, soakSettleTimeout, s.historyOf(j.id))
-				break
-			}
-			time.Sleep(rivalStates)
-		}
-	}
-	for time.Now().Before(end) && s.anyRunning() {
+	left := s.unended()
+	for end := time.Now().Add(soakSettleTimeout); time.Now().Before(end) && (len(left) > 0 || s.anyRunning()); left = s.unended() {
 		time.Sleep(rivalStates)
 	}
+	for _, j := range left {
+		s.problemf("job %s was accepted and has not ended %v after the last fault\n%s", j.id, soakSettleTimeout, s.historyOf(j.id))
+	}
 	if s.anyRunning() {
 		s.problemf("tasks are still running %v after the last fault", soakSettleTimeout)
 	}
 }
 
-func (s *rivalSoak) accepted() []*standingJob {
+// unended returns the accepted jobs of which no VM has said yet that they have ended.
+func (s *rivalSoak) unended() []*standingJob {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var jobs []*standingJob
 	for _, j := range s.jobs {
-		if !j.accepted.IsZero() {
+		if !j.accepted.IsZero() && s.ends[j.id] == "" {
 			jobs = append(jobs, j)
 		}
 	}
 	return jobs
 }
 
-// shownAsEnded reports whether a VM says that a job has ended.
-func (s *rivalSoak) shownAsEnded(j *standingJob, i int) bool {
-	a := soakCall(http.MethodGet, s.vms[i%len(s.vms)].callers, "/"+j.kind.queue+"/"+j.id, "")
-	return slices.ContainsFunc([]string{"completed", "failed", "cancelled"}, func(state string) bool { return strings.Contains(a.body, `"`+state+`"`) })
+// askForStates asks for the states of the accepted jobs, until stop is closed: a VM forgets a
+// job some time after its end.
+func (s *rivalSoak) askForStates(stop chan struct{}) {
+	client := &http.Client{Timeout: rivalAnswer}
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(rivalStates):
+		}
+		for _, j := range s.unended() {
+			_, body := platformstandin.Call(client, http.MethodGet, s.vms[i%len(s.vms)].callers, "/"+j.kind.queue+"/"+j.id, platformstandin.Key, "")
+			s.noteState(j, body)
+		}
+	}
+}
+
+// noteState notes that a job has ended and checks that it has done so with reason.
+func (s *rivalSoak) noteState(j *standingJob, body string) {
+	var a struct{ State string }
+	_ = json.Unmarshal([]byte(body), &a) // an answer without a state tells nothing
+	s.mu.Lock()
+	ended, mayFail, cancelled := j.ended(), j.mayFail, j.cancelled
+	if slices.Contains([]string{"completed", "failed", "cancelled"}, a.State) {
+		s.ends[j.id] = a.State
+	}
+	s.mu.Unlock()
+	if a.State == "completed" && !ended || a.State == "failed" && !mayFail || a.State == "cancelled" && !cancelled {
+		s.problemf("job %s is shown as %s without reason\n%s", j.id, a.State, s.historyOf(j.id))
+	}
 }
 
 func (s *rivalSoak) anyRunning() bool {
