--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -18,12 +18,13 @@
 	}
 	expiry := s.Settings.Lease*100/minClockRatePercent + s.Settings.leaseEndSlack()
 	timedOut := now.Sub(s.LeadingSince) > s.givesUpAfter(expiry)
-	unanswered, anyLeft := false, false
+	unanswered, anyLeft, endsFollow := false, false, false
 	for _, w := range s.tracking.unanswered {
+		endsFollow = endsFollow || w.listsFurtherEnds()
 		unanswered = unanswered || !w.departed
 		anyLeft = anyLeft || w.mayHaveLeft() || (w.refuses && !w.departed)
 	}
-	if unanswered && !timedOut {
+	if unanswered && (!timedOut || endsFollow) {
 		if anyLeft {
 			s.requestMachines(now)
 		}
@@ -64,6 +65,16 @@
 	return all, s.machines != nil
 }
 
+// hasListedAll reports whether the worker has answered a hold of this epoch and its last
+// answer has listed all its runs and ends.
+func (w *worker) hasListedAll() bool { return w.fenced && !w.endsMissing }
+
+// listsFurtherEnds reports whether the worker will list the ends that its last answer may
+// lack, once those before are stored.
+func (w *worker) listsFurtherEnds() bool {
+	return w.fenced && w.endsMissing && !w.listsNoFurtherEnds() && w.unresponsiveSince.IsZero()
+}
+
 // mayHaveLeft reports whether a worker that has not answered this leader may have
 // left: it is unlisted or draining. The list keeps the entry of a worker for seconds
 // after it left.
@@ -111,7 +122,9 @@
 		s.logDecision(Decision{Message: "departed worker has no machine any more", Worker: id, Details: Details{"machines": len(s.machines), "listed": w.listed, detailRuns: len(w.runs)}})
 		s.noteCrash(now, w, evidenceNoMachine)
 		for _, p := range w.sortedRuns() {
-			s.loseRun(now, w, p, "no machine runs its worker any more")
+			if !p.startOpen { // else a try may reach the next instance
+				s.giveUpRun(now, w, p, "no machine runs its worker any more")
+			}
 		}
 		s.touch(w)
 	}
