A test of relayed calls waits until the VM knows another one

TestVMRefusedByStoreRelaysThroughPeer failed once in a run of all tests beside load, with 503 instead of 200, 12 ms after the VM's start. The VM had registered but had not read the address of the other one when the store began to refuse its calls. The test still requires that the first submission is accepted; it waits before for a call about an unknown job to be answered through the other VM. Ruled out: a fault of the VM, which refuses what it cannot store.

--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -279,6 +279,11 @@
 	s := newCluster(t, 1, 2)
 	s.waitFor("the VMs have registered", func() bool { return s.store.Get("keyed.vms", "vm1") != nil })
 	s.vms[1].storeProxy.Unavailable.Store(true)
+	const unknown = "00000000000000ff"
+	s.waitFor("the VM has read the address of the other one", func() bool {
+		status, _ := s.vms[1].call(http.MethodGet, "/slow/"+unknown, "key", "")
+		return status == http.StatusGone
+	})
 	status, body := s.vms[1].call(http.MethodPost, "/slow/"+jobID, "key", jobBody("50ms", 1))
 	is.Equal(status, http.StatusOK)
 	if status != http.StatusOK {
