Failing test: a leader that cannot renew starts inherited tasks after a crash

What callers could see: a task starts again after its success was acknowledged.

That a worker has departed proves that nothing runs there, not that nothing has succeeded.

--- a/internal/jobs/scheduler/rivals_ends_test.go
+++ b/internal/jobs/scheduler/rivals_ends_test.go
@@ -106,3 +106,25 @@
 	}
 	is.Equal(len(r.starts["w1"])+len(r.starts["w2"]), 2) // no other leads
 }
+
+// The crashed worker had not answered: a later leader may have reached it before.
+func TestLeaderThatCannotRenewStartsNoInheritedTaskOnceAWorkerHasCrashed(t *testing.T) {
+	is := is.New(t)
+	r := newRival(rivalsBegan, 2, "w2")
+	r.s.Settings.Machines = true
+	now := rivalsBegan
+	for ; now.Before(rivalsBegan.Add(4 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		r.apply(r.s.Reduce(now, machinesUp("w1", "w2")))
+		r.step(now, rivalsBegan)
+	}
+	for ; now.Before(rivalsBegan.Add(7 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		r.stepWithout(now, "w1")
+	}
+	is.Equal(len(r.starts["w2"]), 0)
+	for range 5 {
+		now = now.Add(100 * time.Millisecond)
+		r.apply(r.s.Reduce(now, scheduler.Confirmed{Sent: now}))
+		r.stepWithout(now, "w1")
+	}
+	is.Equal(len(r.starts["w2"]), 1) // no other leads
+}
