A leader that cannot renew starts no inherited task when its recovery ends

What callers could see: a task starts again after its success was acknowledged. Cause: the end of a recovery was taken as proof that all runs and ends of earlier leaders are known. Outside the confirmed time a later leader may have acknowledged ends on a worker that this leader had not heard and that has crashed or restarted since, which also loses the fence that would tell.

Change: a recovery that ends outside the confirmed time lets the inherited jobs wait until a renewal succeeds, as for tasks of crashed workers. Jobs that run until they are cancelled do not wait, as their tasks start again however they end.

Ruled out: to wait only if a worker has departed, as one that restarts looks like one that was never used. The cost: a leader that claims just before the store goes away for all starts inherited jobs when it is back.

--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -37,6 +37,7 @@
 	unanswered = unanswered || !known || len(unlisted) > 0
 	s.recovering = false
 	s.placementDue = true
+	s.holdInherited(now)
 	if unanswered {
 		s.abandonInherited()
 	}
@@ -47,6 +48,17 @@
 	}})
 }
 
+// holdInherited lets the jobs of earlier leaders wait for a renewal if another VM may lead: it
+// may have acknowledged a success on a worker that has crashed since.
+func (s *Scheduler) holdInherited(now time.Time) {
+	since := s.unconfirmedSince(now)
+	for _, j := range s.active {
+		if j.offset <= s.LastInheritedOffset && j.unconfirmedSince.IsZero() && !j.runsUntilCancelled() {
+			j.unconfirmedSince = since
+		}
+	}
+}
+
 // unlistedWorkers returns the workers of machines that are up and that the list of workers
 // lacks, sorted, and false if the list of machines is not available. The entry of a worker
 // expires if its heartbeats do not reach the store, although its runs continue, and all
