--- a/internal/jobs/scheduler/lease.go
+++ b/internal/jobs/scheduler/lease.go
@@ -2,16 +2,12 @@
 
 import "time"
 
-// A new leader waits for one lease from its claim before it concludes that runs on a worker
-// that does not answer have ended. So no lease that this leader grants may last for longer
-// than one lease after the latest time at which no other VM can have claimed the leadership.
-
 const (
 	maxLookAge  = 500 * time.Millisecond // age of a worker's last answer up to which it cannot have restarted since
-	minSendTime = 100 * time.Millisecond // for which a start may be sent
+	minSendTime = 100 * time.Millisecond // for which a start may be sent; else it waits for an answer of its worker
 )
 
-// unconfirmedFor returns for how long another VM may have been the leader.
+// unconfirmedFor returns for how long another VM may have been the leader, 0 if none can be.
 func (s *Scheduler) unconfirmedFor(now time.Time) time.Duration {
 	d := elapsed(now, s.ConfirmedAt) - confirmWindow
 	if s.released {
@@ -21,11 +17,25 @@
 }
 
 // leaseDeadline returns the latest end of a lease that may be granted now, on the worker's
-// clock.
+// clock. A new leader concludes one lease after its claim that nothing runs on a worker that it
+// has not reached, so the lease is shortened by the time for which that leader may have waited.
 func (s *Scheduler) leaseDeadline(now time.Time, w *worker) int64 {
 	return max(0, w.minClock(now)+(s.Settings.Lease-s.unconfirmedFor(now)).Milliseconds())
 }
 
+// noteGrant records the latest end of a lease on a worker.
+func (s *Scheduler) noteGrant(now time.Time, w *worker, deadlineMS int64) {
+	w.leaseDeadlineMS = max(w.leaseDeadlineMS, deadlineMS)
+	left := time.Duration(deadlineMS-w.minClock(now)) * time.Millisecond * 100 / minClockRatePercent
+	if at := now.Add(left); at.After(s.grantedUntil) {
+		s.grantedUntil = at
+	}
+}
+
+// GrantedUntil returns the latest time, by this VM's clock, at which a lease that this leader
+// has granted may end, the zero value for none. It must not be called while Reduce runs.
+func (s *Scheduler) GrantedUntil() time.Time { return s.grantedUntil }
+
 // mayStart reports whether leases may still be granted for long enough to start tasks.
 func (s *Scheduler) mayStart(now time.Time) bool {
 	d := s.unconfirmedFor(now)
--- a/internal/jobs/scheduler/proof.go
+++ b/internal/jobs/scheduler/proof.go
@@ -47,16 +47,3 @@
 	all := append(slices.Sorted(maps.Keys(s.tracking.unanswered)), unlisted...)
 	return all[:min(len(all), maxUnheardLogged)]
 }
-
-// noteGrant records the latest end of a lease on a worker.
-func (s *Scheduler) noteGrant(now time.Time, w *worker, deadlineMS int64) {
-	w.leaseDeadlineMS = max(w.leaseDeadlineMS, deadlineMS)
-	left := time.Duration(deadlineMS-w.minClock(now)) * time.Millisecond * 100 / minClockRatePercent
-	if at := now.Add(left); at.After(s.grantedUntil) {
-		s.grantedUntil = at
-	}
-}
-
-// GrantedUntil returns the latest time, by this VM's clock, at which a lease that this leader
-// has granted may end, the zero value for none. It must not be called while Reduce runs.
-func (s *Scheduler) GrantedUntil() time.Time { return s.grantedUntil }
