--- a/internal/jobs/registrar/registrar.go
+++ b/internal/jobs/registrar/registrar.go
@@ -30,12 +30,14 @@
 // Entry is the recorded state of a job.
 type Entry struct {
 	Job       scheduler.Job
-	Offset    int64 // of the submission record
+	Part      int   // partition of the submission record that was read first
+	Offset    int64 // of that record
 	Progress  scheduler.Progress
 	Cancelled bool
 
 	Occurrences map[int]scheduler.Progress // of a scheduled job, by index; set only in entries that Submitted and Entries give out
 
+	zeroOffset     int64 // of the submission record in partition 0, -1 if it holds none
 	progressOffset int64 // offset of the last progress record
 	hasProgress    bool  // it has progress in the store
 }
@@ -65,7 +67,7 @@
 // it gets records.
 type Registrar struct {
 	Malformed func(key string, offset int64, err error) // called for each record that can't be decoded
-	Submitted func(Entry)                               // called for each new job, in log order
+	Submitted func(Entry)                               // called for each new job, in the order of its partition
 	Cancelled func(id string)                           // called for each new cancellation
 
 	order            sync.Mutex // held while jobs and cancellations are applied and reported; never taken after mu
@@ -75,7 +77,8 @@
 	unmatchedCancels map[string]bool      // of jobs whose submission was not read yet
 	malformed        map[string]bool      // jobs whose submission can't be decoded
 	leftovers        map[string]bool      // deleted jobs whose progress is still stored
-	next             map[string]int64     // by topic, offset of the next record
+	next             map[string]int64     // by topic or partition of one, offset of the next record
+	elsewhere        map[string][]int     // by job, partitions other than 0 that hold records of it
 }
 
 // New returns an empty registrar.
@@ -90,37 +93,45 @@
 		malformed:        map[string]bool{},
 		leftovers:        map[string]bool{},
 		next:             map[string]int64{},
+		elsewhere:        map[string][]int{},
 	}
 }
 
-// ApplyJobs applies records of TopicJobs. A cancellation is reported after its job, even if
-// another goroutine has applied the record of the job.
-func (r *Registrar) ApplyJobs(b tailer.Batch) {
+// ApplyJobs applies records of partition 0 of TopicJobs. A cancellation is reported after its
+// job, even if another goroutine has applied the record of the job.
+func (r *Registrar) ApplyJobs(b tailer.Batch) { r.ApplyJobsOf(0, b) }
+
+// ApplyJobsOf applies records of a partition of TopicJobs like ApplyJobs.
+func (r *Registrar) ApplyJobsOf(part int, b tailer.Batch) {
 	r.order.Lock()
 	defer r.order.Unlock()
 	r.mu.Lock()
-	var submitted []Entry
-	var cancelled []string
+	var submitted, cancelled []string
 	slices.SortStableFunc(b.Records, func(a, b accessor.Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	applied := r.next[TopicJobs]
-	for _, v := range b.Records {
+	name := accessor.Partition(TopicJobs, part)
+	applied := r.next[name]
+	for _, v := range newestOfKeys(b.Records) {
 		if v.Offset < applied {
 			continue // a late reader's: the job may have been deleted since
 		}
 		id, isJob := strings.CutPrefix(v.Key, jobPrefix)
 		if isJob {
-			if e, ok := r.applyJob(id, v); ok {
-				submitted = append(submitted, e)
+			if r.applyJob(id, part, v) {
+				submitted = append(submitted, id)
 			}
 			continue
 		}
-		if id, ok := strings.CutPrefix(v.Key, cancelPrefix); ok && r.applyCancel(id, v) {
+		if id, ok := strings.CutPrefix(v.Key, cancelPrefix); ok && r.applyCancel(id, part, v) {
 			cancelled = append(cancelled, id)
 		}
 	}
-	r.advanceNext(TopicJobs, b.Next)
+	if b.Snapshot && b.Next >= applied {
+		r.forgetMissing(part, b)
+	}
+	r.advanceNext(name, b.Next)
+	entries := r.entriesOf(submitted)
 	r.mu.Unlock()
-	for _, e := range submitted {
+	for _, e := range entries {
 		r.Submitted(e)
 	}
 	for _, id := range cancelled {
@@ -128,15 +139,54 @@
 	}
 }
 
-func (r *Registrar) applyJob(id string, v accessor.Record) (Entry, bool) {
+// newestOfKeys returns the newest record of each key, in the order of records. What a reader
+// finds deleted since must not be reported: its progress is deleted too.
+func newestOfKeys(records []accessor.Record) []accessor.Record {
+	last := make(map[string]int, len(records))
+	for i, v := range records {
+		last[v.Key] = i
+	}
+	if len(last) == len(records) {
+		return records
+	}
+	newest := make([]accessor.Record, 0, len(last))
+	for i, v := range records {
+		if last[v.Key] == i {
+			newest = append(newest, v)
+		}
+	}
+	return newest
+}
+
+// entriesOf returns the entries of those of the given jobs that are known, with the progress of
+// their occurrences.
+func (r *Registrar) entriesOf(ids []string) []Entry {
+	all := make([]Entry, 0, len(ids))
+	for _, id := range ids {
+		if e, ok := r.jobs[id]; ok {
+			all = append(all, r.withOccurrences(e))
+		}
+	}
+	return all
+}
+
+// applyJob applies the record of a job and reports whether the job is new.
+func (r *Registrar) applyJob(id string, part int, v accessor.Record) bool {
 	if len(v.Value) == 0 {
-		r.deleteJob(id)
-		return Entry{}, false
+		r.deleteJob(id, part)
+		return false
 	}
-	if _, ok := r.jobs[id]; ok {
-		return Entry{}, false
+	r.noteElsewhere(id, part)
+	if e, ok := r.jobs[id]; ok {
+		if part == 0 {
+			e.zeroOffset = v.Offset
+		}
+		return false
+	}
+	e := &Entry{Part: part, Offset: v.Offset, zeroOffset: -1}
+	if part == 0 {
+		e.zeroOffset = v.Offset
 	}
-	e := &Entry{Offset: v.Offset}
 	err := json.Unmarshal(v.Value, &e.Job)
 	if err == nil {
 		err = e.Job.Validate() // a leader relies on it
@@ -144,7 +194,7 @@
 	if err != nil {
 		r.malformed[id] = true
 		r.Malformed(v.Key, v.Offset, err)
-		return Entry{}, false
+		return false
 	}
 	delete(r.malformed, id)
 	delete(r.leftovers, id)
@@ -154,11 +204,87 @@
 	delete(r.unmatched, id)
 	delete(r.unmatchedCancels, id)
 	r.jobs[id] = e
-	return r.withOccurrences(e), true
+	return true
+}
+
+// noteElsewhere records that a partition other than 0 holds a record of a job.
+func (r *Registrar) noteElsewhere(id string, part int) {
+	if part != 0 && !slices.Contains(r.elsewhere[id], part) {
+		r.elsewhere[id] = append(r.elsewhere[id], part)
+	}
+}
+
+// deleteJob applies the deletion of a job from a partition. The leader deletes a job from
+// partition 0 last, so it is gone then; another VM may not read that from the others.
+func (r *Registrar) deleteJob(id string, part int) {
+	if part != 0 {
+		r.forgetElsewhere(id, part)
+		return
+	}
+	delete(r.elsewhere, id)
+	r.removeJob(id)
+}
+
+// forgetElsewhere records that a partition other than 0 holds no record of a job any more. The
+// job is gone if no other partition holds it.
+func (r *Registrar) forgetElsewhere(id string, part int) {
+	r.elsewhere[id] = slices.DeleteFunc(r.elsewhere[id], func(p int) bool { return p == part })
+	if len(r.elsewhere[id]) > 0 {
+		return
+	}
+	delete(r.elsewhere, id)
+	if e, ok := r.jobs[id]; !ok || e.zeroOffset < 0 {
+		delete(r.unmatchedCancels, id)
+		r.removeJob(id)
+	}
+}
+
+// forgetMissing applies the deletions that a snapshot of a partition shows by the absence of
+// keys: a VM that has not read the partition for long may have missed their records.
+func (r *Registrar) forgetMissing(part int, b tailer.Batch) {
+	present := make(map[string]bool, len(b.Records))
+	for _, v := range b.Records {
+		id, ok := strings.CutPrefix(v.Key, jobPrefix)
+		if !ok {
+			id = strings.TrimPrefix(v.Key, cancelPrefix)
+		}
+		present[id] = true
+	}
+	if part != 0 {
+		for id, parts := range r.elsewhere {
+			if !present[id] && slices.Contains(parts, part) {
+				r.forgetElsewhere(id, part)
+			}
+		}
+		return
+	}
+	for id, e := range r.jobs {
+		if present[id] || e.zeroOffset < 0 || e.zeroOffset >= b.Next {
+			continue
+		}
+		e.zeroOffset = -1
+		if len(r.elsewhere[id]) == 0 {
+			r.removeJob(id)
+		}
+	}
+}
+
+// Elsewhere returns the partitions other than 0 that hold records of any of the given jobs, with
+// these jobs.
+func (r *Registrar) Elsewhere(ids []string) map[int][]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := map[int][]string{}
+	for _, id := range ids {
+		for _, part := range r.elsewhere[id] {
+			all[part] = append(all[part], id)
+		}
+	}
+	return all
 }
 
-// deleteJob removes a job. Its progress is left until that is deleted too.
-func (r *Registrar) deleteJob(id string) {
+// removeJob removes a job. Its progress is left until that is deleted too.
+func (r *Registrar) removeJob(id string) {
 	if e, ok := r.jobs[id]; ok && e.hasProgress {
 		r.leftovers[id] = true
 	}
@@ -182,11 +308,14 @@
 	return n
 }
 
-func (r *Registrar) applyCancel(id string, v accessor.Record) bool {
+// applyCancel applies the record of a cancellation and reports whether it is new and of a known
+// job. A cancellation counts whatever partition holds it.
+func (r *Registrar) applyCancel(id string, part int, v accessor.Record) bool {
 	if len(v.Value) == 0 {
 		delete(r.unmatchedCancels, id)
 		return false
 	}
+	r.noteElsewhere(id, part)
 	e, ok := r.jobs[id]
 	if !ok {
 		r.unmatchedCancels[id] = true
@@ -259,8 +388,8 @@
 	return left
 }
 
-// NextOffset returns the offset of the next record of a topic, and whether the topic
-// has been read at all.
+// NextOffset returns the offset of the next record of a topic or a partition of it, and whether
+// it has been read at all.
 func (r *Registrar) NextOffset(topic string) (int64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -279,7 +408,8 @@
 	return *e, true
 }
 
-// Entries returns the entries of all jobs in log order.
+// Entries returns the entries of all jobs in the order of acceptance: offsets of different
+// partitions have no order.
 func (r *Registrar) Entries() []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -287,7 +417,9 @@
 	for _, e := range r.jobs {
 		all = append(all, r.withOccurrences(e))
 	}
-	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortFunc(all, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Job.AcceptedMS, b.Job.AcceptedMS), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Offset, b.Offset))
+	})
 	return all
 }
 
--- a/internal/jobs/registrar/registrar_test.go
+++ b/internal/jobs/registrar/registrar_test.go
@@ -22,7 +22,7 @@
 		is.True(err != nil)
 		malformed[key] = true
 	}
-	s := &scheduler.Scheduler{Epoch: 1, LastInheritedOffset: -1}
+	s := &scheduler.Scheduler{Epoch: 1}
 	submitted := 0
 	r.Submitted = func(e registrar.Entry) {
 		submitted++
--- a/internal/jobs/scheduler/abandon.go
+++ b/internal/jobs/scheduler/abandon.go
@@ -64,14 +64,30 @@
 // on workers that this leader has not reached.
 func (s *Scheduler) abandonInherited() {
 	for _, j := range s.active {
-		if j.offset > s.LastInheritedOffset {
-			continue
+		if j.inherited {
+			s.abandonWaiting(j)
 		}
-		for _, st := range j.steps {
-			for i := range st.tasks {
-				if st.tasks[i].state == taskWaiting {
-					s.abandonUpTo(j, st, i, s.Epoch*runsPerEpoch)
-				}
+	}
+}
+
+// abandonLate marks the waiting tasks of an inherited job that is read after the recovery. The
+// lease of a run of it may have expired meanwhile on a worker that did not answer.
+func (s *Scheduler) abandonLate(j *job) {
+	if !j.inherited || s.recovering || j.state.Ended() {
+		return
+	}
+	s.abandonWaiting(j)
+	for _, c := range j.occurrences {
+		s.abandonWaiting(c)
+	}
+}
+
+// abandonWaiting marks the waiting tasks of a job.
+func (s *Scheduler) abandonWaiting(j *job) {
+	for _, st := range j.steps {
+		for i := range st.tasks {
+			if st.tasks[i].state == taskWaiting {
+				s.abandonUpTo(j, st, i, s.Epoch*runsPerEpoch)
 			}
 		}
 	}
--- a/internal/jobs/scheduler/acknowledgement_test.go
+++ b/internal/jobs/scheduler/acknowledgement_test.go
@@ -32,7 +32,7 @@
 func TestEndIsAcknowledgedOnlySoonAfterAnswer(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_000_000, 0)
-	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: now, LastInheritedOffset: -1}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: now}
 	task := scheduler.TaskID{Job: "a"}
 	s.Reduce(now, scheduler.Submitted{Job: scheduler.Job{
 		ID: "a", Queue: "q", QueueConfig: scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 3}, AcceptedMS: now.UnixMilli(),
--- a/internal/jobs/scheduler/answer_test.go
+++ b/internal/jobs/scheduler/answer_test.go
@@ -20,7 +20,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Unix(1_000_000, 0)
-			s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: now, LastInheritedOffset: -1}
+			s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: now}
 			s.Reduce(now, scheduler.Submitted{Job: scheduler.Job{
 				ID: "a", Queue: "q", QueueConfig: scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 3}, AcceptedMS: now.UnixMilli(),
 				Steps: []scheduler.Step{{Tasks: 1, Need: placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}, EstimateMS: 1000}},
@@ -49,7 +49,7 @@
 func TestWorkerWithoutAnswerIsAskedAgainAtOnce(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_000_000, 0)
-	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: now, LastInheritedOffset: -1}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: now}
 	need := placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}
 	s.Reduce(now, scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{ID: "w", Address: "w", Service: "s", Rack: "r", StartedMS: 1, Capacity: need}}})
 	s.Reduce(now, scheduler.HoldResult{Worker: "w", Sent: now, Outcome: scheduler.OutcomeDone, ClockMS: 5000, StartedMS: 1})
--- a/internal/jobs/scheduler/bench_test.go
+++ b/internal/jobs/scheduler/bench_test.go
@@ -14,7 +14,7 @@
 func newBusyScheduler(b *testing.B, workers int) (*scheduler.Scheduler, time.Time, []scheduler.HoldResult) {
 	b.Helper()
 	now := time.Unix(1_000_000, 0)
-	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: now, ConfirmedAt: now, LastInheritedOffset: -1}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: now, ConfirmedAt: now}
 	queue := scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 3, ObjectiveMS: 1000}
 	s.Reduce(now, scheduler.ConfigChanged{Config: scheduler.Config{Queues: map[string]scheduler.Queue{"q": queue}}})
 	var all []scheduler.WorkerInfo
--- a/internal/jobs/scheduler/clockstep_test.go
+++ b/internal/jobs/scheduler/clockstep_test.go
@@ -28,7 +28,7 @@
 
 func newStepWorld(began time.Time) *stepWorld {
 	w := &stepWorld{at: began.Add}
-	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: began, LastInheritedOffset: -1}
+	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: began}
 	w.s.Reduce(began, scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{
 		ID: "w", Address: "w", Service: "s", Rack: "r", StartedMS: 1, Capacity: placer.Resources{MilliCores: 8000, MemoryMB: 8000},
 	}}})
--- a/internal/jobs/scheduler/day_test.go
+++ b/internal/jobs/scheduler/day_test.go
@@ -133,7 +133,7 @@
 
 func newDay(workers int) *day {
 	d := &day{start: time.Unix(1_000_000, 0), workers: map[string]*dayWorker{}, jobs: map[string]*dayJob{}}
-	d.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: d.start, ConfirmedAt: d.start.Add(time.Hour), LastInheritedOffset: -1}
+	d.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: d.start, ConfirmedAt: d.start.Add(time.Hour)}
 	var all []scheduler.WorkerInfo
 	for i := range workers {
 		w := &dayWorker{runs: map[scheduler.TaskID]*dayRun{}, info: scheduler.WorkerInfo{
--- a/internal/jobs/scheduler/earlier_leader_test.go
+++ b/internal/jobs/scheduler/earlier_leader_test.go
@@ -36,14 +36,14 @@
 
 func newRivalWith(now time.Time, epoch int64, steps []scheduler.Step, answers ...string) *rival {
 	r := &rival{
-		s:       &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: epoch, LeadingSince: now, LastInheritedOffset: epoch - 2}, // the first leader accepts the job
+		s:       &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: epoch, LeadingSince: now},
 		answers: answers, ends: map[string]int64{}, starts: map[string][]scheduler.Start{}, holds: map[string]bool{}, restarted: map[string]bool{},
 	}
 	var workers []scheduler.WorkerInfo
 	for _, id := range []string{"w1", "w2"} {
 		workers = append(workers, scheduler.WorkerInfo{ID: id, Address: id, Service: "s", Rack: "r", StartedMS: 1, Capacity: rivalNeed})
 	}
-	r.apply(r.s.Reduce(now, scheduler.Submitted{Job: scheduler.Job{
+	r.apply(r.s.Reduce(now, scheduler.Submitted{Inherited: epoch > 1, Job: scheduler.Job{
 		ID: "a", Queue: "q", QueueConfig: scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 3}, AcceptedMS: now.UnixMilli(),
 		Steps: steps,
 	}}, scheduler.WorkersListed{Workers: workers}))
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -12,16 +12,21 @@
 // Ticked reports that time has passed.
 type Ticked struct{}
 
-// Submitted adds an accepted job, in log order, with its stored progress.
+// Submitted adds an accepted job, in the order of acceptance, with its stored progress.
 type Submitted struct {
 	Job       Job
-	Offset    int64
+	Offset    int64 // in its partition
+	Inherited bool  // an earlier leader may have started it
 	Progress  Progress
 	Cancelled bool
 
 	Occurrences map[int]Progress // of a scheduled job
 }
 
+// JobsRead reports that all jobs have been read that an earlier leader may have started. Until
+// then, runs and ends of unknown jobs are kept.
+type JobsRead struct{}
+
 // Cancelled reports that a caller has cancelled a job.
 type Cancelled struct{ Job string }
 
@@ -139,6 +144,7 @@
 func (Ticked) isEvent()        {}
 func (Submitted) isEvent()     {}
 func (Cancelled) isEvent()     {}
+func (JobsRead) isEvent()      {}
 func (WorkersListed) isEvent() {}
 func (ConfigChanged) isEvent() {}
 func (HoldResult) isEvent()    {}
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -155,7 +155,7 @@
 	steps            []*step
 	state            State
 	acceptedAt       time.Time
-	offset           int64 // of its submission
+	inherited        bool // an earlier leader may have started it
 	endedAt          time.Time
 	dirty            bool          // it has changes that are not stored
 	awaitingStore    bool          // its tasks may start only after its progress is stored
@@ -166,8 +166,8 @@
 	occurrences      []*job        // of a scheduled job, else nil
 }
 
-func newJob(j Job, offset int64) *job {
-	n := &job{Job: j, queue: j.QueueConfig, state: StateQueued, acceptedAt: time.UnixMilli(j.AcceptedMS), offset: offset}
+func newJob(j Job, inherited bool) *job {
+	n := &job{Job: j, queue: j.QueueConfig, state: StateQueued, acceptedAt: time.UnixMilli(j.AcceptedMS), inherited: inherited}
 	for _, s := range j.Steps {
 		if j.Times > 0 {
 			break // its occurrences have the steps
--- a/internal/jobs/scheduler/late_ack_test.go
+++ b/internal/jobs/scheduler/late_ack_test.go
@@ -32,7 +32,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Unix(1_000_000, 0)
-			s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: now.Add(-2 * lease), ConfirmedAt: now.Add(time.Hour), LastInheritedOffset: -1}
+			s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: now.Add(-2 * lease), ConfirmedAt: now.Add(time.Hour)}
 			need := placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}
 			s.Reduce(now, scheduler.Submitted{Job: scheduler.Job{
 				ID: "a", Queue: "q", QueueConfig: scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 3}, AcceptedMS: now.UnixMilli(),
--- a/internal/jobs/scheduler/occurrence.go
+++ b/internal/jobs/scheduler/occurrence.go
@@ -44,7 +44,7 @@
 		c := parent.Job
 		c.ID, c.Times = OccurrenceID(parent.ID, k), 0
 		c.AcceptedMS = parent.FirstMS + int64(k)*parent.IntervalMS
-		n := newJob(c, parent.offset)
+		n := newJob(c, parent.inherited)
 		n.queue = parent.queue
 		n.notBefore = time.UnixMilli(c.AcceptedMS)
 		n.parent = parent
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -101,7 +101,7 @@
 	}
 	var all []ranked
 	for _, j := range s.active {
-		if (s.recovering && j.offset <= s.LastInheritedOffset) || now.Before(j.notBefore) || !j.unconfirmedSince.IsZero() || j.awaitingStore {
+		if (s.recovering && j.inherited) || now.Before(j.notBefore) || !j.unconfirmedSince.IsZero() || j.awaitingStore {
 			continue
 		}
 		r := ranked{start: j.acceptedAt.Add(j.objective() - j.criticalPath), class: 1}
--- a/internal/jobs/scheduler/proof.go
+++ b/internal/jobs/scheduler/proof.go
@@ -34,9 +34,9 @@
 	case v != nil:
 		d["previous-run"], d["previous-worker"] = v.run, v.worker
 		d["previous-ended-by"], d["previous-ended-ms"] = v.proof, now.Sub(v.at).Milliseconds()
-	case j.offset <= s.LastInheritedOffset && s.recovery.unheard:
+	case j.inherited && s.recovery.unheard:
 		d["previous-ended-by"], d["previous-ended-ms"] = "recovery timed out", now.Sub(s.recovery.at).Milliseconds()
-	case j.offset <= s.LastInheritedOffset:
+	case j.inherited:
 		d["previous-ended-by"], d["previous-ended-ms"] = "all workers were heard", now.Sub(s.recovery.at).Milliseconds()
 	}
 }
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -53,7 +53,7 @@
 func (s *Scheduler) holdInherited(now time.Time) {
 	since := s.unconfirmedSince(now)
 	for _, j := range s.active {
-		if j.offset <= s.LastInheritedOffset && j.unconfirmedSince.IsZero() && !j.runsUntilCancelled() {
+		if j.inherited && j.unconfirmedSince.IsZero() && !j.runsUntilCancelled() {
 			j.unconfirmedSince = since
 		}
 	}
--- a/internal/jobs/scheduler/restarted_worker_test.go
+++ b/internal/jobs/scheduler/restarted_worker_test.go
@@ -27,7 +27,7 @@
 
 func newRestartWorld() *restartWorld {
 	r := &restartWorld{now: time.Unix(1_000_000, 0)}
-	r.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: r.now, LastInheritedOffset: -1}
+	r.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 1, LeadingSince: r.now}
 	r.feed(scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{restartInfo("w1", 1)}})
 	r.feed(scheduler.HoldResult{Worker: "w1", Sent: r.now, Outcome: scheduler.OutcomeDone, ClockMS: oldClock, StartedMS: 1})
 	return r
@@ -44,6 +44,13 @@
 	}}
 }
 
+// inheritedJob returns such a job, which an earlier leader may have started.
+func inheritedJob(id string) scheduler.Submitted {
+	e := restartJob(id, 0)
+	e.Inherited = true
+	return e
+}
+
 // feed handles events and collects the effects.
 func (r *restartWorld) feed(events ...scheduler.Event) {
 	for _, f := range r.s.Reduce(r.now, events...) {
--- a/internal/jobs/scheduler/rivals_term_test.go
+++ b/internal/jobs/scheduler/rivals_term_test.go
@@ -93,7 +93,7 @@
 	v := t.vm
 	t.s = &scheduler.Scheduler{
 		Settings: scheduler.Settings{Lease: lease, StopTime: rivalsStopTime, Machines: true},
-		Epoch:    t.epoch, LeadingSince: v.w.now, LastInheritedOffset: int64(len(v.jobs)) - 1, ConfirmedAt: v.w.now,
+		Epoch:    t.epoch, LeadingSince: v.w.now, ConfirmedAt: v.w.now,
 	}
 	if !v.lastConfirmed.IsZero() {
 		t.s.ConfirmedAt = v.lastConfirmed
@@ -103,7 +103,7 @@
 	}
 	t.post(scheduler.ConfigChanged{Config: scheduler.Config{Queues: map[string]scheduler.Queue{"q": rivalsQueue}, Pools: map[string]bool{"s": false}}})
 	for _, j := range v.jobs {
-		j.Progress = t.progress[j.Job.ID]
+		j.Progress, j.Inherited = t.progress[j.Job.ID], true
 		t.post(j)
 	}
 	t.decide()
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -12,10 +12,10 @@
 // Scheduler is the control state of the leading VM. Its exported fields are set
 // before the first call of Reduce.
 type Scheduler struct {
-	Settings            Settings
-	Epoch               int64 // of the leadership, higher than all before
-	LeadingSince        time.Time
-	LastInheritedOffset int64 // offset of the last job that an earlier leader may have started
+	Settings     Settings
+	Epoch        int64 // of the leadership, higher than all before
+	LeadingSince time.Time
+	JobsUnread   bool // stored jobs of earlier leaders may follow until JobsRead
 
 	// ConfirmedAt is the send time of the last claim or renewal of the leadership that the
 	// store accepted; the zero value stands for LeadingSince.
@@ -25,8 +25,9 @@
 	workers   map[string]*worker
 	workerIDs []string // sorted
 	jobs      map[string]*job
-	active    []*job // jobs that have not ended, by offset
+	active    []*job // jobs that have not ended, in the order of their events
 
+	jobsReadAt      time.Time // when JobsRead came, else zero
 	released        bool      // another VM may lead already
 	releasedAt      time.Time // when released was set
 	grantedUntil    time.Time // latest end of a lease that this leader has granted, by its own clock
@@ -111,6 +112,8 @@
 		s.runTimers(now)
 	case Submitted:
 		s.submit(now, e)
+	case JobsRead:
+		s.JobsUnread, s.jobsReadAt = false, now
 	case Cancelled:
 		s.cancel(now, e.Job)
 	case WorkersListed:
@@ -179,7 +182,7 @@
 	if _, ok := s.jobs[e.Job.ID]; ok {
 		return
 	}
-	j := newJob(e.Job, e.Offset)
+	j := newJob(e.Job, e.Inherited)
 	j.unconfirmedSince = s.unconfirmedSince(now)
 	if q, ok := s.config.Queues[j.Queue]; ok {
 		j.queue = q
@@ -198,6 +201,7 @@
 		s.inheritOpenStarts(c)
 	}
 	s.adoptOrphans(now, j.ID)
+	s.abandonLate(j)
 	if e.Cancelled {
 		s.cancel(now, j.ID)
 	}
--- a/internal/jobs/scheduler/settings_test.go
+++ b/internal/jobs/scheduler/settings_test.go
@@ -21,7 +21,7 @@
 	} {
 		is := is.New(t)
 		now := time.Unix(1_000_000, 0)
-		s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, GangTimeout: c.timeout}, Epoch: 1, LeadingSince: now, LastInheritedOffset: -1}
+		s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, GangTimeout: c.timeout}, Epoch: 1, LeadingSince: now}
 		need := placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}
 		s.Reduce(now, scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{ID: "w", Service: "s", Rack: "r", StartedMS: 1, Capacity: need}}})
 		s.Reduce(now, scheduler.HoldResult{Worker: "w", Sent: now, Outcome: scheduler.OutcomeDone, ClockMS: 5000, StartedMS: 1})
--- a/internal/jobs/scheduler/stray.go
+++ b/internal/jobs/scheduler/stray.go
@@ -69,13 +69,16 @@
 }
 
 // dropOrphans drops the ends, and stops the runs, whose jobs were not read within
-// orphanTimeout: jobs that were never stored or were deleted long ago.
+// orphanTimeout: jobs that were never stored or were deleted long ago. It keeps all while a
+// partition of the stored jobs has not been read.
 func (s *Scheduler) dropOrphans(now time.Time, w *worker) {
-	if w.orphanRuns == 0 && len(w.orphanEnds) == 0 {
+	if s.JobsUnread || (w.orphanRuns == 0 && len(w.orphanEnds) == 0) {
 		return
 	}
 	defer s.forgetOrphaned(w)
-	timedOut := func(at time.Time) bool { return now.Sub(at) > orphanTimeout }
+	timedOut := func(at time.Time) bool {
+		return now.Sub(at) > orphanTimeout && now.Sub(s.jobsReadAt) > orphanTimeout
+	}
 	w.orphanEnds = slices.DeleteFunc(w.orphanEnds, func(v orphanEnd) bool { return timedOut(v.listedAt) })
 	if w.orphanRuns == 0 {
 		return
--- a/internal/jobs/scheduler/takeover_test.go
+++ b/internal/jobs/scheduler/takeover_test.go
@@ -28,7 +28,7 @@
 func TestLostRunRestartsOnlyAfterLeaseFromEarlierLeader(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_000_000, 0)
-	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 2, LeadingSince: now, LastInheritedOffset: -1}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 2, LeadingSince: now}
 	workerInfo := func(id string) scheduler.WorkerInfo {
 		return scheduler.WorkerInfo{ID: id, Address: id, Service: "s", Rack: "r", StartedMS: 1, Capacity: placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}}
 	}
--- a/internal/jobs/scheduler/unlisted_test.go
+++ b/internal/jobs/scheduler/unlisted_test.go
@@ -23,8 +23,8 @@
 	}
 	is.Equal(len(first.starts["w1"]), 1)
 	second := &rival{answers: []string{"w2"}, ends: map[string]int64{}, starts: map[string][]scheduler.Start{}, holds: map[string]bool{}, restarted: map[string]bool{}}
-	second.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 2, LeadingSince: now, LastInheritedOffset: 0}
-	second.apply(second.s.Reduce(now, restartJob("a", 0), scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{restartInfo("w2", 1)}}))
+	second.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease}, Epoch: 2, LeadingSince: now}
+	second.apply(second.s.Reduce(now, inheritedJob("a"), scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{restartInfo("w2", 1)}}))
 	for len(second.starts["w2"]) == 0 {
 		is.True(now.Before(began.Add(time.Minute))) // the task is started again
 		now = now.Add(100 * time.Millisecond)
--- a/internal/jobs/scheduler/upkeep_test.go
+++ b/internal/jobs/scheduler/upkeep_test.go
@@ -26,7 +26,7 @@
 	now := time.Unix(1_000_000, 0)
 	return &machineWorld{
 		s: &scheduler.Scheduler{
-			Settings: scheduler.Settings{Lease: 10 * time.Second, Machines: true}, Epoch: 1, LeadingSince: now, ConfirmedAt: now, LastInheritedOffset: -1,
+			Settings: scheduler.Settings{Lease: 10 * time.Second, Machines: true}, Epoch: 1, LeadingSince: now, ConfirmedAt: now,
 		},
 		now: now, outcome: outcome, worker: "w", begun: map[string]int{}, completed: map[int]bool{},
 	}
--- a/internal/jobs/scheduler/waits.go
+++ b/internal/jobs/scheduler/waits.go
@@ -130,7 +130,7 @@
 // does.
 func (s *Scheduler) heldBy(now time.Time, j *job) condition {
 	switch {
-	case s.recovering && j.offset <= s.LastInheritedOffset:
+	case s.recovering && j.inherited:
 		return conditionRecovery
 	case !j.unconfirmedSince.IsZero() || !s.mayStart(now):
 		return conditionUnconfirmed
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -111,11 +111,12 @@
 	for _, v := range w.workers {
 		v.openHolds = nil
 	}
-	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, Machines: true}, Epoch: w.epoch, LeadingSince: w.now, LastInheritedOffset: int64(len(w.jobs)) - 1}
+	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, Machines: true}, Epoch: w.epoch, LeadingSince: w.now}
 	w.feed(scheduler.ConfigChanged{Config: w.config})
+	inherited := true
 	for _, e := range slices.SortedFunc(maps.Values(w.jobs), func(a, b scheduler.Submitted) int { return cmp.Compare(a.Offset, b.Offset) }) {
 		e.Progress, e.Cancelled = w.stored[e.Job.ID], w.cancelled[e.Job.ID]
-		e.Occurrences = map[int]scheduler.Progress{}
+		e.Inherited, e.Occurrences = inherited, map[int]scheduler.Progress{}
 		for k := range e.Job.Times {
 			e.Occurrences[k] = w.stored[scheduler.OccurrenceID(e.Job.ID, k)]
 		}
@@ -123,7 +124,7 @@
 			continue
 		}
 		if e.Job.ID == w.unreadJob {
-			w.s.LastInheritedOffset = e.Offset - 1
+			inherited = false
 			continue
 		}
 		w.feed(e)
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -56,6 +56,8 @@
 	leading        atomic.Bool
 	releasedAt     atomic.Pointer[time.Time] // when this process began to release the leadership, nil before
 	electorEvents  chan electorEvent
+	parts          parts
+	partsRead      sharedRead
 	claimNumber    int64                     // number of claims and renewals sent
 	unconfirmed    map[int64]time.Time       // send times of claims and renewals that are not known to be stored, by number
 	lastConfirmed  atomic.Pointer[time.Time] // send time of the newest stored claim or renewal
@@ -104,6 +106,7 @@
 		Peers:         a.peers.list,
 		DirectChanged: a.logDirectAccess,
 		Now:           a.Now,
+		ProbedTopic:   platform.WireTopic(registrar.TopicJobs),
 	}
 	a.store = a.relayer.StoreClient()
 	a.metrics = recorder.New()
@@ -138,18 +141,20 @@
 		},
 		Now: a.Now,
 	}
-	a.registrar.Submitted = func(e registrar.Entry) { a.commander.Post(submittedEvent(e)) }
+	a.registrar.Submitted = func(e registrar.Entry) { a.commander.Post(a.submittedEvent(e)) }
 	a.registrar.Cancelled = func(id string) { a.commander.Post(scheduler.Cancelled{Job: id}) }
 	a.gatekeeper = &gatekeeper.Gatekeeper{
 		Config: a.config.Load, Registrar: a.registrar, Now: a.Now,
 		StoreJob: a.storeJob, StoreCancellation: a.storeCancellation, CatchUpJobs: a.catchUpJobs,
+		CatchUpOtherParts: a.catchUpOtherParts, RetryAfter: retryAfter,
 		CatchUpProgress: (&progressReader{Read: a.catchUpProgress, Now: a.Now, Failed: a.recordStaleStatus}).read,
 	}
 }
 
-func submittedEvent(e registrar.Entry) scheduler.Submitted {
+// submittedEvent returns the event for a job that was read in the present term, if there is one.
+func (a *Assembler) submittedEvent(e registrar.Entry) scheduler.Submitted {
 	return scheduler.Submitted{
-		Job: e.Job, Offset: e.Offset, Progress: e.Progress, Cancelled: e.Cancelled, Occurrences: e.Occurrences,
+		Job: e.Job, Offset: e.Offset, Inherited: a.parts.inherited(e), Progress: e.Progress, Cancelled: e.Cancelled, Occurrences: e.Occurrences,
 	}
 }
 
@@ -187,79 +192,6 @@
 	a.log("read").WithFields(logrus.Fields{"key": key, "offset": offset}).WithError(err).Warn("skipping malformed record")
 }
 
-// appendAndConfirm appends records of jobs. While it waits for the answer it also reads
-// the topic, and returns once the records are there: then only the answer was lost.
-func (a *Assembler) appendAndConfirm(ctx context.Context, records []accessor.Record, stored func() bool) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan error, 1)
-	go func() { done <- a.appendJobs(ctx, records) }()
-	t := time.NewTicker(confirmInterval)
-	defer t.Stop()
-	for {
-		select {
-		case err := <-done:
-			return err
-		case <-t.C:
-			if a.catchUpJobs(ctx) == nil && stored() {
-				a.metrics.Count("appends-seen", 1)
-				return nil
-			}
-		}
-	}
-}
-
-// appendJobs appends records of jobs. It returns ErrNotStored if they are certainly not
-// stored, else it retries until the context ends. Appending them twice has no effect.
-func (a *Assembler) appendJobs(ctx context.Context, records []accessor.Record) error {
-	uncertain := false
-	for {
-		_, err := a.store.Append(ctx, accessor.Append{Topic: platform.WireTopic(registrar.TopicJobs), Records: records, ExpectedEnd: accessor.AnyOffset})
-		if err == nil {
-			return nil
-		}
-		a.metrics.Count("appends-failed", 1)
-		if !errors.Is(err, accessor.ErrNotDone) {
-			uncertain = true
-		}
-		if !uncertain {
-			return fmt.Errorf("%w: %w", gatekeeper.ErrNotStored, err)
-		}
-		if ctx.Err() != nil {
-			return err
-		}
-		time.Sleep(appendRetryDelay)
-	}
-}
-
-const (
-	appendRetryDelay = 50 * time.Millisecond  // between two attempts to append
-	confirmInterval  = 150 * time.Millisecond // between checks whether an unanswered append is stored; the store usually answers in 10 ms
-)
-
-func (a *Assembler) storeJob(ctx context.Context, j scheduler.Job) error {
-	r, err := registrar.JobRecord(j)
-	if err != nil {
-		return fmt.Errorf("%w: %w", gatekeeper.ErrNotStored, err)
-	}
-	return a.appendAndConfirm(ctx, []accessor.Record{r}, func() bool {
-		_, ok := a.registrar.Get(j.ID)
-		return ok
-	})
-}
-
-func (a *Assembler) storeCancellation(ctx context.Context, id string) error {
-	return a.appendAndConfirm(ctx, []accessor.Record{registrar.CancelRecord(id)}, func() bool {
-		e, ok := a.registrar.Get(id)
-		return ok && e.Cancelled
-	})
-}
-
-// catchUpJobs returns once all jobs that were stored before the call are read.
-func (a *Assembler) catchUpJobs(ctx context.Context) error {
-	return a.catchUp(ctx, registrar.TopicJobs)
-}
-
 // recordStaleStatus counts and logs that callers get states that may be stale.
 func (a *Assembler) recordStaleStatus(err error) {
 	a.metrics.Count("states-told-stale", 1)
@@ -271,15 +203,14 @@
 	return a.catchUp(ctx, registrar.TopicProgress)
 }
 
-// catchUp reads a topic to its current end. It does not use the tailer's long poll, as the
-// store may leave a long poll without an answer.
+// catchUp reads partition 0 of a topic to its current end. It does not use the tailer's long poll,
+// as the store may leave a long poll without an answer.
 func (a *Assembler) catchUp(ctx context.Context, topic string) error {
-	apply := a.registrar.ApplyProgress
 	if topic == registrar.TopicJobs {
-		apply = a.registrar.ApplyJobs
+		return a.catchUpPart(ctx, 0)
 	}
 	next, _ := a.registrar.NextOffset(topic)
-	if err := tailer.CatchUp(ctx, a.store, platform.WireTopic(topic), next, apply); err != nil {
+	if err := tailer.CatchUp(ctx, a.store, platform.WireTopic(topic), next, a.registrar.ApplyProgress); err != nil {
 		return fmt.Errorf("catch up with %s: %w", topic, err)
 	}
 	return nil
--- a/internal/node/assembler/deletion.go
+++ b/internal/node/assembler/deletion.go
@@ -67,16 +67,37 @@
 			records = append(records, registrar.DeletionRecords(id)...)
 		}
 	}
-	if err := w.appendDeletions(ctx, records); err != nil {
+	if err := w.deleteElsewhere(ctx, ids); err != nil {
+		return err
+	}
+	if err := w.appendDeletions(ctx, 0, records); err != nil {
 		return err
 	}
 	return w.deleteProgress(ctx, ids)
 }
 
-// appendDeletions deletes records of jobs, and retries until that is stored.
-func (w *progressWriter) appendDeletions(ctx context.Context, records []accessor.Record) error {
+// deleteElsewhere deletes jobs from the partitions other than 0 that hold records of them. It
+// waits until all partitions are read: a job that one of them still held would run again.
+func (w *progressWriter) deleteElsewhere(ctx context.Context, ids []string) error {
+	if err := w.assembler.awaitOtherParts(ctx); err != nil {
+		return err
+	}
+	for part, held := range w.assembler.registrar.Elsewhere(ids) {
+		var records []accessor.Record
+		for _, id := range held {
+			records = append(records, registrar.DeletionRecords(id)...)
+		}
+		if err := w.appendDeletions(ctx, part, records); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// appendDeletions deletes records of jobs from a partition, and retries until that is stored.
+func (w *progressWriter) appendDeletions(ctx context.Context, part int, records []accessor.Record) error {
 	for len(records) > 0 {
-		err := w.assembler.appendJobs(ctx, records)
+		err := w.assembler.appendUncertain(ctx, part, records)
 		if err == nil {
 			break
 		}
--- a/internal/node/assembler/deletion_test.go
+++ b/internal/node/assembler/deletion_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,7 +176,7 @@
 	a.metrics = recorder.New()
 	a.store = s.client()
 	w := &progressWriter{assembler: a, epoch: epoch}
-	if w.takeOver(ctx) != nil {
+	if w.takeOver(ctx, new(sync.WaitGroup)) != nil {
 		return
 	}
 	var ended []string
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -56,6 +56,7 @@
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(registrar.TopicProgress), readWait, progressPause, a.registrar.ApplyProgress))
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(topicLeader), readWait, topicPause(leaderReadShare), a.postClaims))
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(topicPeers), peersReadWait, topicPause(peersReadShare), a.peers.apply))
+	a.followOtherParts(ctx, g)
 	g.Go(func() error {
 		a.register(ctx)
 		return nil
@@ -98,6 +99,7 @@
 	} else {
 		l.Info("store has recovered")
 	}
+	a.noteTopicState(t, err == nil)
 	if t != platform.WireTopic(topicLeader) {
 		return
 	}
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -76,6 +76,7 @@
 			leader = l
 			a.log("elect").WithFields(logrus.Fields{"leader": l, "epoch": e.Epoch()}).Info("leader changed")
 		}
+		a.setClaimedParts(e.Parts())
 		current = a.updateLeadership(ctx, e, current)
 	}
 }
@@ -154,7 +155,7 @@
 // claim appends a claim if epoch is 0, else a renewal.
 func (a *Assembler) claim(ctx context.Context, e *elector.Elector, epoch int64) {
 	a.claimNumber++
-	c := elector.Claim{Holder: a.Settings.VM, Instance: a.instance, Epoch: epoch, Number: a.claimNumber}
+	c := elector.Claim{Holder: a.Settings.VM, Instance: a.instance, Epoch: epoch, Number: a.claimNumber, Parts: a.numParts()}
 	timeout := claimTimeout
 	if epoch != 0 {
 		timeout = renewTimeout
@@ -209,7 +210,7 @@
 		a.log("elect").WithField("epoch", e.Epoch()).WithError(err).Warn("leadership is not released: jobs read meanwhile might start twice")
 		return
 	}
-	c := elector.Claim{Holder: a.Settings.VM, Instance: a.instance, Epoch: e.Epoch(), Released: true}
+	c := elector.Claim{Holder: a.Settings.VM, Instance: a.instance, Epoch: e.Epoch(), Released: true, Parts: a.numParts()}
 	offset, err := a.appendClaim(ctx, c, e.NextOffset())
 	if errors.Is(err, accessor.ErrOffsetMismatch) {
 		a.readClaims(ctx, e) // a renewal or the release itself was stored without an answer
@@ -231,36 +232,42 @@
 	a.leading.Store(true)
 	defer a.leading.Store(false)
 	w := &progressWriter{assembler: a, epoch: epoch}
-	if err := w.takeOver(ctx); err != nil {
+	a.parts.beginTerm(a.numParts())
+	defer a.parts.endTerm()
+	x, cancel := context.WithCancel(ctx)
+	var following sync.WaitGroup
+	defer following.Wait() // what was read in this term must not reach the next one
+	defer cancel()
+	if err := w.takeOver(x, &following); err != nil {
 		l.WithError(err).Info("leadership ended before the scheduler started")
 		return
 	}
 	a.awaitOperatorRecords(ctx)
 	storedWaves, loans := a.readWavesAndLoans(ctx)
-	nextJob, _ := a.registrar.NextOffset(registrar.TopicJobs)
 	s := &scheduler.Scheduler{
 		Settings: scheduler.Settings{
 			Lease: a.Settings.Lease, GangTimeout: a.Settings.GangTimeout, StopTime: a.Settings.StopTime,
 			Machines: a.Settings.MachineService != "",
 		},
-		Epoch: epoch, LeadingSince: a.Now(), LastInheritedOffset: nextJob - 1, ConfirmedAt: a.Now(),
+		Epoch: epoch, LeadingSince: a.Now(), ConfirmedAt: a.Now(), JobsUnread: !a.parts.allRead(),
 	}
 	if sent := a.lastConfirmed.Load(); sent != nil {
 		s.ConfirmedAt = *sent
 	}
 	a.commander.StoreProgress = w.store
 	a.commander.DeleteJobs = w.deleteJobs
-	x, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var following sync.WaitGroup
 	err := a.commander.Lead(x, s, func() []scheduler.Event {
 		following.Go(func() { a.followWorkers(x) })
-		return append(a.initialEvents(), scheduler.WavesChanged{Waves: storedWaves},
+		initial := append(a.initialEvents(), scheduler.WavesChanged{Waves: storedWaves},
 			scheduler.WavesChanged{Waves: a.waves.list()}, // those read since; the scheduler ignores the ones that it knows
 			scheduler.LoansRestored{Loans: loans})
+		if s.JobsUnread && a.parts.allRead() {
+			initial = append(initial, scheduler.JobsRead{}) // no event could tell it before
+		}
+		return initial
 	})
 	cancel()
-	following.Wait() // a list that was read in this term must not reach the next one
+	following.Wait()
 	now := a.Now()
 	l.WithError(err).WithFields(logrus.Fields{
 		"after-ms": now.Sub(began).Milliseconds(), "released": a.releasedAt.Load() != nil, "unconfirmed-ms": now.Sub(s.ConfirmedAt).Milliseconds(),
@@ -278,7 +285,7 @@
 		all = append(all, scheduler.ConfigChanged{Config: c.SchedulerConfig()})
 	}
 	for _, e := range a.registrar.Entries() {
-		all = append(all, submittedEvent(e))
+		all = append(all, a.submittedEvent(e))
 	}
 	return all
 }
@@ -312,7 +319,7 @@
 
 // takeOver fences earlier leaders, which can then no longer store progress, and reads all
 // stored progress and jobs.
-func (w *progressWriter) takeOver(ctx context.Context) error {
+func (w *progressWriter) takeOver(ctx context.Context, following *sync.WaitGroup) error {
 	if err := w.append(ctx, nil); err != nil {
 		return err
 	}
@@ -329,6 +336,10 @@
 			_ = sleeper.Sleep(ctx, storeRetryDelay) // fails only when the context ends
 		}
 	}
+	w.assembler.parts.setBoundary(0, w.assembler.nextOffset(0))
+	if !w.assembler.readOtherParts(ctx, following) {
+		return nil // the progress that seems to be left over may be of jobs that are not read yet
+	}
 	return w.deleteLeftovers(ctx)
 }
 
--- a/internal/node/assembler/listen.go
+++ b/internal/node/assembler/listen.go
@@ -79,7 +79,7 @@
 			return t + " topic has not been read"
 		}
 	}
-	if at := a.storeDownSince.Load(); at != 0 && a.Now().Sub(time.UnixMilli(at)) > maxStoreOutage {
+	if at := a.storeDownSince.Load(); at != 0 && !a.otherPartsWork() && a.Now().Sub(time.UnixMilli(at)) > maxStoreOutage {
 		return "the store does not answer"
 	}
 	return ""
--- a/internal/node/commander/bench_test.go
+++ b/internal/node/commander/bench_test.go
@@ -131,7 +131,7 @@
 			Steps: []scheduler.Step{{Tasks: tasks, PerWorker: 1, Need: placer.Resources{MilliCores: 1000, MemoryMB: 100, Accelerators: 1}, EstimateMS: 60000}},
 		}}
 	}
-	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: now, ConfirmedAt: now.Add(time.Hour), LastInheritedOffset: -1}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: now, ConfirmedAt: now.Add(time.Hour)}
 	ended := make(chan error, 1)
 	go func() {
 		ended <- c.Lead(ctx, s, func() []scheduler.Event {
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -59,7 +59,7 @@
 		id := fmt.Sprintf("w%04d", i)
 		infos[i] = scheduler.WorkerInfo{ID: id, Address: id, Service: "s", Rack: "r", StartedMS: 1, Capacity: placer.Resources{MilliCores: 64000, MemoryMB: 65536, Accelerators: 8}}
 	}
-	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: time.Now(), ConfirmedAt: time.Now().Add(time.Hour), LastInheritedOffset: -1}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: time.Now(), ConfirmedAt: time.Now().Add(time.Hour)}
 	ended := make(chan error, 1)
 	go func() {
 		ended <- c.Lead(ctx, s, func() []scheduler.Event {
@@ -155,7 +155,7 @@
 		},
 		LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
 	}
-	s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+	s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now()}
 	err := c.Lead(ctx, s, func() []scheduler.Event {
 		return []scheduler.Event{scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{ID: "w", Address: "w", Service: "s", StartedMS: 1}}}}
 	})
@@ -193,7 +193,7 @@
 		LogDecision:   func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
 	}
 	queue := scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 3, ObjectiveMS: 1000}
-	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: time.Now(), ConfirmedAt: time.Now().Add(time.Hour), LastInheritedOffset: -1}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: time.Now(), ConfirmedAt: time.Now().Add(time.Hour)}
 	ended := make(chan error, 1)
 	go func() {
 		ended <- c.Lead(ctx, s, func() []scheduler.Event {
@@ -244,7 +244,7 @@
 			<-ctx.Done()
 			return scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeUnknown}
 		}
-		s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+		s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now()}
 		err := c.Lead(ctx, s, func() []scheduler.Event { return []scheduler.Event{scheduler.WorkersListed{Workers: infos}} })
 		is.True(err != nil)
 		for answered.Load() < calls.Load() {
@@ -283,7 +283,7 @@
 		StoreWave:   func(context.Context, scheduler.StoreWave) {},
 		LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
 	}
-	s := &scheduler.Scheduler{Settings: scheduler.Settings{Machines: true}, Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Machines: true}, Epoch: 1, LeadingSince: time.Now()}
 	err := c.Lead(ctx, s, func() []scheduler.Event {
 		return []scheduler.Event{
 			scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{
--- a/internal/node/commander/late_start_test.go
+++ b/internal/node/commander/late_start_test.go
@@ -35,7 +35,7 @@
 func repeatedStart(t *testing.T) (*scheduler.Scheduler, scheduler.StartResult, time.Time) {
 	is := is.New(t)
 	now := time.Unix(1_000_000, 0)
-	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second, Machines: true}, Epoch: 1, LeadingSince: now, LastInheritedOffset: -1}
+	s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second, Machines: true}, Epoch: 1, LeadingSince: now}
 	s.Reduce(now, scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{spareWorker("w1")}})
 	s.Reduce(now, scheduler.HoldResult{Worker: "w1", Sent: now, Outcome: scheduler.OutcomeDone, ClockMS: 60_000, StartedMS: 1})
 	starts := startsAmong(s.Reduce(now, scheduler.Submitted{Job: scheduler.Job{
--- a/internal/node/elector/elector.go
+++ b/internal/node/elector/elector.go
@@ -28,6 +28,7 @@
 	Epoch    int64  `json:"epoch,omitempty"`    // 0 in the claim itself
 	Number   int64  `json:"number,omitempty"`   // counts the claims and renewals by the holder's process
 	Released bool   `json:"released,omitempty"` // the holder is shutting down
+	Parts    int    `json:"parts,omitempty"`    // the holder reads jobs from partitions 0 to Parts-1; 0 from a version that knows only partition 0
 }
 
 // Encode returns the claim as the value of a record.
@@ -131,6 +132,15 @@
 	return e.latest.Holder
 }
 
+// Parts returns the number of partitions from which the leader reads jobs. Without a leader, the
+// next one may know only partition 0.
+func (e *Elector) Parts() int {
+	if e.latest.Released {
+		return 1
+	}
+	return max(1, e.latest.Parts)
+}
+
 // Leading reports whether this process is the leader. After a release it remains the
 // leader until another VM has claimed the leadership.
 func (e *Elector) Leading() bool { return e.holds() && e.latest.Epoch != e.endedEpoch }
--- a/internal/node/gatekeeper/gatekeeper.go
+++ b/internal/node/gatekeeper/gatekeeper.go
@@ -56,7 +56,9 @@
 	Registrar         *registrar.Registrar
 	StoreJob          func(context.Context, scheduler.Job) error // after an error that does not wrap ErrNotStored, the job may be stored
 	StoreCancellation func(ctx context.Context, id string) error // fails like StoreJob
-	CatchUpJobs       func(context.Context) error                // returns once all jobs that were stored before the call are read
+	CatchUpJobs       func(context.Context) error                // returns once all jobs are read that were stored in partition 0 before the call
+	CatchUpOtherParts func(context.Context) error                // the same of the other partitions; nil if there are none
+	RetryAfter        func() time.Duration                       // how long to wait before a refused request is retried; nil for storeRetryDelay
 	CatchUpProgress   func(context.Context) error                // reads the stored progress of jobs, within a short timeout
 	Now               func() time.Time
 }
@@ -65,7 +67,7 @@
 func (g *Gatekeeper) Resolve(host, path, key string) (Target, Answer) {
 	c := g.Config()
 	if c == nil {
-		return Target{}, Answer{Verdict: VerdictUnconfigured, Reason: "no configuration has been read yet", RetryAfter: storeRetryDelay}
+		return Target{}, Answer{Verdict: VerdictUnconfigured, Reason: "no configuration has been read yet", RetryAfter: g.retryAfter()}
 	}
 	r, ok := c.Match(host, path)
 	if !ok {
@@ -90,15 +92,22 @@
 	j.ID, j.Queue, j.Organisation = t.JobID, t.Route.Name, t.Organisation
 	j.AcceptedMS, j.QueueConfig = g.Now().UnixMilli(), t.Route.Queue
 	err := g.StoreJob(ctx, j)
-	return storeAnswer(err)
+	return g.storeAnswer(err)
 }
 
-func storeAnswer(err error) Answer {
+func (g *Gatekeeper) retryAfter() time.Duration {
+	if g.RetryAfter == nil {
+		return storeRetryDelay
+	}
+	return g.RetryAfter()
+}
+
+func (g *Gatekeeper) storeAnswer(err error) Answer {
 	switch {
 	case err == nil:
 		return Answer{Verdict: VerdictOK}
 	case errors.Is(err, ErrNotStored):
-		return Answer{Verdict: VerdictRefused, Reason: err.Error(), RetryAfter: storeRetryDelay}
+		return Answer{Verdict: VerdictRefused, Reason: err.Error(), RetryAfter: g.retryAfter()}
 	default:
 		return Answer{Verdict: VerdictUncertain, Reason: err.Error()}
 	}
@@ -108,12 +117,11 @@
 func (g *Gatekeeper) findJob(ctx context.Context, t Target) (registrar.Entry, Answer) {
 	e, ok := g.Registrar.Get(t.JobID)
 	if !ok {
-		c, cancel := context.WithTimeout(ctx, time.Second)
-		defer cancel()
-		if err := g.CatchUpJobs(c); err != nil {
-			return e, Answer{Verdict: VerdictRefused, Reason: fmt.Sprintf("job is unknown to this VM and the store does not answer: %v", err), RetryAfter: storeRetryDelay}
-		}
+		err := g.catchUp(ctx, t.JobID)
 		e, ok = g.Registrar.Get(t.JobID)
+		if !ok && err != nil {
+			return e, Answer{Verdict: VerdictRefused, Reason: fmt.Sprintf("job is unknown to this VM and the store does not answer: %v", err), RetryAfter: g.retryAfter()}
+		}
 	}
 	if !ok || (e.Job.Organisation != t.Organisation && !t.Route.Public) {
 		return e, Answer{Verdict: VerdictUnknownJob, Reason: "no such job"}
@@ -121,6 +129,23 @@
 	return e, Answer{Verdict: VerdictOK, State: e.State()}
 }
 
+// catchUp reads the stored jobs until one is found. It returns an error if a partition can't be
+// read that may hold the job.
+func (g *Gatekeeper) catchUp(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if g.CatchUpOtherParts == nil {
+		return g.CatchUpJobs(ctx)
+	}
+	half, cancelHalf := context.WithTimeout(ctx, time.Second/2)
+	defer cancelHalf()
+	err := g.CatchUpJobs(half)
+	if _, ok := g.Registrar.Get(id); ok {
+		return nil
+	}
+	return errors.Join(err, g.CatchUpOtherParts(ctx))
+}
+
 // Status returns the state of a job.
 func (g *Gatekeeper) Status(ctx context.Context, t Target) Answer {
 	e, a := g.findJob(ctx, t)
@@ -143,7 +168,7 @@
 	if a.Verdict != VerdictOK || e.Cancelled || e.State().Ended() {
 		return a
 	}
-	return storeAnswer(g.StoreCancellation(ctx, t.JobID))
+	return g.storeAnswer(g.StoreCancellation(ctx, t.JobID))
 }
 
 // Pending returns the number of jobs of a queue that have not started.
--- a/internal/store/accessor/accessor.go
+++ b/internal/store/accessor/accessor.go
@@ -61,7 +61,8 @@
 	return err == nil || errors.Is(err, ErrOffsetMismatch) || errors.Is(err, ErrFenced) || errors.Is(err, ErrTrimmed) || errors.As(err, &s)
 }
 
-// Client holds the functions that call the store, directly or through a peer.
+// Client holds the functions that call the store, directly or through a peer. The topic of a
+// call is the name of a topic, or of one of its partitions as Partition returns it.
 type Client struct {
 	// Append returns the offset of the first record.
 	Append func(context.Context, Append) (int64, error)
--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -18,20 +18,42 @@
 	Direct        accessor.Client
 	Peer          func(address string) accessor.Client
 	Peers         func() []string   // addresses of other entry VMs
-	DirectChanged func(direct bool) // called when the direct route fails or recovers
+	DirectChanged func(direct bool) // called when the direct route to partition 0 fails or recovers
 	Now           func() time.Time
 
-	mu         sync.Mutex
+	// ProbedTopic is the topic whose partitions other than 0 are probed while the direct route
+	// to them fails.
+	ProbedTopic string
+
+	mu     sync.Mutex
+	routes map[int]*partitionRoutes // by partition: the store may lose some of them only
+}
+
+// partitionRoutes are the routes to one partition of all topics.
+type partitionRoutes struct {
 	selector   RouteSelector
 	lastAnswer map[string]time.Time // by route, time of the last answered call
 }
 
+// partition returns the routes to a partition. r.mu must be held.
+func (r *Relayer) partition(part int) *partitionRoutes {
+	if r.routes == nil {
+		r.routes = map[int]*partitionRoutes{}
+	}
+	p, ok := r.routes[part]
+	if !ok {
+		p = &partitionRoutes{lastAnswer: map[string]time.Time{}}
+		r.routes[part] = p
+	}
+	return p
+}
+
 // StoreClient returns a client that calls the store through the relayer.
 func (r *Relayer) StoreClient() accessor.Client {
 	return accessor.Client{
 		Append: func(ctx context.Context, a accessor.Append) (int64, error) {
 			var offset int64
-			err := r.tryRoutes(func(x accessor.Client) (err error) {
+			err := r.tryRoutes(a.Topic, func(x accessor.Client) (err error) {
 				offset, err = x.Append(ctx, a)
 				return err
 			})
@@ -40,7 +62,7 @@
 		Read: func(ctx context.Context, topic string, from int64, wait time.Duration) ([]accessor.Record, int64, error) {
 			var records []accessor.Record
 			var end int64
-			err := r.tryRoutes(func(x accessor.Client) (err error) {
+			err := r.tryRoutes(topic, func(x accessor.Client) (err error) {
 				records, end, err = x.Read(ctx, topic, from, wait)
 				return err
 			})
@@ -49,7 +71,7 @@
 		Newest: func(ctx context.Context, topic string) ([]accessor.Record, int64, error) {
 			var records []accessor.Record
 			var end int64
-			err := r.tryRoutes(func(x accessor.Client) (err error) {
+			err := r.tryRoutes(topic, func(x accessor.Client) (err error) {
 				records, end, err = x.Newest(ctx, topic)
 				return err
 			})
@@ -62,9 +84,10 @@
 
 // tryRoutes tries one route after the other until the store answers. If all fail and
 // one attempt may have been carried out, it returns the error of that attempt.
-func (r *Relayer) tryRoutes(do func(accessor.Client) error) error {
+func (r *Relayer) tryRoutes(topic string, do func(accessor.Client) error) error {
+	_, part := accessor.SplitPartition(topic)
 	r.mu.Lock()
-	routes := r.selector.Candidates(r.Now(), r.Peers())
+	routes := r.partition(part).selector.Candidates(r.Now(), r.Peers())
 	r.mu.Unlock()
 	if len(routes) == 0 {
 		return errNoRoute
@@ -82,19 +105,19 @@
 			return err // cancelled by the caller; says nothing about the route
 		}
 		if accessor.Answered(err) {
-			r.recordResult(w, true)
+			r.recordResult(part, w, true)
 			return err
 		}
-		if r.answeredSince(w, sent) {
+		if r.answeredSince(part, w, sent) {
 			return err // the route works; only this response was lost
 		}
 		if errors.Is(err, errUnreachable) {
-			r.recordUnreachable(w)
+			r.recordUnreachable(part, w)
 		} else {
-			r.recordResult(w, false)
+			r.recordResult(part, w, false)
 		}
 		result = lessCertain(result, err)
-		if i == len(routes)-1 && errors.Is(result, accessor.ErrNotDone) && !slices.Contains(routes, Direct) && r.DirectWorks() {
+		if i == len(routes)-1 && errors.Is(result, accessor.ErrNotDone) && !slices.Contains(routes, Direct) && r.DirectWorks(part) {
 			routes = append(routes, Direct) // it recovered during the call
 		}
 	}
@@ -102,57 +125,74 @@
 }
 
 // recordUnreachable records a failure to connect to a peer.
-func (r *Relayer) recordUnreachable(peer string) {
+func (r *Relayer) recordUnreachable(part int, peer string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.selector.RecordUnreachable(r.Now(), peer)
+	r.partition(part).selector.RecordUnreachable(r.Now(), peer)
 }
 
-// answeredSince reports whether another call on the route was answered after the given
-// time.
-func (r *Relayer) answeredSince(route string, sent time.Time) bool {
+// answeredSince reports whether another call on the route to the partition was answered after
+// the given time.
+func (r *Relayer) answeredSince(part int, route string, sent time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lastAnswer[route].After(sent)
+	return r.partition(part).lastAnswer[route].After(sent)
 }
 
-func (r *Relayer) recordResult(route string, worked bool) {
+func (r *Relayer) recordResult(part int, route string, worked bool) {
 	r.mu.Lock()
+	p := r.partition(part)
 	if worked {
-		if r.lastAnswer == nil {
-			r.lastAnswer = map[string]time.Time{}
-		}
-		r.lastAnswer[route] = r.Now()
+		p.lastAnswer[route] = r.Now()
 	}
-	before := r.selector.DirectFailed()
-	r.selector.RecordResult(r.Now(), route, worked)
-	after := r.selector.DirectFailed()
+	before := p.selector.DirectFailed()
+	p.selector.RecordResult(r.Now(), route, worked)
+	after := p.selector.DirectFailed()
 	r.mu.Unlock()
-	if before != after {
+	if before != after && part == 0 {
 		r.DirectChanged(!after)
 	}
 }
 
-// Probe runs until the context ends. While the direct route fails, it probes the route
-// with small reads of a topic, so that no caller has to wait for the route.
+// Probe runs until the context ends. While the direct route to a partition fails, it probes the
+// route with small reads of a topic, so that no caller has to wait for the route.
 func (r *Relayer) Probe(ctx context.Context, topic string) {
+	var probes sync.WaitGroup
+	defer probes.Wait()
 	for sleeper.Sleep(ctx, probeInterval) == nil {
-		r.mu.Lock()
-		due := r.selector.ProbeDue(r.Now())
-		r.mu.Unlock()
-		if !due {
-			continue
+		for _, part := range r.dueProbes() {
+			name := topic
+			if part != 0 {
+				name = accessor.Partition(r.ProbedTopic, part)
+			}
+			probes.Go(func() {
+				_, _, err := r.Direct.Read(ctx, name, 0, 0)
+				if ctx.Err() == nil {
+					r.recordResult(part, Direct, accessor.Answered(err))
+				}
+			})
 		}
-		_, _, err := r.Direct.Read(ctx, topic, 0, 0)
-		if ctx.Err() == nil {
-			r.recordResult(Direct, accessor.Answered(err))
+	}
+}
+
+// dueProbes returns the partitions whose direct route is to be probed now, and delays their
+// next probes.
+func (r *Relayer) dueProbes() []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var due []int
+	for part, p := range r.routes {
+		if p.selector.ProbeDue(r.Now()) {
+			p.selector.ProbeStarted(r.Now())
+			due = append(due, part)
 		}
 	}
+	return due
 }
 
-// DirectWorks reports whether the last attempt on the direct route succeeded.
-func (r *Relayer) DirectWorks() bool {
+// DirectWorks reports whether the last attempt on the direct route to a partition succeeded.
+func (r *Relayer) DirectWorks(part int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.selector.DirectFailed()
+	return !r.partition(part).selector.DirectFailed()
 }
--- a/internal/store/relayer/route.go
+++ b/internal/store/relayer/route.go
@@ -9,6 +9,7 @@
 
 const (
 	probeInterval   = 300 * time.Millisecond  // between two probes of the direct route
+	probeTimeout    = 1500 * time.Millisecond // of a probe without an answer: the time limit of a read of the store
 	peerRetryDelay  = 1500 * time.Millisecond // before a peer whose call failed is tried again
 	maxDoublings    = 5                       // of the retry delay of an unreachable peer, up to 48 s: it may be gone for good
 	maxPeersPerCall = 2                       // limits the attempts of a failing call
@@ -52,6 +53,10 @@
 	return r.directFailed && !now.Before(r.nextProbe)
 }
 
+// ProbeStarted records that the failed direct route is being probed. The result may take
+// longer than the interval of probes.
+func (r *RouteSelector) ProbeStarted(now time.Time) { r.nextProbe = now.Add(probeTimeout) }
+
 // RecordResult records the result of an attempt on a route.
 func (r *RouteSelector) RecordResult(now time.Time, route string, worked bool) {
 	if route == Direct {
--- a/internal/store/relayer/wire.go
+++ b/internal/store/relayer/wire.go
@@ -21,6 +21,10 @@
 	procedureNewest = "/store/newest"
 )
 
+// partitionSuffix marks the procedures for partitions other than 0. A peer of an older version,
+// which would use partition 0, does not serve them.
+const partitionSuffix = "-partition"
+
 const peerCallMargin = time.Second // added to the wait of a read for the timeout of a call to a peer, which may wait 800 ms for an append
 
 // outcome is the result of a peer's call to the store.
@@ -124,7 +128,7 @@
 func (r *Relayer) Handler() http.Handler {
 	m := http.NewServeMux()
 	handleUnary(m, procedureAppend, func(ctx context.Context, q *accessor.Append) response {
-		if !r.DirectWorks() {
+		if !r.directWorksFor(q.Topic) {
 			return newResponse(accessor.ErrNotDone)
 		}
 		offset, err := r.Direct.Append(ctx, *q)
@@ -133,7 +137,7 @@
 		return a
 	})
 	handleUnary(m, procedureRead, func(ctx context.Context, q *readRequest) response {
-		if !r.DirectWorks() {
+		if !r.directWorksFor(q.Topic) {
 			return newResponse(accessor.ErrNotDone)
 		}
 		records, end, err := r.Direct.Read(ctx, q.Topic, q.From, time.Duration(q.WaitMS)*time.Millisecond)
@@ -142,7 +146,7 @@
 		return a
 	})
 	handleUnary(m, procedureNewest, func(ctx context.Context, q *newestRequest) response {
-		if !r.DirectWorks() {
+		if !r.directWorksFor(q.Topic) {
 			return newResponse(accessor.ErrNotDone)
 		}
 		records, end, err := r.Direct.Newest(ctx, q.Topic)
@@ -153,35 +157,62 @@
 	return m
 }
 
+// directWorksFor reports whether the last attempt on the direct route to the partition of a name
+// succeeded.
+func (r *Relayer) directWorksFor(name string) bool {
+	_, part := accessor.SplitPartition(name)
+	return r.DirectWorks(part)
+}
+
 func handleUnary[Q any](m *http.ServeMux, procedure string, do func(context.Context, *Q) response) {
-	m.Handle(procedure, connect.NewUnaryHandler(procedure, func(ctx context.Context, q *connect.Request[Q]) (*connect.Response[response], error) {
-		a := do(ctx, q.Msg)
-		return connect.NewResponse(&a), nil
-	}, connect.WithCodec(codec{})))
+	for _, p := range []string{procedure, procedure + partitionSuffix} {
+		m.Handle(p, connect.NewUnaryHandler(p, func(ctx context.Context, q *connect.Request[Q]) (*connect.Response[response], error) {
+			a := do(ctx, q.Msg)
+			return connect.NewResponse(&a), nil
+		}, connect.WithCodec(codec{})))
+	}
 }
 
 // PeerClient returns a client that calls the store through the peer at an address.
 func PeerClient(h connect.HTTPClient, address string) accessor.Client {
 	base := "http://" + address
-	appends := connect.NewClient[accessor.Append, response](h, base+procedureAppend, connect.WithCodec(codec{}))
-	reads := connect.NewClient[readRequest, response](h, base+procedureRead, connect.WithCodec(codec{}))
-	newest := connect.NewClient[newestRequest, response](h, base+procedureNewest, connect.WithCodec(codec{}))
+	appends := newPeerCall[accessor.Append](h, base, procedureAppend)
+	reads := newPeerCall[readRequest](h, base, procedureRead)
+	newest := newPeerCall[newestRequest](h, base, procedureNewest)
 	return accessor.Client{
 		Append: func(ctx context.Context, q accessor.Append) (int64, error) {
-			a, err := callPeer(ctx, appends, q, 0, address)
+			a, err := callPeer(ctx, appends.to(q.Topic), q, 0, address)
 			return a.Offset, err
 		},
 		Read: func(ctx context.Context, topic string, from int64, wait time.Duration) ([]accessor.Record, int64, error) {
-			a, err := callPeer(ctx, reads, readRequest{topic, from, wait.Milliseconds()}, wait, address)
+			a, err := callPeer(ctx, reads.to(topic), readRequest{topic, from, wait.Milliseconds()}, wait, address)
 			return a.Records, a.End, err
 		},
 		Newest: func(ctx context.Context, topic string) ([]accessor.Record, int64, error) {
-			a, err := callPeer(ctx, newest, newestRequest{topic}, 0, address)
+			a, err := callPeer(ctx, newest.to(topic), newestRequest{topic}, 0, address)
 			return a.Records, a.End, err
 		},
 	}
 }
 
+// peerCall is a procedure of a peer, for partition 0 and for the others.
+type peerCall[Q any] struct{ zero, others *connect.Client[Q, response] }
+
+func newPeerCall[Q any](h connect.HTTPClient, base, procedure string) peerCall[Q] {
+	return peerCall[Q]{
+		zero:   connect.NewClient[Q, response](h, base+procedure, connect.WithCodec(codec{})),
+		others: connect.NewClient[Q, response](h, base+procedure+partitionSuffix, connect.WithCodec(codec{})),
+	}
+}
+
+// to returns the client for calls to a topic or partition.
+func (c peerCall[Q]) to(name string) *connect.Client[Q, response] {
+	if _, part := accessor.SplitPartition(name); part != 0 {
+		return c.others
+	}
+	return c.zero
+}
+
 func callPeer[Q any](ctx context.Context, c *connect.Client[Q, response], q Q, wait time.Duration, address string) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerCallMargin)
 	defer cancel()
@@ -190,6 +221,9 @@
 	if errors.As(err, &o) && o.Op == "dial" {
 		return response{}, fmt.Errorf("call peer at %s: %w: %w: %w", address, accessor.ErrNotDone, errUnreachable, err)
 	}
+	if connect.CodeOf(err) == connect.CodeUnimplemented { // a peer of an older version
+		return response{}, fmt.Errorf("call peer at %s: %w: %w", address, accessor.ErrNotDone, err)
+	}
 	if err != nil {
 		return response{}, fmt.Errorf("call peer at %s: %w", address, err)
 	}
