store: hold submissions through an outage and resume them at once

After an outage of the whole store submissions were refused for 0.7 s more without being sent, and held ones were given up up to 0.6 s too early. The first append of a record is always sent now, held records resume as soon as any call is answered again, and rounds are 100 ms apart under a budget.

--- a/internal/node/assembler/append.go
+++ b/internal/node/assembler/append.go
@@ -20,7 +20,7 @@
 const (
 	appendRetryDelay = 50 * time.Millisecond  // between two attempts to append a deletion
 	confirmInterval  = 150 * time.Millisecond // between checks whether an unanswered append is stored; the store usually answers in 10 ms
-	lastSendMargin   = 300 * time.Millisecond // before a caller's deadline; the answer to a later append would come too late, and the result would be unknown
+	lastSendMargin   = 50 * time.Millisecond  // before the end of a caller's request; the answer to a later append would come too late, and the result would be unknown
 	maxRetryAfter    = 2                      // seconds; a refused caller waits for one to so many, so that they do not all return at once
 )
 
@@ -53,6 +53,7 @@
 	results := make(chan sent)
 	var last error
 	for {
+		recovered := a.parts.awaitRecovery()
 		step := a.nextStep(t)
 		if step.Done {
 			return storeError(step.Result, last)
@@ -72,12 +73,16 @@
 			last = cmp.Or(r.err, last)
 			a.recordSent(t, r)
 		case <-due:
+		case <-recovered:
 		}
 	}
 }
 
 // storeError returns the error for what is known of a record.
 func storeError(r partitioner.Result, cause error) error {
+	if cause == nil {
+		cause = errTimeout
+	}
 	switch r {
 	case partitioner.Stored:
 		return nil
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -106,6 +106,8 @@
 		Peers:         a.peers.list,
 		DirectChanged: a.logDirectAccess,
 		Now:           a.Now,
+		Recovered:     a.notePartRecovered,
+		Urgent:        a.parts.submissionsWait,
 		ProbedTopic:   platform.WireTopic(registrar.TopicJobs),
 	}
 	a.store = a.relayer.StoreClient()
--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -35,6 +35,7 @@
 	machineService *standin.MachineService
 	adviser        *standin.Adviser
 	vms            []*vm
+	parts          int // partitions of each topic, 0 for a platform that names none
 
 	machineServiceAddress, adviceAddress string
 }
@@ -117,7 +118,7 @@
 		VM: name, Callers: freeAddress(s.t), Readiness: freeAddress(s.t), Peers: freeAddress(s.t), Metrics: freeAddress(s.t),
 		MachineService: s.machineServiceAddress, Advice: s.adviceAddress,
 		Store: server.Listener.Addr().String(), Lease: 10 * time.Second, Grace: 6 * time.Second,
-		Heartbeat: 1500 * time.Millisecond,
+		Heartbeat: 1500 * time.Millisecond, Parts: s.parts,
 	}
 	log, lines := logrus.New(), &logBuffer{}
 	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: "05.000", DisableColors: true})
--- a/internal/node/assembler/followparts.go
+++ b/internal/node/assembler/followparts.go
@@ -101,9 +101,13 @@
 			}
 			continue
 		}
+		_, known := a.registrar.NextOffset(accessor.Partition(registrar.TopicJobs, part))
 		began := a.Now()
 		err := a.pollPart(ctx, part, a.partWait(part))
 		pause := a.partPause(part, a.Now().Sub(began))
+		if !known {
+			pause = 0 // the records after the first read are waited for
+		}
 		if err != nil {
 			pause = partsPollDelay
 		}
--- a/internal/node/assembler/parts.go
+++ b/internal/node/assembler/parts.go
@@ -24,6 +24,7 @@
 type parts struct {
 	mu          sync.Mutex
 	partitioner partitioner.Partitioner
+	recovered   chan struct{}     // closed when a partition answers again, nil if nobody waits
 	changed     chan struct{}     // closed when it may be time to read other partitions, nil if nobody waits
 	down        map[string]bool   // topics whose partition 0 can't be read
 	failedAt    time.Time         // when partition 0 was last known to fail
@@ -103,9 +104,7 @@
 	}
 	p.failedAt = a.Now()
 	if topic == platform.WireTopic(registrar.TopicJobs) {
-		if up {
-			p.partitioner.RecordReadable(a.Now(), 0)
-		} else {
+		if !up {
 			p.partitioner.RecordFailure(a.Now(), 0)
 		}
 		a.reportParts()
@@ -113,6 +112,35 @@
 	p.wake()
 }
 
+// notePartRecovered records that a partition answers again.
+func (a *Assembler) notePartRecovered(part int) {
+	p := &a.parts
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.partitioner.RecordReadable(a.Now(), part)
+	if p.recovered != nil {
+		close(p.recovered)
+		p.recovered = nil
+	}
+}
+
+// awaitRecovery returns a channel that is closed when a partition answers again.
+func (p *parts) awaitRecovery() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.recovered == nil {
+		p.recovered = make(chan struct{})
+	}
+	return p.recovered
+}
+
+// submissionsWait reports whether submissions wait for the store.
+func (p *parts) submissionsWait() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.partitioner.Waiting()
+}
+
 // wake ends the waits for changed. The lock must be held.
 func (p *parts) wake() {
 	if p.changed != nil {
--- a/internal/store/partitioner/attempt.go
+++ b/internal/store/partitioner/attempt.go
@@ -11,8 +11,7 @@
 	switchDelay = 300 * time.Millisecond
 
 	maxTriesPerRound = 4                      // partitions per round: one more than the quarter of 12 that the store may lose
-	firstRoundDelay  = 100 * time.Millisecond // longest delay before the second round; it doubles up to maxRoundDelay
-	maxRoundDelay    = 400 * time.Millisecond
+	roundDelay       = 100 * time.Millisecond // mean delay before another round, which takes between half and one and a half of it
 )
 
 // Result is what is known of a record. A later value never turns into an earlier one: a record
@@ -52,6 +51,7 @@
 	rounds   int
 	resumeAt time.Time // of the next round, zero while one goes on
 	waiting  bool      // counted in Partitioner.waiting
+	known    int       // value of Partitioner.recoveries when the last round began
 }
 
 // flight is an append that is not answered yet.
@@ -71,8 +71,9 @@
 		return Step{Until: until}
 	}
 	late := !a.Deadline.IsZero() && now.After(a.Deadline)
-	if !late && a.rounds == 0 {
+	if a.rounds == 0 {
 		a.begin(now, p)
+		return a.send(now, p) // even if it is late: a record that was not sent is never stored
 	}
 	if !late && a.maySend(now, p) {
 		return a.send(now, p)
@@ -123,6 +124,7 @@
 func (a *Attempt) begin(now time.Time, p *Partitioner) {
 	a.rounds++
 	a.tries = 0
+	a.known = p.recoveries
 	a.round = slices.DeleteFunc(p.candidates(now), func(part int) bool {
 		return slices.ContainsFunc(a.inFlight, func(f flight) bool { return f.part == part })
 	})
@@ -160,21 +162,25 @@
 		if !a.wait(p) {
 			return a.finish(p)
 		}
-		longest := min(maxRoundDelay, firstRoundDelay<<min(a.rounds-1, 2))
-		a.resumeAt = now.Add(longest/2 + time.Duration(random*float64(longest/2)))
+		a.resumeAt = now.Add(jitter(random))
 	}
-	if now.Before(a.resumeAt) {
+	if now.Before(a.resumeAt) && a.known == p.recoveries {
 		return a.waitUntil(a.resumeAt, p)
 	}
 	a.begin(now, p)
 	if !a.maySend(now, p) {
-		a.resumeAt = now.Add(firstRoundDelay/2 + time.Duration(random*float64(firstRoundDelay)))
+		a.resumeAt = now.Add(jitter(random))
 		return a.waitUntil(a.resumeAt, p)
 	}
 	a.resumeAt = time.Time{}
 	return a.send(now, p)
 }
 
+// jitter returns the delay before another round, so that records do not return together.
+func jitter(random float64) time.Duration {
+	return roundDelay/2 + time.Duration(random*float64(roundDelay))
+}
+
 // waitUntil returns the step that waits, or the end if nothing may be sent any more then.
 func (a *Attempt) waitUntil(t time.Time, p *Partitioner) Step {
 	if !a.Deadline.IsZero() && t.After(a.Deadline) {
--- a/internal/store/partitioner/partitioner.go
+++ b/internal/store/partitioner/partitioner.go
@@ -21,12 +21,13 @@
 
 // Partitioner tracks which partitions take appends. The zero value knows only partition 0.
 type Partitioner struct {
-	parts     int             // to which records may be appended
-	failing   map[int]failure // by partition
-	preferred int             // partition other than 0 that took the last append, 0 for none
-	repeats   float64         // repeated appends that may be made now
-	refilled  time.Time       // when repeats was last increased
-	waiting   int             // attempts that wait for another round
+	parts      int             // to which records may be appended
+	failing    map[int]failure // by partition
+	preferred  int             // partition other than 0 that took the last append, 0 for none
+	repeats    float64         // repeated appends that may be made now
+	refilled   time.Time       // when repeats was last increased
+	waiting    int             // attempts that wait for another round
+	recoveries int             // counts the calls of RecordReadable
 }
 
 // failure is the state of a partition whose last append failed or is not answered in time.
@@ -78,9 +79,14 @@
 	return failed
 }
 
-// RecordReadable records that a failing partition can be read again, so that the next record
-// tries it.
+// Waiting reports whether records wait for another round.
+func (p *Partitioner) Waiting() bool { return p.waiting > 0 }
+
+// RecordReadable records that a failing partition answers again, so that the next record tries
+// it, and that those which wait may do so at once.
 func (p *Partitioner) RecordReadable(now time.Time, part int) {
+	p.repeats, p.refilled = max(p.repeats, float64(p.waiting), maxSavedRepeats), now
+	p.recoveries++
 	if f, ok := p.failing[part]; ok {
 		f.retryAt = now
 		p.failing[part] = f
@@ -131,7 +137,7 @@
 		p.refilled, p.repeats = now, maxSavedRepeats
 	}
 	if d := now.Sub(p.refilled); d > 0 {
-		p.repeats = min(maxSavedRepeats, p.repeats+repeatsPerSecond*d.Seconds())
+		p.repeats = max(p.repeats, min(maxSavedRepeats, p.repeats+repeatsPerSecond*d.Seconds()))
 		p.refilled = now
 	}
 	if p.repeats < 1 {
--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -21,6 +21,13 @@
 	DirectChanged func(direct bool) // called when the direct route to partition 0 fails or recovers
 	Now           func() time.Time
 
+	// Recovered is called when a call to a partition is answered after others were not; nil for
+	// none.
+	Recovered func(part int)
+
+	// Urgent reports whether callers wait for the store; nil for never.
+	Urgent func() bool
+
 	// ProbedTopic is the topic whose partitions other than 0 are probed while the direct route
 	// to them fails.
 	ProbedTopic string
@@ -33,6 +40,7 @@
 type partitionRoutes struct {
 	selector   RouteSelector
 	lastAnswer map[string]time.Time // by route, time of the last answered call
+	failing    bool                 // the last result of a call was a failure
 }
 
 // partition returns the routes to a partition. r.mu must be held.
@@ -148,7 +156,12 @@
 	before := p.selector.DirectFailed()
 	p.selector.RecordResult(r.Now(), route, worked)
 	after := p.selector.DirectFailed()
+	recovered := worked && p.failing
+	p.failing = !worked
 	r.mu.Unlock()
+	if recovered && r.Recovered != nil {
+		r.Recovered(part)
+	}
 	if before != after && part == 0 {
 		r.DirectChanged(!after)
 	}
@@ -159,7 +172,7 @@
 func (r *Relayer) Probe(ctx context.Context, topic string) {
 	var probes sync.WaitGroup
 	defer probes.Wait()
-	for sleeper.Sleep(ctx, probeInterval) == nil {
+	for sleeper.Sleep(ctx, r.probeInterval()) == nil {
 		for _, part := range r.dueProbes() {
 			name := topic
 			if part != 0 {
@@ -175,6 +188,14 @@
 	}
 }
 
+// probeInterval returns the time between two probes.
+func (r *Relayer) probeInterval() time.Duration {
+	if r.Urgent != nil && r.Urgent() {
+		return urgentProbeInterval
+	}
+	return probeInterval
+}
+
 // dueProbes returns the partitions whose direct route is to be probed now, and delays their
 // next probes.
 func (r *Relayer) dueProbes() []int {
@@ -183,7 +204,11 @@
 	var due []int
 	for part, p := range r.routes {
 		if p.selector.ProbeDue(r.Now()) {
-			p.selector.ProbeStarted(r.Now())
+			interval := r.probeInterval()
+			if part != 0 {
+				interval = otherProbeInterval
+			}
+			p.selector.ProbeStarted(r.Now(), interval)
 			due = append(due, part)
 		}
 	}
--- a/internal/store/relayer/route.go
+++ b/internal/store/relayer/route.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	probeInterval   = 300 * time.Millisecond  // between two probes of the direct route
-	probeTimeout    = 1500 * time.Millisecond // of a probe without an answer: the time limit of a read of the store
-	peerRetryDelay  = 1500 * time.Millisecond // before a peer whose call failed is tried again
-	maxDoublings    = 5                       // of the retry delay of an unreachable peer, up to 48 s: it may be gone for good
-	maxPeersPerCall = 2                       // limits the attempts of a failing call
+	probeInterval       = 300 * time.Millisecond  // between two probes of the direct route
+	urgentProbeInterval = 100 * time.Millisecond  // the same while callers wait for the store
+	otherProbeInterval  = time.Second             // of partitions other than 0, which others replace
+	peerRetryDelay      = 1500 * time.Millisecond // before a peer whose call failed is tried again
+	maxDoublings        = 5                       // of the retry delay of an unreachable peer, up to 48 s: it may be gone for good
+	maxPeersPerCall     = 2                       // limits the attempts of a failing call
 )
 
 // Direct stands for the direct route to the store in place of a peer's address.
@@ -53,15 +54,19 @@
 	return r.directFailed && !now.Before(r.nextProbe)
 }
 
-// ProbeStarted records that the failed direct route is being probed. The result may take
-// longer than the interval of probes.
-func (r *RouteSelector) ProbeStarted(now time.Time) { r.nextProbe = now.Add(probeTimeout) }
+// ProbeStarted records that the failed direct route is being probed. The next probe does not wait
+// for the result: a store that was silent may leave a call without an answer and answer the next.
+func (r *RouteSelector) ProbeStarted(now time.Time, interval time.Duration) {
+	r.nextProbe = now.Add(interval)
+}
 
 // RecordResult records the result of an attempt on a route.
 func (r *RouteSelector) RecordResult(now time.Time, route string, worked bool) {
 	if route == Direct {
+		if !r.directFailed {
+			r.nextProbe = now.Add(probeInterval)
+		}
 		r.directFailed = !worked
-		r.nextProbe = now.Add(probeInterval)
 		return
 	}
 	if r.retryAt == nil {
