store: probe a failed route sooner and test partitions separately

A VM noticed the end of an outage of the store up to 300 ms late, and used half of its time for partition 0 when a caller asked for an unknown job even if there was only one. Probes are 100 to 300 ms apart now, within a twentieth of the store's reads.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -107,7 +107,7 @@
 		DirectChanged: a.logDirectAccess,
 		Now:           a.Now,
 		Recovered:     a.notePartRecovered,
-		Urgent:        a.parts.submissionsWait,
+		ProbeInterval: a.probeInterval,
 		ProbedTopic:   platform.WireTopic(registrar.TopicJobs),
 	}
 	a.store = a.relayer.StoreClient()
@@ -148,9 +148,12 @@
 	a.gatekeeper = &gatekeeper.Gatekeeper{
 		Config: a.config.Load, Registrar: a.registrar, Now: a.Now,
 		StoreJob: a.storeJob, StoreCancellation: a.storeCancellation, CatchUpJobs: a.catchUpJobs,
-		CatchUpOtherParts: a.catchUpOtherParts, RetryAfter: retryAfter,
+		RetryAfter:      retryAfter,
 		CatchUpProgress: (&progressReader{Read: a.catchUpProgress, Now: a.Now, Failed: a.recordStaleStatus}).read,
 	}
+	if a.numParts() > 1 {
+		a.gatekeeper.CatchUpOtherParts = a.catchUpOtherParts
+	}
 }
 
 // submittedEvent returns the event for a job that was read in the present term, if there is one.
--- a/internal/node/assembler/deletion_test.go
+++ b/internal/node/assembler/deletion_test.go
@@ -25,7 +25,9 @@
 
 // faultyStore is a store whose next appends have the given outcomes.
 type faultyStore struct {
-	topics   map[string][]accessor.Record
+	mu       sync.Mutex
+	parts    int                          // of the topic of jobs
+	topics   map[string][]accessor.Record // by topic or partition of one
 	epoch    int64
 	sequence int64
 	outcomes []appendOutcome
@@ -61,6 +63,8 @@
 	return accessor.Client{
 		Append: s.append,
 		Read: func(_ context.Context, topic string, from int64, _ time.Duration) ([]accessor.Record, int64, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			s.carryOutLate()
 			all := s.topics[topic]
 			return all[from:], int64(len(all)), nil
@@ -69,6 +73,8 @@
 }
 
 func (s *faultyStore) append(_ context.Context, a accessor.Append) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.carryOutLate()
 	o := appendOutcome{kind: outcomeDone}
 	if len(s.outcomes) > 0 {
@@ -139,33 +145,37 @@
 func (s *faultyStore) entries() []registrar.Entry {
 	r := registrar.New()
 	r.ApplyProgress(tailer.Batch{Records: s.newest(platform.WireTopic(registrar.TopicProgress)), Snapshot: true})
-	r.ApplyJobs(tailer.Batch{Records: s.newest(platform.WireTopic(registrar.TopicJobs)), Snapshot: true})
+	for part := range s.parts {
+		r.ApplyJobsOf(part, tailer.Batch{Records: s.newest(jobsPartition(part)), Snapshot: true})
+	}
 	return r.Entries()
 }
 
-// addEndedJobs stores completed jobs, one of them scheduled and one cancelled.
-func (s *faultyStore) addEndedJobs() error {
+// addEndedJobs stores completed jobs, one of them scheduled and one cancelled. Each job is in the
+// given partitions, and its cancellation in the last one.
+func (s *faultyStore) addEndedJobs(holders [][]int) error {
 	var failed error
 	add := func(topic string, r accessor.Record, err error) {
 		failed = cmp.Or(failed, err)
-		topic = platform.WireTopic(topic)
 		r.Offset = int64(len(s.topics[topic]))
 		s.topics[topic] = append(s.topics[topic], r)
 	}
 	for i, times := range []int{0, 2, 0} {
 		j := scheduler.Job{ID: fmt.Sprintf("j%d", i), Steps: []scheduler.Step{{Tasks: 1}}, Times: times}
 		r, err := registrar.JobRecord(j)
-		add(registrar.TopicJobs, r, err)
+		for _, part := range holders[i] {
+			add(jobsPartition(part), r, err)
+		}
 		ids := []string{j.ID}
 		for k := range times {
 			ids = append(ids, scheduler.OccurrenceID(j.ID, k))
 		}
 		for _, id := range ids {
 			r, err := registrar.ProgressRecord(id, scheduler.Progress{State: scheduler.StateCompleted, EndedMS: 1})
-			add(registrar.TopicProgress, r, err)
+			add(platform.WireTopic(registrar.TopicProgress), r, err)
 		}
 	}
-	add(registrar.TopicJobs, registrar.CancelRecord("j0"), nil)
+	add(jobsPartition(holders[0][len(holders[0])-1]), registrar.CancelRecord("j0"), nil)
 	return failed
 }
 
@@ -175,10 +185,20 @@
 	a.Logger.SetLevel(logrus.PanicLevel)
 	a.metrics = recorder.New()
 	a.store = s.client()
+	a.Settings.Parts = s.parts
 	w := &progressWriter{assembler: a, epoch: epoch}
-	if w.takeOver(ctx, new(sync.WaitGroup)) != nil {
+	ctx, cancel := context.WithCancel(ctx)
+	var following sync.WaitGroup
+	defer following.Wait()
+	defer cancel()
+	a.leading.Store(true)
+	a.parts.beginTerm(s.parts)
+	if w.takeOver(ctx, &following) != nil {
 		return
 	}
+	for part := 1; part < s.parts; part++ {
+		following.Go(func() { a.followPart(ctx, part) })
+	}
 	var ended []string
 	for _, e := range a.registrar.Entries() {
 		if !e.State().Ended() {
@@ -193,7 +213,8 @@
 }
 
 // Guards against jobs that run again because their progress is deleted without them: appends
-// are refused, lose their answers or are carried out late, and leaders change between them.
+// are refused, lose their answers or are carried out late, leaders change between them, and jobs
+// are in one or several partitions.
 func TestJobWhoseDeletionFailsNeverSeemsUnfinished(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		var outcomes []appendOutcome
@@ -205,8 +226,14 @@
 			})
 			vacancies = append(vacancies, rapid.SampledFrom([]time.Duration{0, 2 * lateDelay}).Draw(r, "vacancy"))
 		}
+		parts := rapid.SampledFrom([]int{1, 3}).Draw(r, "partitions")
+		var holders [][]int
+		for range 3 {
+			n := rapid.IntRange(1, parts).Draw(r, "holders")
+			holders = append(holders, rapid.Permutation([]int{0, 1, 2}[:parts]).Draw(r, "held by")[:n])
+		}
 		var err error
-		synctest.Test(t, func(*testing.T) { err = deleteWithFaults(outcomes, vacancies) })
+		synctest.Test(t, func(*testing.T) { err = deleteWithFaults(parts, holders, outcomes, vacancies) })
 		if err != nil {
 			r.Fatal(err)
 		}
@@ -215,9 +242,9 @@
 
 // deleteWithFaults deletes ended jobs from a faulty store. It returns an error if one of
 // them seems unfinished at any time, or if records are left in the end.
-func deleteWithFaults(outcomes []appendOutcome, vacancies []time.Duration) error {
-	s := &faultyStore{topics: map[string][]accessor.Record{}, outcomes: outcomes}
-	if err := s.addEndedJobs(); err != nil {
+func deleteWithFaults(parts int, holders [][]int, outcomes []appendOutcome, vacancies []time.Duration) error {
+	s := &faultyStore{parts: parts, topics: map[string][]accessor.Record{}, outcomes: outcomes}
+	if err := s.addEndedJobs(holders); err != nil {
 		return err
 	}
 	var unfinished error
@@ -238,8 +265,12 @@
 		time.Sleep(d)
 	}
 	s.lead(context.Background(), epoch+1)
-	for _, topic := range []string{registrar.TopicJobs, registrar.TopicProgress} {
-		if left := s.newest(platform.WireTopic(topic)); len(left) > 0 {
+	topics := []string{platform.WireTopic(registrar.TopicProgress)}
+	for part := range parts {
+		topics = append(topics, jobsPartition(part))
+	}
+	for _, topic := range topics {
+		if left := s.newest(topic); len(left) > 0 {
 			return errors.Join(unfinished, fmt.Errorf("records are left in %s: %v", topic, left))
 		}
 	}
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -30,8 +30,19 @@
 	operatorReadShare = 0.10 // a new configuration must be in force within 2 s
 	jobsReadShare     = 0.05
 	peersReadShare    = 0.05
+	probeShare        = 0.05 // while the store fails
 )
 
+// Limits of the time between two probes of the direct route to the store by this VM.
+const (
+	minProbeInterval = 100 * time.Millisecond // submissions wait for the end of an outage
+	maxProbeInterval = 300 * time.Millisecond
+)
+
+func (a *Assembler) probeInterval() time.Duration {
+	return min(max(minProbeInterval, a.readInterval(probeShare)), maxProbeInterval)
+}
+
 // readInterval returns the minimum interval between two reads of a topic by this VM.
 func (a *Assembler) readInterval(share float64) time.Duration {
 	return tailer.MinReadInterval(len(a.peers.list())+1, a.Settings.StoreReads, share)
--- a/internal/node/assembler/followparts.go
+++ b/internal/node/assembler/followparts.go
@@ -187,9 +187,6 @@
 // catchUpOtherParts returns once all jobs are read that were stored in other partitions than 0
 // before the call. Concurrent callers share the reads.
 func (a *Assembler) catchUpOtherParts(ctx context.Context) error {
-	if a.numParts() == 1 {
-		return nil
-	}
 	return a.partsRead.do(ctx, func() error {
 		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), partsShareTimeout)
 		defer cancel()
--- a/internal/node/assembler/parts.go
+++ b/internal/node/assembler/parts.go
@@ -15,7 +15,7 @@
 
 const (
 	suspectedFor   = 10 * time.Second // after partition 0 failed, in which VMs read the others: outages last a few seconds
-	answeredLately = 3 * time.Second  // after an answer of another partition, in which this VM serves callers without partition 0
+	answeredLately = 2 * time.Second  // after an answer of another partition, in which this VM serves callers without partition 0
 	recentRecords  = 10 * time.Second // after a record in which a partition counts as one that gets records
 )
 
@@ -134,13 +134,6 @@
 	return p.recovered
 }
 
-// submissionsWait reports whether submissions wait for the store.
-func (p *parts) submissionsWait() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.partitioner.Waiting()
-}
-
 // wake ends the waits for changed. The lock must be held.
 func (p *parts) wake() {
 	if p.changed != nil {
--- a/internal/node/elector/elector_test.go
+++ b/internal/node/elector/elector_test.go
@@ -165,3 +165,18 @@
 	e.Leave()
 	is.Equal(e.Decide(now.Add(time.Second)), elector.Release)
 }
+
+// A VM may append to other partitions only if the next reader of jobs reads them: the leader, or
+// after a release one that may be of an older version.
+func TestPartitionsOfTheNewestClaimCount(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	var e elector.Elector
+	is.Equal(e.Parts(), 1)
+	e.Apply(now, 0, elector.Claim{Holder: "a", Epoch: 1, Parts: 12})
+	is.Equal(e.Parts(), 12)
+	e.Apply(now, 1, elector.Claim{Holder: "a", Epoch: 1, Parts: 12, Released: true})
+	is.Equal(e.Parts(), 1)
+	e.Apply(now, 2, elector.Claim{Holder: "b", Epoch: 3}) // of an older version
+	is.Equal(e.Parts(), 1)
+}
--- a/internal/store/partitioner/partitioner.go
+++ b/internal/store/partitioner/partitioner.go
@@ -79,9 +79,6 @@
 	return failed
 }
 
-// Waiting reports whether records wait for another round.
-func (p *Partitioner) Waiting() bool { return p.waiting > 0 }
-
 // RecordReadable records that a failing partition answers again, so that the next record tries
 // it, and that those which wait may do so at once.
 func (p *Partitioner) RecordReadable(now time.Time, part int) {
--- a/internal/store/partitioner/property_test.go
+++ b/internal/store/partitioner/property_test.go
@@ -227,3 +227,22 @@
 	}
 	return n
 }
+
+// Guards against more reads by the leader than the specification allows.
+func TestLeaderReadsOtherPartitionsWithinItsLimit(t *testing.T) {
+	for n := range worldParts {
+		others := worldParts - 1
+		perSecond := 0.0
+		for i := range others {
+			active := i < n
+			d := partitioner.ReadInterval(active, n, others)
+			if !active {
+				d = max(d, partitioner.ReadWait(false)) // a poll that the store answers in time
+			}
+			perSecond += 1 / d.Seconds()
+		}
+		if perSecond > 12.01 {
+			t.Errorf("%d active partitions: %.1f reads a second", n, perSecond)
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/relayer/partition_test.go
@@ -0,0 +1,50 @@
+package relayer_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
+	"github.com/lacewingdoor/lacewingdoor/internal/store/relayer"
+)
+
+// The store may lose some partitions only. A failure of one must not take away the direct route
+// to the others, nor to a peer that asks for them.
+func TestRoutesOfPartitionsFailSeparately(t *testing.T) {
+	is := is.New(t)
+	r, own, other := newRelayerPair(t)
+	own.err = accessor.ErrNotDone
+	_, err := r.StoreClient().Append(t.Context(), accessor.Append{Topic: "t"})
+	is.NoErr(err)
+	is.Equal(other.calls, 1)
+	own.err = nil
+	_, err = r.StoreClient().Append(t.Context(), accessor.Append{Topic: accessor.Partition("t", 3)})
+	is.NoErr(err)
+	is.Equal(other.calls, 1) // the direct route to partition 3 was used
+	own.err = accessor.ErrNotDone
+	_, err = r.StoreClient().Append(t.Context(), accessor.Append{Topic: accessor.Partition("t", 3)})
+	is.NoErr(err)
+	is.Equal(other.calls, 2)
+}
+
+// A peer of an older version would use partition 0 for any partition. It must not get such
+// calls, and they are certainly not done there.
+func TestOlderPeerGetsNoCallsToOtherPartitions(t *testing.T) {
+	is := is.New(t)
+	served := 0
+	m := http.NewServeMux()
+	m.HandleFunc("/store/append", func(http.ResponseWriter, *http.Request) { served++ })
+	m.HandleFunc("/store/read", func(http.ResponseWriter, *http.Request) { served++ })
+	server := httptest.NewServer(m)
+	defer server.Close()
+	c := relayer.PeerClient(server.Client(), server.Listener.Addr().String())
+	_, err := c.Append(t.Context(), accessor.Append{Topic: accessor.Partition("t", 2)})
+	is.True(errors.Is(err, accessor.ErrNotDone))
+	_, _, err = c.Read(t.Context(), accessor.Partition("t", 2), 0, 0)
+	is.True(errors.Is(err, accessor.ErrNotDone))
+	is.Equal(served, 0)
+}
--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -25,8 +25,9 @@
 	// none.
 	Recovered func(part int)
 
-	// Urgent reports whether callers wait for the store; nil for never.
-	Urgent func() bool
+	// ProbeInterval returns the time between two probes of the direct route to partition 0; nil
+	// for a default.
+	ProbeInterval func() time.Duration
 
 	// ProbedTopic is the topic whose partitions other than 0 are probed while the direct route
 	// to them fails.
@@ -190,10 +191,10 @@
 
 // probeInterval returns the time between two probes.
 func (r *Relayer) probeInterval() time.Duration {
-	if r.Urgent != nil && r.Urgent() {
-		return urgentProbeInterval
+	if r.ProbeInterval == nil {
+		return probeInterval
 	}
-	return probeInterval
+	return r.ProbeInterval()
 }
 
 // dueProbes returns the partitions whose direct route is to be probed now, and delays their
--- a/internal/store/relayer/route.go
+++ b/internal/store/relayer/route.go
@@ -8,12 +8,11 @@
 )
 
 const (
-	probeInterval       = 300 * time.Millisecond  // between two probes of the direct route
-	urgentProbeInterval = 100 * time.Millisecond  // the same while callers wait for the store
-	otherProbeInterval  = time.Second             // of partitions other than 0, which others replace
-	peerRetryDelay      = 1500 * time.Millisecond // before a peer whose call failed is tried again
-	maxDoublings        = 5                       // of the retry delay of an unreachable peer, up to 48 s: it may be gone for good
-	maxPeersPerCall     = 2                       // limits the attempts of a failing call
+	probeInterval      = 300 * time.Millisecond  // between two probes of the direct route
+	otherProbeInterval = time.Second             // of partitions other than 0, which others replace
+	peerRetryDelay     = 1500 * time.Millisecond // before a peer whose call failed is tried again
+	maxDoublings       = 5                       // of the retry delay of an unreachable peer, up to 48 s: it may be gone for good
+	maxPeersPerCall    = 2                       // limits the attempts of a failing call
 )
 
 // Direct stands for the direct route to the store in place of a peer's address.
--- a/soak_test.go
+++ b/soak_test.go
@@ -86,6 +86,7 @@
 type soak struct {
 	t                 *testing.T
 	faultRand         *rand.Rand // draws the faults; used by one goroutine only
+	seed              uint64
 	dir               string
 	store             *platformstandin.Store
 	storeEndpoints    []*platformstandin.StoreProxy
@@ -125,7 +126,7 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
-		t: t, faultRand: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), store: platformstandin.NewStore(),
+		t: t, seed: seed, faultRand: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), store: platformstandin.NewStore(),
 		acknowledged: map[string]bool{}, jobs: map[string]*soakJob{}, extraRand: rand.New(rand.NewPCG(seed, 9)),
 		crashes: map[string]int{}, laterStarts: map[string]int{},
 	}
@@ -149,7 +150,7 @@
 		s.storeEndpoints = append(s.storeEndpoints, d)
 		v := &soakVM{name: fmt.Sprintf("vm%d", i), callers: freeAddress(t), readiness: freeAddress(t), peers: freeAddress(t)}
 		v.settings = filepath.Join(s.dir, v.name+".json")
-		b, err := platformstandin.SettingsFile(v.name, s.startLink(ctx, d), v.callers, v.readiness, v.peers, 4*time.Second)
+		b, err := platformstandin.SettingsFileFor(v.name, s.startLink(ctx, d), v.callers, v.readiness, v.peers, 4*time.Second, *soakParts)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -302,11 +303,15 @@
 		callers.Go(func() { s.runCaller(r, i) })
 	}
 	s.runCrashingJobs(&callers)
+	stop, partFaults := make(chan struct{}), make(chan []string, 1)
+	go func() { partFaults <- s.partFaults(s.seed, stop) }()
 	for end := time.Now().Add(*soakSpan); time.Now().Before(end); {
 		s.injectFault()
 		s.changeCapacity()
 		time.Sleep(time.Duration(s.faultRand.IntN(400)) * time.Millisecond)
 	}
+	close(stop)
+	s.faults = append(s.faults, <-partFaults...)
 	s.clearFaults()
 	callers.Wait()
 	s.checkFinalState()
