store: order partitions by what is known of them

A partition that answers again after an outage was not tried before others that had failed earlier. It comes first among the failing ones now, and the order is one comparison.

--- a/internal/jobs/scheduler/confirm.go
+++ b/internal/jobs/scheduler/confirm.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // confirmWindow is the time after a successful renewal was sent in which no other VM
 // can have become leader: the others wait for 2.6 s without a renewal.
@@ -38,6 +41,13 @@
 	s.placementDue = true
 }
 
+// release records that another VM may lead from now on.
+func (s *Scheduler) release(now time.Time, e Released) {
+	if !s.released {
+		s.released, s.releasedAt = true, cmp.Or(e.At, now)
+	}
+}
+
 // unconfirmedSince returns now if another VM may have become leader, else zero. Jobs
 // and restarted workers that are found in such a time are not used until a renewal
 // succeeds: a later leader does not expect an earlier one to have used a job that
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -107,8 +106,7 @@
 func (s *Scheduler) handle(now time.Time, e Event) {
 	switch e := e.(type) {
 	case Ticked:
-		s.ticked, s.tickedSincePass = true, true
-		s.placementDue = true
+		s.ticked, s.tickedSincePass, s.placementDue = true, true, true
 		s.runTimers(now)
 	case Submitted:
 		s.submit(now, e)
@@ -143,9 +141,7 @@
 	case Stored:
 		s.handleStored(now)
 	case Released:
-		if !s.released {
-			s.released, s.releasedAt = true, cmp.Or(e.At, now)
-		}
+		s.release(now, e)
 	case Confirmed:
 		s.confirmLeadership(e)
 	}
--- a/internal/node/assembler/partitions_test.go
+++ b/internal/node/assembler/partitions_test.go
@@ -52,6 +52,7 @@
 // An outage of partition 0 refused every submission although the other partitions served. A job
 // that is submitted meanwhile must start, remain one job when it is submitted again, and end.
 func TestJobIsAcceptedAndStartedWhilePartition0Fails(t *testing.T) {
+	t.Parallel()
 	for _, kind := range outageKinds {
 		t.Run(string(kind), func(t *testing.T) {
 			s := newPartitionedCluster(t, 2, 3)
@@ -146,3 +147,27 @@
 	s.waitFor("the job is completed", func() bool { return s.vms[1].state(jobID) == "completed" })
 	is.Equal(s.starts(jobID), 1)
 }
+
+// Submissions during a short outage of the whole store were refused, and so were their
+// repetitions within the time that callers have.
+func TestSubmissionIsHeldThroughAShortOutageOfTheStore(t *testing.T) {
+	t.Parallel()
+	for _, parts := range []int{1, testParts} {
+		t.Run(fmt.Sprintf("%d partitions", parts), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newCluster(t, 1, 0)
+			s.parts = parts
+			s.startVM("vm0")
+			s.vms[0].storeProxy.Unavailable.Store(true)
+			time.AfterFunc(time.Second, func() { s.vms[0].storeProxy.Unavailable.Store(false) })
+			status, body := s.vms[0].call(http.MethodPost, "/slow/"+jobID, "key", jobBody("50ms", 1))
+			is.Equal(status, http.StatusOK)
+			if status != http.StatusOK {
+				t.Log(body)
+			}
+			s.waitFor("the job is completed", func() bool { return s.vms[0].state(jobID) == "completed" })
+			is.Equal(s.starts(jobID), 1)
+		})
+	}
+}
--- a/internal/store/partitioner/partitioner.go
+++ b/internal/store/partitioner/partitioner.go
@@ -85,7 +85,7 @@
 	p.repeats, p.refilled = max(p.repeats, float64(p.waiting), maxSavedRepeats), now
 	p.recoveries++
 	if f, ok := p.failing[part]; ok {
-		f.retryAt = now
+		f.at, f.retryAt = time.Time{}, now // before the other failing ones
 		p.failing[part] = f
 	}
 }
@@ -97,24 +97,26 @@
 	for i := range all {
 		all[i] = i
 	}
-	rank := func(part int) int {
-		switch {
-		case p.Failing(part):
-			return 3
-		case part == 0:
-			return 0
-		case part == p.preferred:
-			return 1
-		default:
-			return 2
-		}
-	}
 	slices.SortStableFunc(all, func(a, b int) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), p.failing[a].at.Compare(p.failing[b].at))
+		return cmp.Or(
+			firstIf(!p.Failing(a), !p.Failing(b)), p.failing[a].at.Compare(p.failing[b].at),
+			firstIf(a == 0, b == 0), firstIf(a == p.preferred, b == p.preferred))
 	})
 	return all
 }
 
+// firstIf orders what has a property before what has not.
+func firstIf(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // candidates returns the partitions in the order in which a record tries them. If a retry of
 // failing partition 0 is due, it comes first, for this record only.
 func (p *Partitioner) candidates(now time.Time) []int {
