store: let the leader renew as soon as the store answers again

Held jobs were stored 0.1 to 0.4 s after an outage of the store, but started 1.2 s after it: they wait for a renewal, and the tailer of the claims backs off for up to 0.8 s. An answer of partition 0 after failures now ends the delay and the open read of each tailer, and a renewal that finds an earlier one stored is sent again at once. The soaks with rival leaders fail partitions as well.

--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -99,6 +99,7 @@
 		Wait:         wait,
 		Now:          a.Now,
 		Pause:        pause,
+		Recovered:    a.parts.awaitZeroRecovery,
 	}
 }
 
--- a/internal/node/assembler/followparts.go
+++ b/internal/node/assembler/followparts.go
@@ -102,6 +102,7 @@
 			continue
 		}
 		_, known := a.registrar.NextOffset(accessor.Partition(registrar.TopicJobs, part))
+		recovered := a.parts.awaitRecovery()
 		began := a.Now()
 		err := a.pollPart(ctx, part, a.partWait(part))
 		pause := a.partPause(part, a.Now().Sub(began))
@@ -109,7 +110,8 @@
 			pause = 0 // the records after the first read are waited for
 		}
 		if err != nil {
-			pause = partsPollDelay
+			sleeper.SleepUntil(ctx, partsPollDelay, recovered)
+			continue
 		}
 		_ = sleeper.Sleep(ctx, pause) // ends early with the context only
 	}
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -166,6 +166,9 @@
 	offset, err := a.appendClaim(x, c, e.NextOffset())
 	if errors.Is(err, accessor.ErrOffsetMismatch) {
 		a.readClaims(x, e)
+		if epoch != 0 && e.Leading() && e.Epoch() == epoch { // an earlier renewal was stored without an answer
+			offset, err = a.appendClaim(x, c, e.NextOffset())
+		}
 	}
 	if err != nil {
 		if epoch == 0 {
--- a/internal/node/assembler/parts.go
+++ b/internal/node/assembler/parts.go
@@ -22,18 +22,19 @@
 // parts is what this VM knows of the partitions of the topic of jobs. It is safe for concurrent
 // use where it takes its lock itself.
 type parts struct {
-	mu          sync.Mutex
-	partitioner partitioner.Partitioner
-	recovered   chan struct{}     // closed when a partition answers again, nil if nobody waits
-	changed     chan struct{}     // closed when it may be time to read other partitions, nil if nobody waits
-	down        map[string]bool   // topics whose partition 0 can't be read
-	failedAt    time.Time         // when partition 0 was last known to fail
-	answeredAt  time.Time         // when another partition last answered
-	readSince   map[int]time.Time // by partition, start of the last read that succeeded
-	recordAt    map[int]time.Time // by partition, when a record was last read
-	boundaries  map[int]int64     // in a term, by partition: offset up to which an earlier leader may have read
-	inTerm      int               // partitions that the present leader has to read, 0 for no term
-	reported    reportedParts
+	mu            sync.Mutex
+	partitioner   partitioner.Partitioner
+	recovered     signal            // a partition answers again
+	zeroRecovered signal            // partition 0 does
+	changed       signal            // it may be time to read other partitions
+	down          map[string]bool   // topics whose partition 0 can't be read
+	failedAt      time.Time         // when partition 0 was last known to fail
+	answeredAt    time.Time         // when another partition last answered
+	readSince     map[int]time.Time // by partition, start of the last read that succeeded
+	recordAt      map[int]time.Time // by partition, when a record was last read
+	boundaries    map[int]int64     // in a term, by partition: offset up to which an earlier leader may have read
+	inTerm        int               // partitions that the present leader has to read, 0 for no term
+	reported      reportedParts
 }
 
 // reportedParts is what was logged last.
@@ -90,8 +91,12 @@
 	p.wake()
 }
 
-// noteTopicState records whether partition 0 of a topic can be read.
+// noteTopicState records whether partition 0 of a topic can be read. Topics that only the leader
+// follows are left out: nothing tells of their recovery after its term.
 func (a *Assembler) noteTopicState(topic string, up bool) {
+	if topic == platform.TopicExecutors {
+		return
+	}
 	p := &a.parts
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -118,9 +123,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.partitioner.RecordReadable(a.Now(), part)
-	if p.recovered != nil {
-		close(p.recovered)
-		p.recovered = nil
+	p.recovered.close()
+	if part == 0 {
+		p.zeroRecovered.close()
 	}
 }
 
@@ -128,28 +133,41 @@
 func (p *parts) awaitRecovery() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.recovered == nil {
-		p.recovered = make(chan struct{})
+	return p.recovered.await()
+}
+
+// awaitZeroRecovery returns a channel that is closed when partition 0 answers again.
+func (p *parts) awaitZeroRecovery() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.zeroRecovered.await()
+}
+
+// signal tells all who wait for it at once.
+type signal struct{ c chan struct{} }
+
+func (s *signal) await() <-chan struct{} {
+	if s.c == nil {
+		s.c = make(chan struct{})
 	}
-	return p.recovered
+	return s.c
 }
 
-// wake ends the waits for changed. The lock must be held.
-func (p *parts) wake() {
-	if p.changed != nil {
-		close(p.changed)
-		p.changed = nil
+func (s *signal) close() {
+	if s.c != nil {
+		close(s.c)
+		s.c = nil
 	}
 }
 
+// wake ends the waits for changed. The lock must be held.
+func (p *parts) wake() { p.changed.close() }
+
 // awaitChange returns a channel that is closed when it may be time to read other partitions.
 func (p *parts) awaitChange() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.changed == nil {
-		p.changed = make(chan struct{})
-	}
-	return p.changed
+	return p.changed.await()
 }
 
 // suspected reports whether partition 0 fails or did lately, so that others may hold new records.
--- a/internal/sleeper/sleeper.go
+++ b/internal/sleeper/sleeper.go
@@ -20,3 +20,14 @@
 		return nil
 	}
 }
+
+// SleepUntil waits for d. It returns early if ctx ends or the channel is closed.
+func SleepUntil(ctx context.Context, d time.Duration, early <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-early:
+	case <-t.C:
+	}
+}
--- a/internal/store/tailer/tailer.go
+++ b/internal/store/tailer/tailer.go
@@ -33,6 +33,10 @@
 	Now          func() time.Time
 	// Pause returns the pause after a read, given the duration of the read.
 	Pause func(took time.Duration) time.Duration
+	// Recovered returns a channel that is closed when the store answers again after an outage.
+	// That ends the delay after a failed read, and a read that may have been sent before. May be
+	// nil.
+	Recovered func() <-chan struct{}
 
 	failing bool
 }
@@ -42,18 +46,25 @@
 	next := int64(-1)
 	delay := minRetryDelay
 	for ctx.Err() == nil {
+		var recovered <-chan struct{}
+		if t.Recovered != nil {
+			recovered = t.Recovered()
+		}
 		start := t.Now()
-		n, err := t.readNext(ctx, next)
+		n, err := t.readUntil(ctx, next, recovered)
 		if ctx.Err() != nil {
 			return
 		}
+		if err != nil && isClosed(recovered) {
+			continue
+		}
 		t.reportState(err)
 		if err != nil {
 			if errors.Is(err, accessor.ErrTrimmed) {
 				next = -1
 				continue
 			}
-			_ = sleeper.Sleep(ctx, delay) // ends early with the context only
+			sleeper.SleepUntil(ctx, delay, recovered)
 			delay = min(2*delay, maxRetryDelay)
 			continue
 		}
@@ -63,6 +74,32 @@
 	}
 }
 
+// readUntil reads like readNext, but gives up when recovered is closed.
+func (t *Tailer) readUntil(ctx context.Context, next int64, recovered <-chan struct{}) (int64, error) {
+	if recovered == nil {
+		return t.readNext(ctx, next)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-recovered:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return t.readNext(ctx, next)
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 func (t *Tailer) readNext(ctx context.Context, next int64) (int64, error) {
 	if next < 0 {
 		r, end, err := t.Newest(ctx)
--- a/soak_parts_test.go
+++ b/soak_parts_test.go
@@ -17,16 +17,15 @@
 	partOutageSpan = 2500 * time.Millisecond // added at random to minPartOutage
 )
 
-// partFaults begins and ends outages of some partitions until stop is closed, and returns what
-// it has done. It draws from a source of its own, so that the other faults of a seed stay the
-// same.
-func (s *soak) partFaults(seed uint64, stop <-chan struct{}) []string {
+// failPartitions begins and ends outages of some partitions of a store until stop is closed. It
+// draws from a source of its own, so that the other faults of a seed stay the same. begin is
+// called with each outage, and returns what is called at its end.
+func failPartitions(store *platformstandin.Store, seed uint64, stop <-chan struct{}, begin func(format string, a ...any) func()) {
 	if *soakParts < 2 {
-		return nil
+		return
 	}
 	r := rand.New(rand.NewPCG(seed, 10))
 	kinds := []platformstandin.Outage{platformstandin.OutageBusy, platformstandin.OutageReset, platformstandin.OutageSilent, platformstandin.OutageLost}
-	var faults []string
 	wait := func(d time.Duration) bool {
 		select {
 		case <-stop:
@@ -42,14 +41,25 @@
 		}
 		kind := kinds[r.IntN(len(kinds))]
 		for _, part := range failing {
-			s.store.SetOutage(part, kind)
+			store.SetOutage(part, kind)
 		}
-		faults = append(faults, fmt.Sprintf("%s partitions %v are %s", time.Now().Format("15:04:05.000"), failing, kind))
+		end := begin("partitions %v of the store are %s", failing, kind)
 		wait(minPartOutage + time.Duration(r.Int64N(int64(partOutageSpan))))
 		for _, part := range failing {
-			s.store.SetOutage(part, "")
+			store.SetOutage(part, "")
 		}
-		faults = append(faults, fmt.Sprintf("%s partitions %v serve again", time.Now().Format("15:04:05.000"), failing))
+		end()
 	}
+}
+
+// partFaults lets partitions fail until stop is closed, and returns when which did.
+func (s *soak) partFaults(stop <-chan struct{}) []string {
+	var faults []string
+	note := func(what string) { faults = append(faults, time.Now().Format("15:04:05.000 ")+what) }
+	failPartitions(s.store, s.seed, stop, func(format string, a ...any) func() {
+		what := fmt.Sprintf(format, a...)
+		note(what)
+		return func() { note("no more: " + what) }
+	})
 	return faults
 }
--- a/soak_rivals_test.go
+++ b/soak_rivals_test.go
@@ -155,7 +155,7 @@
 // settings returns the settings of a VM, which has addresses of its own for all services.
 func (s *rivalSoak) settings(i int) []byte {
 	v, n := s.vms[i], s.networks[i]
-	b, err := platformstandin.SettingsFile(v.name, n.address("store"), v.callers, v.readiness, v.peers, rivalLease)
+	b, err := platformstandin.SettingsFileFor(v.name, n.address("store"), v.callers, v.readiness, v.peers, rivalLease, *soakParts)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -188,10 +188,14 @@
 	checks.Go(func() { s.askForStates(stop) })
 	callers.Go(func() { s.runTraffic(trafficEnd, &callers) })
 	time.Sleep(rivalWarmUp)
+	outagesEnd, outages := make(chan struct{}), sync.WaitGroup{}
+	outages.Go(func() { failPartitions(s.store, s.seed, outagesEnd, s.beginOutage) })
 	for range *soakRounds {
 		s.injectSeries(&callers)
 		s.inEffect.Wait()
 	}
+	close(outagesEnd)
+	outages.Wait()
 	s.begin("all faults have ended")()
 	close(trafficEnd)
 	callers.Wait()
--- a/soak_standing_test.go
+++ b/soak_standing_test.go
@@ -317,16 +317,25 @@
 // begin records a fault and returns the function that ends its effect.
 func (s *standingSoak) begin(format string, a ...any) func() {
 	s.inEffect.Add(1)
+	end := s.beginOutage(format, a...)
+	return func() {
+		end()
+		s.inEffect.Done()
+	}
+}
+
+// beginOutage notes a fault for whose end no series of faults waits, and returns what notes that
+// end.
+func (s *standingSoak) beginOutage(format string, a ...any) func() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faulty++
 	s.faults = append(s.faults, time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, a...))
 	return func() {
 		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.faulty--
 		s.calmSince = time.Now()
-		s.mu.Unlock()
-		s.inEffect.Done()
 	}
 }
 
--- a/soak_test.go
+++ b/soak_test.go
@@ -304,7 +304,7 @@
 	}
 	s.runCrashingJobs(&callers)
 	stop, partFaults := make(chan struct{}), make(chan []string, 1)
-	go func() { partFaults <- s.partFaults(s.seed, stop) }()
+	go func() { partFaults <- s.partFaults(stop) }()
 	for end := time.Now().Add(*soakSpan); time.Now().Before(end); {
 		s.injectFault()
 		s.changeCapacity()
