scheduler: start nothing in evacuated availability zones

The operator's record evacuate/ZONE was ignored: tasks were placed in a zone that was being emptied. A new leader reads the operator's topic to its end before it starts anything. Workers that are cold are used after others. The scripts of evacuations.txtar and the tests of the assembler pass; without the change of reachable, the first script fails at the first start in the zone.

--- a/internal/jobs/scheduler/copies.go
+++ b/internal/jobs/scheduler/copies.go
@@ -106,7 +106,7 @@
 	if near := inRack(others, u.step.DataRack); countFitting(r, near) > 0 {
 		others = near
 	}
-	at, ok := placer.Place(r, others)
+	at, ok := p.s.placeWarm(p.now, r, others)
 	if !ok {
 		return
 	}
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -38,6 +38,9 @@
 	MinRemaining time.Duration // minimum remaining time of a draining worker
 	StartedMS    int64         // Unix time in milliseconds of its last start
 	Expired      bool          // its entry has expired recently: it gets no new runs, but may have runs of an earlier leader
+
+	ColdRemaining time.Duration // for which it is still slow after its start or after an evacuation, as its entry says
+	ColdUntil     time.Time     // when that ends, given the time at which the entry was read; zero if it is not slow
 }
 
 // WorkersListed brings the platform's list of workers, sorted by ID.
@@ -178,6 +181,7 @@
 	Ticket     string // of a queue with advice
 	DecidedAt  time.Time
 	MaxDelay   time.Duration // after DecidedAt, in which the start may reach its worker; 0 for no limit
+	Zone       string        // of the worker
 }
 
 // Stop stops a run, or prevents its start.
@@ -218,6 +222,7 @@
 	detailRuns    = "runs"
 	detailStep    = "job-step" // "step" is the step of the program that logs
 	detailWave    = "wave"
+	detailZone    = "zone"
 )
 
 func (Hold) isEffect()       {}
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -202,7 +202,7 @@
 	}
 	r.Tasks = min(len(waiting), countFitting(r, all))
 	if r.Tasks > 0 {
-		if at, ok := placer.Place(r, all); ok {
+		if at, ok := p.s.placeWarm(p.now, r, all); ok {
 			for k, id := range at {
 				p.s.lastRun++
 				p.placeTask(u, waiting[k], id, p.s.lastRun)
@@ -319,6 +319,7 @@
 		Worker: id, Address: w.Address, Epoch: s.Epoch, Task: task, Run: run,
 		Spec: u.job.Spec, DeadlineMS: deadlineMS, Checkpoint: u.step.primary(index).checkpoint,
 		Ticket: u.step.tickets[id].value, DecidedAt: p.now, MaxDelay: s.maxStartDelay(p.now, w),
+		Zone: w.Zone,
 	}
 	if v := u.step.tasks[index].suspicion.Open; v != nil && !unstored {
 		s.closeStart(task, v.Run)
--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -69,10 +69,10 @@
 }
 
 // fitsWhenIdle reports whether the tasks of a unit would fit on the listed workers with its
-// label if nothing ran there. A unit that would not has no runs to stop or to wait for.
+// label outside evacuated zones if nothing ran there. A unit that would not has no runs to stop or to wait for.
 func (p *pass) fitsWhenIdle(u unit) bool {
 	if u.step.idleCheckedAt.IsZero() || p.now.Sub(u.step.idleCheckedAt) >= rackCheckInterval {
-		u.step.fitsIdle, u.step.idleCheckedAt = p.s.roomFor(p.now, u).empty >= u.step.tasksAtOnce(), p.now
+		u.step.fitsIdle, u.step.idleCheckedAt = p.s.roomFor(p.now, u).remaining() >= u.step.tasksAtOnce(), p.now
 	}
 	return u.step.fitsIdle
 }
--- a/internal/jobs/scheduler/relocation.go
+++ b/internal/jobs/scheduler/relocation.go
@@ -191,7 +191,7 @@
 	var idle *Machine
 	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
 		m := s.machines[id]
-		if m.Pool == pool || s.relocation.refusedMoves[poolPair{m.Pool, pool}] || !m.holds(n) || s.awaitsUpkeep(id) || now.Sub(s.relocation.failedAt[id]) < moveRetryDelay {
+		if m.Pool == pool || s.relocation.refusedMoves[poolPair{m.Pool, pool}] || !m.holds(n) || s.awaitsUpkeep(id) || now.Sub(s.relocation.failedAt[id]) < moveRetryDelay || s.inEvacuatedZone(m.Worker) {
 			continue
 		}
 		if s.config.Pools[m.Pool] && (m.Up || m.Down) {
@@ -256,7 +256,7 @@
 	all, idle, accelerators, guaranteed := 0, 0, -m.Capacity.Accelerators, 0
 	for _, id := range s.workerIDs {
 		w := s.workers[id]
-		if w.Service != m.Pool || !w.listed {
+		if w.Service != m.Pool || !w.listed || w.zoneEvacuated {
 			continue
 		}
 		all++
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -45,6 +45,8 @@
 	storeInFlight   bool
 	storedAt        time.Time
 	storeSoon       bool // a worker or caller waits for the next store
+	evacuations     evacuations
+	coldUntil       time.Time // from when on no worker is cold
 	waves           map[int]*wave
 	machines        map[string]Machine // as listed last, nil before the first list
 	machinesAskedAt time.Time          // time of the last request for the list
@@ -127,16 +129,12 @@
 		s.handlePaceResult(e)
 	case AdviceResult:
 		s.handleAdviceResult(now, e)
-	case WavesChanged:
-		s.addWaves(now, e.Waves)
 	case MachinesListed:
 		s.handleMachinesListed(now, e)
 	case UpkeepResult:
 		s.handleUpkeepResult(now, e)
 	case MoveResult:
 		s.handleMoveResult(now, e)
-	case LoansRestored:
-		s.relocation.loans = maps.Clone(e.Loans)
 	case Stored:
 		s.handleStored(now)
 	case Released:
@@ -145,6 +143,21 @@
 		}
 	case Confirmed:
 		s.confirmLeadership(e)
+	default:
+		s.handleStoredState(now, e)
+	}
+}
+
+// handleStoredState handles what the operator or an earlier leader has stored about machines
+// and zones.
+func (s *Scheduler) handleStoredState(now time.Time, e Event) {
+	switch e := e.(type) {
+	case EvacuationsChanged:
+		s.changeEvacuations(now, e)
+	case WavesChanged:
+		s.addWaves(now, e.Waves)
+	case LoansRestored:
+		s.relocation.loans = maps.Clone(e.Loans)
 	}
 }
 
@@ -261,6 +274,7 @@
 	if len(s.held) > 0 {
 		s.sendHeldStarts(now, false)
 	}
+	s.reportEvacuations(now)
 	s.vacateWorkers(now, watched)
 	s.advanceWaves(now)
 	s.relocateMachines(now)
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -175,6 +175,7 @@
 	}
 	w.addChecks(c)
 	w.addStandingCommands(c)
+	w.addEvacuationCommands(c)
 	return c
 }
 
--- a/internal/jobs/scheduler/standing.go
+++ b/internal/jobs/scheduler/standing.go
@@ -90,7 +90,7 @@
 	if r.Tasks == 0 {
 		return
 	}
-	at, ok := placer.Place(r, workers)
+	at, ok := p.s.placeWarm(p.now, r, workers)
 	if !ok {
 		return
 	}
--- a/internal/jobs/scheduler/waits.go
+++ b/internal/jobs/scheduler/waits.go
@@ -28,6 +28,7 @@
 	conditionQuarantine  condition = "quarantine"       // it is suspected of crashing workers, and none suits its level
 	conditionTooLarge    condition = "too-large"        // it would not fit if nothing ran
 	conditionResources   condition = "resources"        // it does not fit
+	conditionEvacuated   condition = "evacuated-zone"   // it would fit if no zone were evacuated
 	conditionUnusable    condition = "unusable-workers" // it would fit if listed workers were usable
 	conditionAdvice      condition = "advice"           // too few workers have a ticket
 	conditionColocation  condition = "colocation"       // fillers and serving tasks do not share a worker
@@ -53,8 +54,14 @@
 	excluded int // on workers that are excluded for failures
 	unusable int // on listed workers that are not usable, with those
 	empty    int // on listed workers if nothing ran there
+
+	evacuated      int // on workers that are not usable only because their zone is evacuated
+	evacuatedEmpty int // on listed workers in evacuated zones if nothing ran there
 }
 
+// remaining returns the room on the listed workers outside evacuated zones if nothing ran there.
+func (n room) remaining() int { return n.empty - n.evacuatedEmpty }
+
 const maxRoom = 1 << 20 // tasks; a task that needs no resources fits without limit
 
 // roomKey is what the room for a step depends on.
@@ -83,6 +90,12 @@
 			continue
 		}
 		n.unusable += free
+		if w.zoneEvacuated {
+			n.evacuatedEmpty += u.step.tasksOn(w.Capacity)
+			if w.unusableReason(now) == reasonZoneEvacuated {
+				n.evacuated += free
+			}
+		}
 		if w.aloneRuns == 0 && w.reachable() {
 			n.excluded += free
 		}
@@ -215,6 +228,8 @@
 		return conditionQuarantine
 	case n.empty < need:
 		return conditionTooLarge
+	case n.remaining() < need, n.usable < need && n.usable+n.evacuated >= need:
+		return conditionEvacuated
 	case n.usable+n.unusable < need:
 		return conditionResources
 	case n.usable < need:
@@ -286,10 +301,13 @@
 // serviceUsage is what is in use of the resources of a service.
 type serviceUsage struct{ used, capacity placer.Resources }
 
-// usage returns the usage of the listed workers of a service.
+// usage returns the usage of the listed workers of a service outside evacuated zones.
 func (s *Scheduler) usage(service string) serviceUsage {
 	var n serviceUsage
 	for _, w := range s.listedWorkers(service) {
+		if w.zoneEvacuated {
+			continue // nobody can use what is free there
+		}
 		n.used, n.capacity = n.used.Plus(w.used), n.capacity.Plus(w.Capacity)
 	}
 	return n
@@ -335,11 +353,17 @@
 		return "too-many-ends"
 	case now.Before(w.excludedUntil):
 		return "excluded"
-	default:
+	case w.aloneRuns > 0:
 		return quarantiner.Alone.String()
+	default:
+		return reasonZoneEvacuated
 	}
 }
 
+// reasonZoneEvacuated is the reason of a worker that would be usable if its zone were not
+// evacuated.
+const reasonZoneEvacuated = "evacuated-zone"
+
 // needString returns the resources of one task as they are logged.
 func needString(n placer.Resources) string {
 	return fmt.Sprintf("%d millicores, %d MB, %d accelerators", n.MilliCores, n.MemoryMB, n.Accelerators)
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -84,6 +84,7 @@
 	noFillersUntil    time.Time // no new fillers before
 	pacing            pacing    // of its fillers
 	evacuating        bool      // its machine goes down for upkeep or moves
+	zoneEvacuated     bool      // its availability zone is evacuated
 	staysUntil        time.Time // earliest time at which a draining worker leaves
 	handledEnd        int64     // number of the last end handled
 	storedEnd         int64     // number of the last end stored
@@ -218,7 +219,7 @@
 // reachable reports whether the worker would carry out a start, whatever it failed lately.
 func (w *worker) reachable() bool {
 	return w.listed && w.fenced && w.unconfirmedSince.IsZero() && w.orphanRuns == 0 &&
-		!w.listsTooManyEnds() && !w.Draining && !w.evacuating && w.unresponsiveSince.IsZero()
+		!w.listsTooManyEnds() && !w.Draining && !w.evacuating && !w.zoneEvacuated && w.unresponsiveSince.IsZero()
 }
 
 // countFailure counts a failed run against the worker, once per job: a job may fail
@@ -265,6 +266,10 @@
 		w.WorkerInfo = l
 		w.StartedMS = born
 		w.listed = !l.Expired
+		w.zoneEvacuated = s.evacuations.has(l.Zone)
+		if l.ColdUntil.After(s.coldUntil) {
+			s.coldUntil = l.ColdUntil
+		}
 		s.touch(w)
 	}
 	slices.Sort(s.workerIDs)
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -78,6 +78,8 @@
 	loans           scheduler.Loans     // as stored
 	moves, listings int
 
+	evacuation evacuationWorld
+
 	schedule struct { // of the next submitted job
 		times           int
 		delay, interval time.Duration
@@ -113,6 +115,8 @@
 	}
 	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, Machines: true}, Epoch: w.epoch, LeadingSince: w.now, LastInheritedOffset: int64(len(w.jobs)) - 1}
 	w.feed(scheduler.ConfigChanged{Config: w.config})
+	w.evacuation.down = false // it reads the topic before it starts anything
+	w.readEvacuations()
 	for _, e := range slices.SortedFunc(maps.Values(w.jobs), func(a, b scheduler.Submitted) int { return cmp.Compare(a.Offset, b.Offset) }) {
 		e.Progress, e.Cancelled = w.stored[e.Job.ID], w.cancelled[e.Job.ID]
 		e.Occurrences = map[int]scheduler.Progress{}
@@ -170,6 +174,11 @@
 	case scheduler.Hold:
 		w.hold(f)
 	case scheduler.Start:
+		if w.evacuation.gated[f.Zone] {
+			w.deliverAfter(latency, scheduler.StartResult{Start: f, Outcome: scheduler.OutcomeDropped})
+			return
+		}
+		w.noteZoneStart(f)
 		if o, ok := w.reachable(f.Worker); !ok {
 			w.deliverAfter(time.Second, scheduler.StartResult{Start: f, Outcome: o})
 			return
@@ -222,6 +231,8 @@
 		if !w.wavesLost {
 			w.waves[f.Number] = f
 		}
+	case scheduler.EvacuationsReported:
+		w.evacuation.seen = f
 	case scheduler.Decision:
 		w.counters[f.Counter]++
 		w.logged[f.Message]++
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -43,6 +43,7 @@
 	relayer    *relayer.Relayer
 	peers      *peers
 	waves      waves
+	evacuated  evacuations
 	executors  *platform.Executors
 	registrar  *registrar.Registrar
 	commander  *commander.Commander
@@ -52,7 +53,8 @@
 	config         atomic.Pointer[gatekeeper.Config]
 	storeDownSince atomic.Int64 // Unix time in milliseconds when the current outage of the store began, 0 if there is none
 	leaving        atomic.Bool
-	operatorRead   atomic.Bool // the operator's topic was read at least once
+	operatorRead   atomic.Bool  // the operator's topic was read at least once
+	operatorNext   atomic.Int64 // offset from which it was not read yet
 	leading        atomic.Bool
 	releasedAt     atomic.Pointer[time.Time] // when this process began to release the leadership, nil before
 	electorEvents  chan electorEvent
@@ -121,18 +123,19 @@
 		Hold: func(ctx context.Context, h scheduler.Hold, margin time.Duration) scheduler.HoldResult {
 			return a.executors.Hold(ctx, h, margin, a.Now)
 		},
-		Start: a.executors.Start,
+		Start: a.startUnlessEvacuated,
 		Stop:  a.executors.Stop,
 		Pace:  a.executors.Pace,
 		Advise: func(ctx context.Context, v scheduler.Advise) scheduler.AdviceResult {
 			return adviser.Advise(ctx, v, a.Now)
 		},
-		ListMachines: machineService.List,
-		BeginUpkeep:  machineService.Upkeep,
-		MoveMachine:  machineService.Move,
-		StoreWave:    a.storeWave,
-		StoreLoans:   a.storeLoans,
-		LogDecision:  a.logDecision,
+		ListMachines:      machineService.List,
+		BeginUpkeep:       machineService.Upkeep,
+		MoveMachine:       machineService.Move,
+		StoreWave:         a.storeWave,
+		StoreLoans:        a.storeLoans,
+		LogDecision:       a.logDecision,
+		ReportEvacuations: func(e scheduler.EvacuationsReported) { a.evacuated.seen.Store(&e) },
 		ObserveDuration: func(measure string, d time.Duration) {
 			a.metrics.Observe(recorder.Series{Measure: measure}, d)
 		},
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -109,8 +109,11 @@
 	a.electorEvents <- electorEvent{storeChanged: true, up: err == nil}
 }
 
-// applyOperatorRecords applies records of the operator: configurations and waves.
+// applyOperatorRecords applies records of the operator: evacuations, configurations and waves.
 func (a *Assembler) applyOperatorRecords(b tailer.Batch) {
+	if a.evacuated.apply(a.Now(), b, a.logMalformed) {
+		a.commander.Post(a.evacuated.event())
+	}
 	for _, r := range b.Records {
 		if r.Key == platform.KeyConfiguration && len(r.Value) > 0 {
 			a.applyConfig(r.Value, r.Offset)
@@ -124,22 +127,36 @@
 			a.commander.Post(scheduler.WavesChanged{Waves: a.waves.list()})
 		}
 	}
+	a.operatorNext.Store(max(a.operatorNext.Load(), b.Next))
 	a.operatorRead.Store(true)
 }
 
-// awaitOperatorRecords returns once the operator's topic was read at least once.
-func (a *Assembler) awaitOperatorRecords(ctx context.Context) {
-	for !a.operatorRead.Load() && ctx.Err() == nil {
-		records, next, err := a.store.Newest(ctx, platform.TopicOperator)
+// readOperatorRecords returns once all records of the operator that were stored before the call
+// are read: a new leader must not start anything in a zone that is evacuated.
+func (a *Assembler) readOperatorRecords(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := a.catchUpOperatorRecords(ctx)
 		if err == nil {
-			a.applyOperatorRecords(tailer.Batch{Records: records, Snapshot: true, Next: next})
 			return
 		}
-		a.log("lead").WithError(err).Warn("can't read the configuration and waves; retrying")
+		a.log("lead").WithError(err).Warn("can't read the configuration, waves and evacuations; retrying")
 		_ = sleeper.Sleep(ctx, storeRetryDelay) // fails only when the context ends
 	}
 }
 
+// catchUpOperatorRecords reads the operator's topic to its present end.
+func (a *Assembler) catchUpOperatorRecords(ctx context.Context) error {
+	if a.operatorRead.Load() {
+		return tailer.CatchUp(ctx, a.store, platform.TopicOperator, a.operatorNext.Load(), a.applyOperatorRecords)
+	}
+	records, next, err := a.store.Newest(ctx, platform.TopicOperator)
+	if err != nil {
+		return err
+	}
+	a.applyOperatorRecords(tailer.Batch{Records: records, Snapshot: true, Next: next})
+	return nil
+}
+
 // applyConfig applies a configuration unless the one in force is as new or newer.
 func (a *Assembler) applyConfig(raw []byte, offset int64) {
 	c, err := platform.DecodeConfiguration(raw)
@@ -163,6 +180,7 @@
 
 // workerList is the platform's list of workers.
 type workerList struct {
+	now  func() time.Time
 	byID map[string]scheduler.WorkerInfo
 }
 
@@ -186,6 +204,9 @@
 			malformed(r.Key, r.Offset, err)
 			continue
 		}
+		if l.ColdRemaining > 0 {
+			l.ColdUntil = w.now().Add(l.ColdRemaining)
+		}
 		if old, ok := before[r.Key]; !ok || !sameEntry(old, l) {
 			changed = true
 		}
@@ -195,6 +216,12 @@
 }
 
 func sameEntry(a, b scheduler.WorkerInfo) bool {
-	return a.Address == b.Address && a.Service == b.Service && a.Rack == b.Rack &&
-		a.Capacity == b.Capacity && a.Draining == b.Draining && a.MinRemaining == b.MinRemaining && a.StartedMS == b.StartedMS
+	return a.Address == b.Address && a.Service == b.Service && a.Zone == b.Zone && a.Rack == b.Rack &&
+		a.Capacity == b.Capacity && a.Draining == b.Draining && a.MinRemaining == b.MinRemaining && a.StartedMS == b.StartedMS &&
+		a.ColdUntil.Sub(b.ColdUntil).Abs() < maxColdDrift
 }
+
+// maxColdDrift is by how much the end of a worker's cold time may differ between two of its
+// entries without a new decision: more than entries are read late, so that workers that count
+// down cause no decisions.
+const maxColdDrift = time.Second
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -235,7 +235,7 @@
 		l.WithError(err).Info("leadership ended before the scheduler started")
 		return
 	}
-	a.awaitOperatorRecords(ctx)
+	a.readOperatorRecords(ctx)
 	storedWaves, loans := a.readWavesAndLoans(ctx)
 	nextJob, _ := a.registrar.NextOffset(registrar.TopicJobs)
 	s := &scheduler.Scheduler{
@@ -260,6 +260,7 @@
 			scheduler.LoansRestored{Loans: loans})
 	})
 	cancel()
+	a.evacuated.seen.Store(nil)
 	following.Wait() // a list that was read in this term must not reach the next one
 	now := a.Now()
 	l.WithError(err).WithFields(logrus.Fields{
@@ -277,6 +278,7 @@
 	if c := a.config.Load(); c != nil {
 		all = append(all, scheduler.ConfigChanged{Config: c.SchedulerConfig()})
 	}
+	all = append(all, a.evacuated.event())
 	for _, e := range a.registrar.Entries() {
 		all = append(all, submittedEvent(e))
 	}
@@ -285,7 +287,7 @@
 
 // followWorkers posts the list of workers to the scheduler whenever it changes.
 func (a *Assembler) followWorkers(ctx context.Context) {
-	w := &workerList{}
+	w := &workerList{now: a.Now}
 	a.postRecentWorkers(ctx)
 	pause := func(time.Duration) time.Duration { return workersReadPause }
 	t := a.newTailer(platform.TopicExecutors, readWait, pause, func(b tailer.Batch) {
--- a/internal/node/assembler/listen.go
+++ b/internal/node/assembler/listen.go
@@ -35,6 +35,7 @@
 	readiness.HandleFunc("GET "+platform.PathReady, a.handleReady)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", a.metrics)
+	metrics.Handle("GET /evacuations", &a.evacuated)
 	for _, v := range []struct {
 		name, address string
 		server        *http.Server
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -49,6 +49,9 @@
 	ObserveDuration func(event string, d time.Duration) // called with the durations of decisions and starts
 	Now             func() time.Time
 
+	// ReportEvacuations is called with the evacuated zones in the order of their changes.
+	ReportEvacuations func(scheduler.EvacuationsReported)
+
 	released atomic.Bool // in the present term
 
 	mu      sync.Mutex
@@ -219,6 +222,8 @@
 		switch f := f.(type) {
 		case scheduler.Decision:
 			c.LogDecision(f)
+		case scheduler.EvacuationsReported:
+			c.ReportEvacuations(f)
 		case scheduler.Hold:
 			switch {
 			case f.Unheard && c.crowded():
@@ -285,7 +290,7 @@
 	switch o {
 	case scheduler.OutcomeObsolete: // the run has ended there already; its worker lists the end
 		return scheduler.OutcomeDone
-	case scheduler.OutcomeUnsent, scheduler.OutcomeLate, scheduler.OutcomeFull, scheduler.OutcomeUnhealthy, scheduler.OutcomeTicket, scheduler.OutcomeInvalid:
+	case scheduler.OutcomeUnsent, scheduler.OutcomeLate, scheduler.OutcomeFull, scheduler.OutcomeUnhealthy, scheduler.OutcomeTicket, scheduler.OutcomeInvalid, scheduler.OutcomeDropped:
 		return scheduler.OutcomeUnknown
 	default:
 		return o
