scheduler: test each failure of an evacuation

They found one fault: an urgent step that is no gang and larger than the remaining capacity stopped nothing, so its guarantee was not reclaimed; it now asks for what remains.

--- a/internal/jobs/scheduler/evacuation.go
+++ b/internal/jobs/scheduler/evacuation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/evacuator"
+	"github.com/lacewingdoor/lacewingdoor/placer"
 )
 
 // EvacuationsChanged brings all evacuated availability zones. Of two events the one with the
@@ -172,3 +173,12 @@
 	w, ok := s.workers[id]
 	return ok && w.zoneEvacuated
 }
+
+// withinRemaining returns a request of a step that is no gang, limited to the tasks that the
+// workers outside evacuated zones could hold: a guarantee is reclaimed from what remains.
+func (p *pass) withinRemaining(u unit, r placer.Request) placer.Request {
+	if len(p.s.evacuations.zones) > 0 {
+		r.Tasks = max(1, min(r.Tasks, p.s.roomFor(p.now, u).remaining()))
+	}
+	return r
+}
--- a/internal/jobs/scheduler/evacuation_world_test.go
+++ b/internal/jobs/scheduler/evacuation_world_test.go
@@ -18,6 +18,7 @@
 	down    bool                // the leader can't read the topic
 	gated   map[string]bool     // zones whose starts are dropped when they are sent
 	starts  map[string]int      // by zone
+	zones   map[string]string   // by machine
 	seen    scheduler.EvacuationsReported
 }
 
@@ -54,9 +55,10 @@
 
 func (w *world) addEvacuationCommands(c scripter.Commands) {
 	v := &w.evacuation
+	v.zones = map[string]string{}
 	c["zone"] = func(zone string, ids ...string) {
 		for _, id := range ids {
-			w.workers[id].info.Zone = zone
+			w.workers[id].info.Zone, v.zones[machineOf(id)] = zone, zone
 		}
 		w.sendList()
 	}
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -238,7 +238,7 @@
 		p.s.evictFillers(p.now, u.job, u.step)
 	}
 	if u.job.urgent() {
-		p.preemptOrReserve(u, r)
+		p.preemptOrReserve(u, p.withinRemaining(u, r))
 	}
 }
 
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -315,7 +315,7 @@
 	delete(w.replaced, id) // another machine may get the name again
 	w.workers[id] = &fakeWorker{
 		info: scheduler.WorkerInfo{
-			ID: id, Address: id, Service: service, Rack: rack, StartedMS: w.now.UnixMilli(), Labels: []string{"a", rack},
+			ID: id, Address: id, Service: service, Zone: w.evacuation.zones[machineOf(id)], Rack: rack, StartedMS: w.now.UnixMilli(), Labels: []string{"a", rack},
 			Capacity: placer.Resources{MilliCores: 128000, MemoryMB: 262144, Accelerators: gpus},
 		},
 		inList: true, alive: true, started: w.now.Add(-time.Minute),
