assembler: read evacuations again before a start after a pause

A leader that was paused could send a start by what it knew before the pause, and so later than evacuateMs after the record was stored. With the setting bounds.evacuateMs, a start now waits for a read of the operator's topic if that was neither read nor found unreadable for 30 % of the time, and the start window is limited to the other 70 %, which changes nothing for 5 s and a gang time-out of 4 s. A start that was tried before and is then dropped counts as unanswered.

--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -36,11 +36,21 @@
 	GangTimeout time.Duration // after which the members of an incomplete gang end; 0 for 3 s
 	StopTime    time.Duration // within which a worker stops a run; 0 for 200 ms
 	Machines    bool          // the platform lists machines
+	Evacuate    time.Duration // after which nothing may start in an evacuated zone; 0 for no limit
 }
 
+// EvacuateStartPercent is the share of Evacuate in which a start that was decided before the
+// evacuation was known may still arrive; the rest is for reading the record. With 5 s it is
+// 3.5 s, the start window of a gang time-out of 4 s.
+const EvacuateStartPercent = 70
+
 // startWindow returns the time within which a start must arrive to be accepted.
 func (s Settings) startWindow() time.Duration {
-	return max(cmp.Or(s.GangTimeout, defaultGangTimeout)-gangStartMargin, gangStartMargin)
+	d := cmp.Or(s.GangTimeout, defaultGangTimeout) - gangStartMargin
+	if s.Evacuate > 0 {
+		d = min(d, s.Evacuate*EvacuateStartPercent/100)
+	}
+	return max(d, gangStartMargin)
 }
 
 // leaseEndSlack returns for how long a run may continue after its lease expires.
--- a/internal/jobs/scheduler/settings_test.go
+++ b/internal/jobs/scheduler/settings_test.go
@@ -13,15 +13,17 @@
 // TestStartDeadlineLeavesMarginBeforeGangTimeout guards against starts that arrive
 // after the gang timeout of the other members, which would end the whole gang.
 func TestStartDeadlineLeavesMarginBeforeGangTimeout(t *testing.T) {
-	for _, c := range []struct{ timeout, window time.Duration }{
+	for _, c := range []struct{ timeout, window, evacuate time.Duration }{
 		{timeout: 0, window: 2500 * time.Millisecond},
 		{timeout: 4 * time.Second, window: 3500 * time.Millisecond},
 		{timeout: 1500 * time.Millisecond, window: time.Second},
 		{timeout: 200 * time.Millisecond, window: 500 * time.Millisecond},
+		{timeout: 4 * time.Second, window: 3500 * time.Millisecond, evacuate: 5 * time.Second},
+		{timeout: 4 * time.Second, window: 1400 * time.Millisecond, evacuate: 2 * time.Second},
 	} {
 		is := is.New(t)
 		now := time.Unix(1_000_000, 0)
-		s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, GangTimeout: c.timeout}, Epoch: 1, LeadingSince: now, LastInheritedOffset: -1}
+		s := &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, GangTimeout: c.timeout, Evacuate: c.evacuate}, Epoch: 1, LeadingSince: now, LastInheritedOffset: -1}
 		need := placer.Resources{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}
 		s.Reduce(now, scheduler.WorkersListed{Workers: []scheduler.WorkerInfo{{ID: "w", Service: "s", Rack: "r", StartedMS: 1, Capacity: need}}})
 		s.Reduce(now, scheduler.HoldResult{Worker: "w", Sent: now, Outcome: scheduler.OutcomeDone, ClockMS: 5000, StartedMS: 1})
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -44,6 +44,7 @@
 	peers      *peers
 	waves      waves
 	evacuated  evacuations
+	view       operatorView
 	executors  *platform.Executors
 	registrar  *registrar.Registrar
 	commander  *commander.Commander
--- a/internal/node/assembler/evacuations.go
+++ b/internal/node/assembler/evacuations.go
@@ -1,7 +1,6 @@
 package assembler
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -91,13 +90,3 @@
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	_ = json.NewEncoder(w).Encode(body) // fails only if the client disconnected
 }
-
-// startUnlessEvacuated sends a start unless the zone of its worker is evacuated: the scheduler
-// may have decided it before it knew, and the start may have waited for a slot or a retry since.
-func (a *Assembler) startUnlessEvacuated(ctx context.Context, f scheduler.Start, wait, margin time.Duration) scheduler.StartResult {
-	if a.evacuated.load().Evacuated(f.Zone) {
-		a.metrics.Count("starts-dropped-by-evacuation", 1)
-		return scheduler.StartResult{Start: f, Outcome: scheduler.OutcomeDropped}
-	}
-	return a.executors.Start(ctx, f, wait, margin)
-}
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -51,7 +51,9 @@
 	topicPause := func(share float64) func(time.Duration) time.Duration {
 		return func(took time.Duration) time.Duration { return a.readInterval(share) - took }
 	}
-	a.startTailer(ctx, g, a.newTailer(platform.TopicOperator, readWait, topicPause(operatorReadShare), a.applyOperatorRecords))
+	operator := a.newTailer(platform.TopicOperator, readWait, topicPause(operatorReadShare), a.applyOperatorRecords)
+	a.view.watch(operator)
+	a.startTailer(ctx, g, operator)
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(registrar.TopicJobs), readWait, jobsPause, a.registrar.ApplyJobs))
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(registrar.TopicProgress), readWait, progressPause, a.registrar.ApplyProgress))
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(topicLeader), readWait, topicPause(leaderReadShare), a.postClaims))
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -240,7 +240,7 @@
 	nextJob, _ := a.registrar.NextOffset(registrar.TopicJobs)
 	s := &scheduler.Scheduler{
 		Settings: scheduler.Settings{
-			Lease: a.Settings.Lease, GangTimeout: a.Settings.GangTimeout, StopTime: a.Settings.StopTime,
+			Lease: a.Settings.Lease, GangTimeout: a.Settings.GangTimeout, StopTime: a.Settings.StopTime, Evacuate: a.Settings.Evacuate,
 			Machines: a.Settings.MachineService != "",
 		},
 		Epoch: epoch, LeadingSince: a.Now(), LastInheritedOffset: nextJob - 1, ConfirmedAt: a.Now(),
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -105,6 +105,8 @@
 		"then no room":     {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeFull, scheduler.OutcomeFull}, []scheduler.Outcome{scheduler.OutcomeUnknown}},
 		"no room at once":  {[]scheduler.Outcome{scheduler.OutcomeFull}, []scheduler.Outcome{scheduler.OutcomeFull}},
 		"too late":         {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeLate, scheduler.OutcomeLate}, []scheduler.Outcome{scheduler.OutcomeUnknown}},
+		"then evacuated":   {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeDropped, scheduler.OutcomeDropped}, []scheduler.Outcome{scheduler.OutcomeUnknown}},
+		"evacuated":        {[]scheduler.Outcome{scheduler.OutcomeDropped}, []scheduler.Outcome{scheduler.OutcomeDropped}},
 		"never answered":   {[]scheduler.Outcome{scheduler.OutcomeUnknown, scheduler.OutcomeUnknown, scheduler.OutcomeUnknown}, []scheduler.Outcome{scheduler.OutcomeUnknown}},
 	} {
 		t.Run(name, func(t *testing.T) {
