--- a/soak_test.go
+++ b/soak_test.go
@@ -26,7 +26,7 @@
 	soakRuns  = flag.Int("soak.runs", 1, "number of seeds to run")
 	soakVMs   = flag.Int("soak.vms", 3, "entry VMs per run")
 	soakSpan  = flag.Duration("soak.span", 5*time.Second, "how long each run injects faults")
-	soakBreak = flag.String("soak.break", "", "promise to break deliberately, to show that its check fails: twice, lost, refused, crash, capacity, stands or rivals")
+	soakBreak = flag.String("soak.break", "", "promise to break deliberately, to show that its check fails: twice, lost, refused, crash, capacity, evacuation, stands or rivals")
 )
 
 const (
@@ -41,7 +41,8 @@
 
 // TestSoak runs entry VMs as processes against stand-ins of the platform, injects random
 // faults drawn from the seed, and checks what callers and executors observe: no task runs
-// twice, every accepted job ends, and a job whose submission was refused does not run.
+// twice, every accepted job ends, a job whose submission was refused does not run, and
+// nothing starts in an evacuated zone later than the platform allows.
 // Without -soak.seed it runs the seeds that failed in the past.
 func TestSoak(t *testing.T) {
 	seeds := regressionSeeds(t)
@@ -96,6 +97,9 @@
 	configVersion     int
 	faults            []string
 
+	evacuations  soakEvacuations
+	operatorRand *rand.Rand // draws evacuations
+
 	extraRand *rand.Rand // draws crashing jobs and capacities, so that these do not change the faults of a seed
 
 	mu           sync.Mutex
@@ -127,7 +131,7 @@
 	s := &soak{
 		t: t, faultRand: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), store: platformstandin.NewStore(),
 		acknowledged: map[string]bool{}, jobs: map[string]*soakJob{}, extraRand: rand.New(rand.NewPCG(seed, 9)),
-		crashes: map[string]int{}, laterStarts: map[string]int{},
+		crashes: map[string]int{}, laterStarts: map[string]int{}, operatorRand: rand.New(rand.NewPCG(seed, 10)),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -205,7 +209,7 @@
 }
 
 func (s *soak) listExecutor(i int, state string) {
-	s.store.PutExecutor(fmt.Sprintf("x%d", i), "s", s.executorAddresses[i], fmt.Sprintf("r1-%d", i%2), s.capacityOf(i), state, s.executors[i].Born())
+	s.store.PutExecutorInZone(soakZone(i), fmt.Sprintf("x%d", i), "s", s.executorAddresses[i], fmt.Sprintf("r1-%d", i%2), s.capacityOf(i), state, s.executors[i].Born())
 }
 
 func (s *soak) startVM(v *soakVM) {
@@ -280,6 +284,7 @@
 	}
 	s.checkCapacity(i, task, n)
 	s.checkLaterStart(i, task)
+	s.checkZone(i, task)
 }
 
 func (s *soak) recordAcknowledged(task, how string) {
@@ -302,6 +307,7 @@
 		callers.Go(func() { s.runCaller(r, i) })
 	}
 	s.runCrashingJobs(&callers)
+	callers.Go(func() { s.runOperator(s.operatorRand) })
 	for end := time.Now().Add(*soakSpan); time.Now().Before(end); {
 		s.injectFault()
 		s.changeCapacity()
