--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -148,6 +148,17 @@
 
 // catchUpOperatorRecords reads the operator's topic to its present end.
 func (a *Assembler) catchUpOperatorRecords(ctx context.Context) error {
+	sent := a.Now()
+	err := a.readOperatorTopic(ctx)
+	if err != nil {
+		a.view.noteFailure(a.Now())
+		return err
+	}
+	a.view.noteRead(sent)
+	return nil
+}
+
+func (a *Assembler) readOperatorTopic(ctx context.Context) error {
 	if a.operatorRead.Load() {
 		return tailer.CatchUp(ctx, a.store, platform.TopicOperator, a.operatorNext.Load(), a.applyOperatorRecords)
 	}
--- a/internal/node/assembler/freshness.go
+++ b/internal/node/assembler/freshness.go
@@ -39,13 +39,18 @@
 	return age
 }
 
+// noteRead notes that a read sent at a time was applied.
+func (v *operatorView) noteRead(sent time.Time) { v.readAt.Store(&sent) }
+
+// noteFailure notes that a read failed at a time.
+func (v *operatorView) noteFailure(at time.Time) { v.failedAt.Store(&at) }
+
 // watch notes the reads of a tailer of the operator's topic.
 func (v *operatorView) watch(t *tailer.Tailer) {
 	var sent time.Time
 	note := func(err error) {
 		if err != nil {
-			at := t.Now()
-			v.failedAt.Store(&at)
+			v.noteFailure(t.Now())
 		}
 	}
 	newest, read, apply := t.Newest, t.Read, t.Apply
@@ -63,8 +68,7 @@
 	}
 	t.Apply = func(b tailer.Batch) {
 		apply(b)
-		at := sent
-		v.readAt.Store(&at)
+		v.noteRead(sent)
 	}
 }
 
@@ -76,20 +80,15 @@
 	}
 	a.view.mu.Lock()
 	defer a.view.mu.Unlock()
-	sent := a.Now()
-	if a.view.age(sent) <= limit {
+	if a.view.age(a.Now()) <= limit {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	a.metrics.Count("evacuations-refreshed", 1)
 	if err := a.catchUpOperatorRecords(ctx); err != nil {
-		at := a.Now()
-		a.view.failedAt.Store(&at)
 		a.log("read").WithError(err).Warn("can't read evacuations before a start; the last known ones hold")
-		return
 	}
-	a.view.readAt.Store(&sent)
 }
 
 // startUnlessEvacuated sends a start unless the zone of its worker is evacuated: the scheduler
