--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -51,7 +51,9 @@
 	topicPause := func(share float64) func(time.Duration) time.Duration {
 		return func(took time.Duration) time.Duration { return a.readInterval(share) - took }
 	}
-	a.startTailer(ctx, g, a.newTailer(platform.TopicOperator, readWait, topicPause(operatorReadShare), a.applyOperatorRecords))
+	operator := a.newTailer(platform.TopicOperator, readWait, topicPause(operatorReadShare), a.applyOperatorRecords)
+	a.view.watch(operator)
+	a.startTailer(ctx, g, operator)
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(registrar.TopicJobs), readWait, jobsPause, a.registrar.ApplyJobs))
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(registrar.TopicProgress), readWait, progressPause, a.registrar.ApplyProgress))
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(topicLeader), readWait, topicPause(leaderReadShare), a.postClaims))
@@ -146,6 +148,17 @@
 
 // catchUpOperatorRecords reads the operator's topic to its present end.
 func (a *Assembler) catchUpOperatorRecords(ctx context.Context) error {
+	sent := a.Now()
+	err := a.readOperatorTopic(ctx)
+	if err != nil {
+		a.view.noteFailure(a.Now())
+		return err
+	}
+	a.view.noteRead(sent)
+	return nil
+}
+
+func (a *Assembler) readOperatorTopic(ctx context.Context) error {
 	if a.operatorRead.Load() {
 		return tailer.CatchUp(ctx, a.store, platform.TopicOperator, a.operatorNext.Load(), a.applyOperatorRecords)
 	}
