--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -78,6 +78,8 @@
 	loans           scheduler.Loans     // as stored
 	moves, listings int
 
+	evacuation evacuationWorld
+
 	schedule struct { // of the next submitted job
 		times           int
 		delay, interval time.Duration
@@ -113,6 +115,8 @@
 	}
 	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, Machines: true}, Epoch: w.epoch, LeadingSince: w.now}
 	w.feed(scheduler.ConfigChanged{Config: w.config})
+	w.evacuation.down = false // it reads the topic before it starts anything
+	w.readEvacuations()
 	inherited := true
 	for _, e := range slices.SortedFunc(maps.Values(w.jobs), func(a, b scheduler.Submitted) int { return cmp.Compare(a.Offset, b.Offset) }) {
 		e.Progress, e.Cancelled = w.stored[e.Job.ID], w.cancelled[e.Job.ID]
@@ -171,6 +175,11 @@
 	case scheduler.Hold:
 		w.hold(f)
 	case scheduler.Start:
+		if w.evacuation.gated[f.Zone] {
+			w.deliverAfter(latency, scheduler.StartResult{Start: f, Outcome: scheduler.OutcomeDropped})
+			return
+		}
+		w.noteZoneStart(f)
 		if o, ok := w.reachable(f.Worker); !ok {
 			w.deliverAfter(time.Second, scheduler.StartResult{Start: f, Outcome: o})
 			return
@@ -223,6 +232,8 @@
 		if !w.wavesLost {
 			w.waves[f.Number] = f
 		}
+	case scheduler.EvacuationsReported:
+		w.evacuation.seen = f
 	case scheduler.Decision:
 		w.counters[f.Counter]++
 		w.logged[f.Message]++
@@ -305,7 +316,7 @@
 	delete(w.replaced, id) // another machine may get the name again
 	w.workers[id] = &fakeWorker{
 		info: scheduler.WorkerInfo{
-			ID: id, Address: id, Service: service, Rack: rack, StartedMS: w.now.UnixMilli(), Labels: []string{"a", rack},
+			ID: id, Address: id, Service: service, Zone: w.evacuation.zones[machineOf(id)], Rack: rack, StartedMS: w.now.UnixMilli(), Labels: []string{"a", rack},
 			Capacity: placer.Resources{MilliCores: 128000, MemoryMB: 262144, Accelerators: gpus},
 		},
 		inList: true, alive: true, started: w.now.Add(-time.Minute),
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -245,11 +245,11 @@
 		l.WithError(err).Info("leadership ended before the scheduler started")
 		return
 	}
-	a.awaitOperatorRecords(ctx)
+	a.readOperatorRecords(ctx)
 	storedWaves, loans := a.readWavesAndLoans(ctx)
 	s := &scheduler.Scheduler{
 		Settings: scheduler.Settings{
-			Lease: a.Settings.Lease, GangTimeout: a.Settings.GangTimeout, StopTime: a.Settings.StopTime,
+			Lease: a.Settings.Lease, GangTimeout: a.Settings.GangTimeout, StopTime: a.Settings.StopTime, Evacuate: a.Settings.Evacuate,
 			Machines: a.Settings.MachineService != "",
 		},
 		Epoch: epoch, LeadingSince: a.Now(), ConfirmedAt: a.Now(), JobsUnread: !a.parts.allRead(),
@@ -270,6 +270,7 @@
 		return initial
 	})
 	cancel()
+	a.evacuated.seen.Store(nil)
 	following.Wait()
 	now := a.Now()
 	l.WithError(err).WithFields(logrus.Fields{
@@ -287,6 +288,7 @@
 	if c := a.config.Load(); c != nil {
 		all = append(all, scheduler.ConfigChanged{Config: c.SchedulerConfig()})
 	}
+	all = append(all, a.evacuated.event())
 	for _, e := range a.registrar.Entries() {
 		all = append(all, a.submittedEvent(e))
 	}
@@ -295,7 +297,7 @@
 
 // followWorkers posts the list of workers to the scheduler whenever it changes.
 func (a *Assembler) followWorkers(ctx context.Context) {
-	w := &workerList{}
+	w := &workerList{now: a.Now}
 	a.postRecentWorkers(ctx)
 	pause := func(time.Duration) time.Duration { return workersReadPause }
 	t := a.newTailer(platform.TopicExecutors, readWait, pause, func(b tailer.Batch) {
--- a/soak_parts_test.go
+++ b/soak_parts_test.go
@@ -24,7 +24,7 @@
 	if *soakParts < 2 {
 		return
 	}
-	r := rand.New(rand.NewPCG(seed, 10))
+	r := rand.New(rand.NewPCG(seed, 11))
 	kinds := []platformstandin.Outage{platformstandin.OutageBusy, platformstandin.OutageReset, platformstandin.OutageSilent, platformstandin.OutageLost}
 	wait := func(d time.Duration) bool {
 		select {
