--- a/internal/store/relayer/partition_test.go
+++ b/internal/store/relayer/partition_test.go
@@ -1,10 +1,12 @@
 package relayer_test
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -48,3 +50,36 @@
 	is.True(errors.Is(err, accessor.ErrNotDone))
 	is.Equal(served, 0)
 }
+
+// The first attempt of an append got no answer, and a peer that answers other calls has certainly
+// not carried out the second one. The result of the second alone would have refused a job that
+// the store carries out seconds later.
+func TestAnswerOfABusyPeerDoesNotMakeAnUncertainCallCertain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	var r *relayer.Relayer
+	r = &relayer.Relayer{
+		Direct: accessor.Client{Append: func(context.Context, accessor.Append) (int64, error) { return 0, errNoAnswer }},
+		Peer: func(string) accessor.Client {
+			return accessor.Client{
+				Append: func(ctx context.Context, _ accessor.Append) (int64, error) {
+					_, _, err := r.StoreClient().Read(ctx, "t", 0, 0) // another call that the peer answers
+					is.NoErr(err)
+					return 0, accessor.ErrNotDone
+				},
+				Read: func(context.Context, string, int64, time.Duration) ([]accessor.Record, int64, error) {
+					return nil, 0, nil
+				},
+			}
+		},
+		Peers:         func() []string { return []string{"peer"} },
+		DirectChanged: func(bool) {},
+		Now: func() time.Time {
+			now = now.Add(time.Millisecond)
+			return now
+		},
+	}
+	_, err := r.StoreClient().Append(t.Context(), accessor.Append{Topic: "t"})
+	is.True(errors.Is(err, errNoAnswer))
+	is.True(!errors.Is(err, accessor.ErrNotDone))
+}
--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -118,7 +118,7 @@
 			return err
 		}
 		if r.answeredSince(part, w, sent) {
-			return err // the route works; only this response was lost
+			return lessCertain(result, err) // the route works; only this response was lost
 		}
 		if errors.Is(err, errUnreachable) {
 			r.recordUnreachable(part, w)
