--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -12,10 +11,10 @@
 // Scheduler is the control state of the leading VM. Its exported fields are set
 // before the first call of Reduce.
 type Scheduler struct {
-	Settings            Settings
-	Epoch               int64 // of the leadership, higher than all before
-	LeadingSince        time.Time
-	LastInheritedOffset int64 // offset of the last job that an earlier leader may have started
+	Settings     Settings
+	Epoch        int64 // of the leadership, higher than all before
+	LeadingSince time.Time
+	JobsUnread   bool // stored jobs of earlier leaders may follow until JobsRead
 
 	// ConfirmedAt is the send time of the last claim or renewal of the leadership that the
 	// store accepted; the zero value stands for LeadingSince.
@@ -25,8 +24,9 @@
 	workers   map[string]*worker
 	workerIDs []string // sorted
 	jobs      map[string]*job
-	active    []*job // jobs that have not ended, by offset
+	active    []*job // jobs that have not ended, in the order of their events
 
+	jobsReadAt      time.Time // when JobsRead came, else zero
 	released        bool      // another VM may lead already
 	releasedAt      time.Time // when released was set
 	grantedUntil    time.Time // latest end of a lease that this leader has granted, by its own clock
@@ -108,11 +108,12 @@
 func (s *Scheduler) handle(now time.Time, e Event) {
 	switch e := e.(type) {
 	case Ticked:
-		s.ticked, s.tickedSincePass = true, true
-		s.placementDue = true
+		s.ticked, s.tickedSincePass, s.placementDue = true, true, true
 		s.runTimers(now)
 	case Submitted:
 		s.submit(now, e)
+	case JobsRead:
+		s.JobsUnread, s.jobsReadAt = false, now
 	case Cancelled:
 		s.cancel(now, e.Job)
 	case WorkersListed:
@@ -138,9 +139,7 @@
 	case Stored:
 		s.handleStored(now)
 	case Released:
-		if !s.released {
-			s.released, s.releasedAt = true, cmp.Or(e.At, now)
-		}
+		s.release(now, e)
 	case Confirmed:
 		s.confirmLeadership(e)
 	default:
@@ -192,7 +191,7 @@
 	if _, ok := s.jobs[e.Job.ID]; ok {
 		return
 	}
-	j := newJob(e.Job, e.Offset)
+	j := newJob(e.Job, e.Inherited)
 	j.unconfirmedSince = s.unconfirmedSince(now)
 	if q, ok := s.config.Queues[j.Queue]; ok {
 		j.queue = q
@@ -211,6 +210,7 @@
 		s.inheritOpenStarts(c)
 	}
 	s.adoptOrphans(now, j.ID)
+	s.abandonLate(j)
 	if e.Cancelled {
 		s.cancel(now, j.ID)
 	}
