scheduler: learn the speeds of workers and place urgent work on fast ones

Deployments have workers whose run times differ by up to a factor of two, and no decision took that into account: urgent gangs on slow workers miss their objective by little, and a gang ends with its slowest member. Urgent work and work without slack is placed on fast workers first, other work on slow ones, and gangs on workers of one class if they fit there; if not, all workers are used, so that no preference makes a job wait.

--- a/internal/jobs/scheduler/day_test.go
+++ b/internal/jobs/scheduler/day_test.go
@@ -90,6 +90,7 @@
 	began  time.Duration // when it, or its whole gang, began to work
 	total  time.Duration // of its work
 	works  bool
+	saved  int // percent that its checkpoint had done
 }
 
 type dayWorker struct {
@@ -109,6 +110,7 @@
 	started time.Duration // of its first task, negative before
 	done    time.Duration // negative before
 	members map[int64][]*dayRun
+	ended   int // tasks
 }
 
 // day simulates a leader and its workers in virtual time. With a speed, the decisions and
@@ -128,6 +130,7 @@
 	busyUntil                                 time.Duration
 	cpu                                       time.Duration // of Reduce
 	looks, starts, stops, passes, preemptions int
+	shape                                     *dayShape // nil for workers and tasks that are alike
 	onEffects                                 func(now time.Duration, events []scheduler.Event, effects []scheduler.Effect)
 }
 
@@ -314,11 +317,7 @@
 		ClockMS: d.clock(), StartedMS: 1, Ack: w.hold.Ack, Ends: slices.Clone(w.ends),
 	}
 	for t, r := range w.runs {
-		percent := 0
-		if r.works {
-			percent = min(99, int(100*(d.now-r.began)/r.total))
-		}
-		e.Running = append(e.Running, scheduler.Running{Task: t, Run: r.start.Run, Percent: percent})
+		e.Running = append(e.Running, scheduler.Running{Task: t, Run: r.start.Run, Percent: d.percent(r), Checkpoint: d.checkpoint(r)})
 	}
 	slices.SortFunc(e.Running, func(a, b scheduler.Running) int { return compareTasks(a.Task, b.Task) })
 	w.hold = nil
@@ -334,6 +333,10 @@
 		j.started = d.now
 	}
 	step := j.job.Steps[0]
+	if d.shape != nil {
+		d.shape.begin(d, j, r)
+		return
+	}
 	if !step.Gang {
 		d.work([]*dayRun{r}, j.work)
 		return
@@ -376,9 +379,12 @@
 	if v, ok := w.runs[r.start.Task]; !ok || v != r {
 		return
 	}
+	if d.shape != nil && reason != scheduler.EndReasonDone {
+		d.shape.noteWaste(d, r)
+	}
 	delete(w.runs, r.start.Task)
 	w.lastEnd++
-	w.ends = append(w.ends, scheduler.End{Number: w.lastEnd, Task: r.start.Task, Run: r.start.Run, Reason: reason})
+	w.ends = append(w.ends, scheduler.End{Number: w.lastEnd, Task: r.start.Task, Run: r.start.Run, Reason: reason, Checkpoint: d.checkpoint(r)})
 	if w.hold != nil {
 		d.answer(w)
 	}
--- a/internal/jobs/scheduler/ends.go
+++ b/internal/jobs/scheduler/ends.go
@@ -19,6 +19,9 @@
 		p, ok := w.runs[placementKey{e.Task, e.Run}]
 		s.noteEnds(w)
 		if ok {
+			if e.Reason == EndReasonDone {
+				s.sampleRate(now, w, p, fullPercent)
+			}
 			s.removeRun(w, p)
 		}
 		if _, known := s.jobs[e.Task.Job]; !known {
--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -115,7 +115,7 @@
 	if p.knownNotToFit(service, r) {
 		return nil, false
 	}
-	at, ok := placer.Place(r, p.eligibleWorkers(u))
+	at, ok := p.placeBySpeed(u, r, p.eligibleWorkers(u))
 	if !ok && p.triesAll(u) {
 		p.failedRequests = append(p.failedRequests, failedRequest{service, r})
 	}
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/profiler"
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/quarantiner"
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
@@ -146,6 +147,9 @@
 	ampleSince     time.Time // since when there has been ample room for it, else zero
 	roomCheckedAt  time.Time // when the room for it was last examined
 	wait           wait
+
+	rates   profiler.Comparison // of runs of a step that is no gang, or of the members of one attempt
+	ratesOf int64               // run of the gang that the rates belong to
 }
 
 // job is a job with the leader's state of it.
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -151,6 +151,7 @@
 		if !p.outlived && w.answeredAt.Sub(p.confirmedAt) >= quarantiner.Window {
 			s.clearSuspicion(w, p)
 		}
+		s.sampleRate(now, w, p, r.Percent)
 		if r.Percent != p.percent {
 			p.percent, p.progressedAt = r.Percent, now
 		}
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -47,6 +47,7 @@
 // place starts the tasks that fit, the most urgent first.
 func (s *Scheduler) place(now time.Time) {
 	s.forgetRooms()
+	s.updateSpeeds(now)
 	if !s.mayStart(now) {
 		s.recordStarvation(now, nil)
 		s.reportWaits(now, nil)
@@ -202,14 +203,12 @@
 	}
 	r.Tasks = min(len(waiting), countFitting(r, all))
 	if r.Tasks > 0 {
-		if at, ok := placer.Place(r, all); ok {
-			for k, id := range at {
-				p.s.lastRun++
-				p.placeTask(u, waiting[k], id, p.s.lastRun)
-			}
-			u.step.reserved = nil
-			u.step.blockedSince = time.Time{}
+		for k, id := range p.placeTasksBySpeed(u, r, all) {
+			p.s.lastRun++
+			p.placeTask(u, waiting[k], id, p.s.lastRun)
 		}
+		u.step.reserved = nil
+		u.step.blockedSince = time.Time{}
 	} else {
 		u.step.noteBlocked(p.now)
 	}
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -60,6 +60,7 @@
 	adviceDue        *adviceRequest // found by the present pass
 	nextAdviceAt     time.Time      // earliest time of the next call for advice
 	tracking         tracking
+	speeds           speeds
 	effects          []Effect
 }
 
--- /dev/null
+++ b/internal/jobs/scheduler/speeds.go
@@ -0,0 +1,213 @@
+package scheduler
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/profiler"
+	"github.com/lacewingdoor/lacewingdoor/placer"
+)
+
+const (
+	minSampleTime    = 700 * time.Millisecond // of a run from which its speed is taken; its begin is known to about 50 ms
+	minSampleGain    = 8                      // percent done by then, as reports are rounded
+	speedsInterval   = 500 * time.Millisecond // between two updates of the speeds that placement uses
+	slackUncertainty = 2                      // times its declared duration that a step may take and still be in time on a slow worker
+)
+
+// speeds is what the leader knows about the speeds of workers.
+type speeds struct {
+	profiler  profiler.Profiler
+	updatedAt time.Time
+	differ    map[string]bool // services with slow and fast workers
+}
+
+// workerSpeed is the learnt speed of a worker.
+type workerSpeed struct {
+	place    profiler.Place
+	relative float64 // to the mean of its service, 0 if nothing was learnt
+	slow     bool
+	fast     bool
+}
+
+// placeOf returns where a worker is. The kind of its machine is part of the zone: only workers
+// of the same zone and kind are taken as alike before they have run anything.
+func placeOf(l *WorkerInfo) profiler.Place {
+	c := l.Capacity
+	zone := l.Service + "/" + l.Zone + "/" + strconv.Itoa(c.MilliCores) + "-" + strconv.Itoa(c.MemoryMB) + "-" + strconv.Itoa(c.Accelerators)
+	return profiler.Place{Worker: l.ID, Zone: zone, Rack: zone + "/" + l.Rack}
+}
+
+// notePlace notes where a worker is, as of the list. What was learnt of another machine of the
+// same name is forgotten.
+func (s *Scheduler) notePlace(w *worker) {
+	at := placeOf(&w.WorkerInfo)
+	if w.speed.place != at && w.speed.place.Worker != "" {
+		s.speeds.profiler.Forget(w.ID)
+	}
+	w.speed.place = at
+}
+
+// sampleRate takes the speed of a run from its reported progress, once.
+func (s *Scheduler) sampleRate(now time.Time, w *worker, p *placement, percent int) {
+	if p.rateTaken || p.stopping || percent < minSampleGain {
+		return
+	}
+	_, st, _ := s.findTask(p.task)
+	if st == nil {
+		return
+	}
+	began := p.confirmedAt
+	if st.Gang {
+		began = s.gangBeganAt(st, p)
+	}
+	took := now.Sub(began)
+	if began.IsZero() || took < minSampleTime || (st.Gang && percent >= fullPercent-1) {
+		return // members of a gang that have done their part wait for the others
+	}
+	p.rateTaken = true
+	if !st.comparable(p) || !w.sound(now) {
+		return
+	}
+	if st.Gang && st.ratesOf != p.run {
+		st.ratesOf, st.rates = p.run, profiler.Comparison{Uneven: true}
+	}
+	st.rates.Add(&s.speeds.profiler, w.speed.place, float64(percent)/took.Seconds())
+}
+
+// gangBeganAt returns when the last member of a gang was started, zero if that is not known.
+func (s *Scheduler) gangBeganAt(st *step, p *placement) time.Time {
+	var last time.Time
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		w, ok := s.workers[t.worker]
+		if !ok || t.run != p.run {
+			return time.Time{}
+		}
+		m, ok := w.runs[placementKey{TaskID{p.task.Job, p.task.Step, i}, p.run}]
+		if !ok || m.confirmedAt.IsZero() {
+			return time.Time{}
+		}
+		if m.confirmedAt.After(last) {
+			last = m.confirmedAt
+		}
+	}
+	return last
+}
+
+// comparable reports whether the progress of a run tells about its worker. That of a run from
+// a checkpoint may count from there, that of an adopted run began at an unknown time, and data
+// of other racks, a pace or serving change it.
+func (s *step) comparable(p *placement) bool {
+	fromCheckpoint := s.Checkpoints && s.primary(p.task.Index).restarted(p.run)
+	return !s.LongRunning && !s.Serving && !s.Filler && s.DataRack == "" && len(s.tasks) > 1 && p.pace == fullPace && !fromCheckpoint
+}
+
+// restarted reports whether this leader knows of an earlier run of a task than the given one.
+func (t *task) restarted(run int64) bool {
+	return t.preemptions > 0 || len(t.failures) > 0 || (t.previous != nil && t.previous.run != run)
+}
+
+// sound reports whether the runs of a worker show its usual speed.
+func (w *worker) sound(now time.Time) bool {
+	return w.stalledAt.IsZero() && !now.Before(w.excludedUntil) && w.unresponsiveSince.IsZero() && w.aloneRuns == 0
+}
+
+// updateSpeeds updates the speeds that placement uses.
+func (s *Scheduler) updateSpeeds(now time.Time) {
+	v := &s.speeds
+	if now.Sub(v.updatedAt) < speedsInterval {
+		return
+	}
+	v.updatedAt = now
+	v.differ = map[string]bool{}
+	byService := map[string][]*worker{}
+	for _, id := range s.workerIDs {
+		if w := s.workers[id]; w.listed {
+			byService[w.Service] = append(byService[w.Service], w)
+		}
+	}
+	v.profiler.Solve()
+	for service, all := range byService {
+		places := make([]profiler.Place, len(all))
+		for i, w := range all {
+			places[i] = w.speed.place
+		}
+		for i, n := range v.profiler.Speeds(places) {
+			all[i].speed.relative, all[i].speed.slow, all[i].speed.fast = n.Relative, n.Slow, n.Fast
+			v.differ[service] = v.differ[service] || n.Slow
+		}
+	}
+}
+
+// bySpeed returns the workers among which tasks of a unit are to be placed, the preferred ones
+// first: all of them if none are known to be slow.
+func (p *pass) bySpeed(u unit, all []placer.Worker) [][]placer.Worker {
+	if !p.s.speeds.differ[u.job.queue.Service] {
+		return [][]placer.Worker{all}
+	}
+	slow, fast := p.splitBySpeed(all)
+	switch {
+	case len(slow) == 0 || len(fast) == 0:
+		return [][]placer.Worker{all}
+	case p.hasSlack(u):
+		return [][]placer.Worker{slow, fast}
+	default:
+		return [][]placer.Worker{fast, slow}
+	}
+}
+
+// splitBySpeed returns the slow workers and the others.
+func (p *pass) splitBySpeed(all []placer.Worker) (slow, fast []placer.Worker) {
+	fast = make([]placer.Worker, 0, len(all))
+	for i := range all {
+		if p.s.workers[all[i].ID].speed.slow {
+			slow = append(slow, all[i])
+		} else {
+			fast = append(fast, all[i])
+		}
+	}
+	return slow, fast
+}
+
+// placeBySpeed places a gang on workers of similar speed if it can be.
+func (p *pass) placeBySpeed(u unit, r placer.Request, all []placer.Worker) (placer.Placement, bool) {
+	parts := p.bySpeed(u, all)
+	for _, part := range parts {
+		if at, ok := placer.Place(r, part); ok {
+			return at, true
+		}
+	}
+	if len(parts) == 1 {
+		return nil, false
+	}
+	return placer.Place(r, all)
+}
+
+// placeTasksBySpeed places as many tasks as fit, on the preferred workers first.
+func (p *pass) placeTasksBySpeed(u unit, r placer.Request, all []placer.Worker) placer.Placement {
+	var at placer.Placement
+	left := r.Tasks
+	for _, part := range p.bySpeed(u, all) {
+		r.Tasks = min(left, countFitting(r, part))
+		if r.Tasks == 0 {
+			continue
+		}
+		if some, ok := placer.Place(r, part); ok {
+			at = append(at, some...)
+			left -= len(some)
+		}
+		r.Tasks = left
+	}
+	return at
+}
+
+// hasSlack reports whether a unit is in time on slow workers too, even if it takes longer than
+// declared.
+func (p *pass) hasSlack(u unit) bool {
+	if u.job.urgent() {
+		return false
+	}
+	due := u.job.acceptedAt.Add(u.job.objective())
+	return !p.now.Add(slackUncertainty * u.job.criticalPath).After(due)
+}
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -37,6 +37,7 @@
 	pace            int   // percent confirmed by the worker, or unknownPace
 	paceInFlight    bool  // a change of the pace is in flight
 	percent         int
+	rateTaken       bool      // the profiler has learnt from it
 	progressedAt    time.Time // when the percentage last rose
 	listedAt        time.Time // when the worker last reported the run
 }
@@ -96,6 +97,7 @@
 	failedJobs    []string  // jobs of the failed runs
 	excludedUntil time.Time // no new tasks before
 
+	speed     workerSpeed
 	stalledAt time.Time // when its runs were last seen to stall, zero after progress
 
 	// Membership in the indexes of the scheduler.
@@ -265,6 +267,7 @@
 		w.WorkerInfo = l
 		w.StartedMS = born
 		w.listed = !l.Expired
+		s.notePlace(w)
 		s.touch(w)
 	}
 	slices.Sort(s.workerIDs)
