--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -147,7 +148,9 @@
 		return false
 	}
 	borrowers := p.preemptibleRuns(u, preemptionCost)
+	maxCost := maxPreemptionCost * p.s.relativeValue(u.job)
 	if withinGuarantee {
+		maxCost = math.Inf(1)
 		borrowers = append(slices.Clip(borrowers), p.preemptibleLongRunning(u)...)
 	}
 	var victims []placer.Borrower
@@ -160,16 +163,12 @@
 		at = append(slices.Clone(kept), at...)
 	}
 	if !ok {
-		victims, at, ok = placer.Victims(r, p.eligibleWorkers(u), borrowers)
-	}
-	cost := 0.0
-	for _, v := range victims {
-		cost += v.Cost
+		victims, at, ok = p.victims(u, r, borrowers, maxCost)
 	}
 	if !ok && p.triesAll(u) {
 		p.failedSearches = append(p.failedSearches, failedSearch{failedRequest{u.job.queue.Service, r}, withinGuarantee})
 	}
-	if !ok || (!withinGuarantee && cost > maxPreemptionCost*p.s.relativeValue(u.job)) {
+	if !ok || totalCost(victims) > maxCost {
 		u.step.searchFailedAt = p.now
 		return false
 	}
--- a/internal/jobs/scheduler/speeds.go
+++ b/internal/jobs/scheduler/speeds.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -9,10 +10,9 @@
 )
 
 const (
-	minSampleTime    = 700 * time.Millisecond // of a run from which its speed is taken; its begin is known to about 50 ms
-	minSampleGain    = 8                      // percent done by then, as reports are rounded
-	speedsInterval   = 500 * time.Millisecond // between two updates of the speeds that placement uses
-	slackUncertainty = 2                      // times its declared duration that a step may take and still be in time on a slow worker
+	minSampleTime  = 700 * time.Millisecond // of a run from which its speed is taken; its begin is known to about 50 ms
+	minSampleGain  = 8                      // percent done by then, as reports are rounded
+	speedsInterval = 500 * time.Millisecond // between two updates of the speeds that placement uses
 )
 
 // speeds is what the leader knows about the speeds of workers.
@@ -140,23 +140,22 @@
 	}
 }
 
-// bySpeed returns the workers among which tasks of a unit are to be placed, the preferred ones
-// first: all of them if none are known to be slow.
+// bySpeed returns the workers among which an urgent unit is to be placed, those to be tried
+// first in front: all of them if none are known to be slow.
 func (p *pass) bySpeed(u unit, all []placer.Worker) [][]placer.Worker {
-	if !p.s.speeds.differ[u.job.queue.Service] {
+	if !u.job.urgent() || !p.speedsDiffer(u) {
 		return [][]placer.Worker{all}
 	}
 	slow, fast := p.splitBySpeed(all)
-	switch {
-	case len(slow) == 0 || len(fast) == 0:
+	if len(slow) == 0 || len(fast) == 0 {
 		return [][]placer.Worker{all}
-	case p.hasSlack(u):
-		return [][]placer.Worker{slow, fast}
-	default:
-		return [][]placer.Worker{fast, slow}
 	}
+	return [][]placer.Worker{fast, slow}
 }
 
+// speedsDiffer reports whether workers of the unit's service are known to be slow.
+func (p *pass) speedsDiffer(u unit) bool { return p.s.speeds.differ[u.job.queue.Service] }
+
 // splitBySpeed returns the slow workers and the others.
 func (p *pass) splitBySpeed(all []placer.Worker) (slow, fast []placer.Worker) {
 	fast = make([]placer.Worker, 0, len(all))
@@ -170,18 +169,34 @@
 	return slow, fast
 }
 
-// placeBySpeed places a gang on workers of similar speed if it can be.
+// placeBySpeed places a gang: an urgent one on fast workers, another one on workers of one
+// class, as it ends with its slowest member. If neither is possible, all workers are used.
 func (p *pass) placeBySpeed(u unit, r placer.Request, all []placer.Worker) (placer.Placement, bool) {
-	parts := p.bySpeed(u, all)
-	for _, part := range parts {
-		if at, ok := placer.Place(r, part); ok {
-			return at, true
+	if u.job.urgent() {
+		for _, part := range p.bySpeed(u, all) {
+			if at, ok := placer.Place(r, part); ok || len(part) == len(all) {
+				return at, ok
+			}
 		}
+		return placer.Place(r, all)
 	}
-	if len(parts) == 1 {
-		return nil, false
+	at, ok := placer.Place(r, all)
+	if !ok || !p.speedsDiffer(u) || !p.mixesSpeeds(at) {
+		return at, ok
 	}
-	return placer.Place(r, all)
+	slow, fast := p.splitBySpeed(all)
+	for _, part := range [][]placer.Worker{slow, fast} {
+		if alike, ok := placer.Place(r, part); ok {
+			return alike, true
+		}
+	}
+	return at, true
+}
+
+// mixesSpeeds reports whether a placement has both slow and other workers.
+func (p *pass) mixesSpeeds(at placer.Placement) bool {
+	slow := func(id string) bool { return p.s.workers[id].speed.slow }
+	return slices.ContainsFunc(at, func(id string) bool { return slow(id) != slow(at[0]) })
 }
 
 // placeTasksBySpeed places as many tasks as fit, on the preferred workers first.
@@ -190,9 +205,6 @@
 	left := r.Tasks
 	for _, part := range p.bySpeed(u, all) {
 		r.Tasks = min(left, countFitting(r, part))
-		if r.Tasks == 0 {
-			continue
-		}
 		if some, ok := placer.Place(r, part); ok {
 			at = append(at, some...)
 			left -= len(some)
@@ -202,12 +214,22 @@
 	return at
 }
 
-// hasSlack reports whether a unit is in time on slow workers too, even if it takes longer than
-// declared.
-func (p *pass) hasSlack(u unit) bool {
-	if u.job.urgent() {
-		return false
+// victims returns the runs to stop for an urgent unit and its placement then: on fast workers
+// alone if the runs there may be stopped, else on any.
+func (p *pass) victims(u unit, r placer.Request, borrowers []placer.Borrower, maxCost float64) ([]placer.Borrower, placer.Placement, bool) {
+	all := p.eligibleWorkers(u)
+	if parts := p.bySpeed(u, all); len(parts) > 1 {
+		if v, at, ok := placer.Victims(r, parts[0], borrowers); ok && totalCost(v) <= maxCost {
+			return v, at, true
+		}
+	}
+	return placer.Victims(r, all, borrowers)
+}
+
+func totalCost(all []placer.Borrower) float64 {
+	cost := 0.0
+	for _, v := range all {
+		cost += v.Cost
 	}
-	due := u.job.acceptedAt.Add(u.job.objective())
-	return !p.now.Add(slackUncertainty * u.job.criticalPath).After(due)
+	return cost
 }
