--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/profiler"
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/quarantiner"
 )
 
@@ -20,6 +21,8 @@
 	// store accepted; the zero value stands for LeadingSince.
 	ConfirmedAt time.Time
 
+	InheritedSpeeds profiler.Record // of workers, as an earlier leader stored them
+
 	config    Config
 	workers   map[string]*worker
 	workerIDs []string // sorted
@@ -62,6 +65,7 @@
 	adviceDue        *adviceRequest // found by the present pass
 	nextAdviceAt     time.Time      // earliest time of the next call for advice
 	tracking         tracking
+	speeds           speeds
 	effects          []Effect
 }
 
@@ -79,6 +83,8 @@
 			s.ConfirmedAt = s.LeadingSince
 		}
 		s.lastRun = s.Epoch * runsPerEpoch
+		s.speeds.profiler.Restore(s.InheritedSpeeds)
+		s.speeds.stored = s.InheritedSpeeds
 	}
 	s.effects = nil
 	s.ticked = false
@@ -278,6 +284,7 @@
 	s.vacateWorkers(now, watched)
 	s.advanceWaves(now)
 	s.relocateMachines(now)
+	s.reportSpeeds(now)
 	s.deleteOldJobs(now)
 }
 
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -45,6 +45,7 @@
 	waves      waves
 	evacuated  evacuations
 	view       operatorView
+	speeds     workerSpeeds
 	executors  *platform.Executors
 	registrar  *registrar.Registrar
 	commander  *commander.Commander
@@ -140,6 +141,7 @@
 		MoveMachine:       machineService.Move,
 		StoreWave:         a.storeWave,
 		StoreLoans:        a.storeLoans,
+		ReportSpeeds:      a.reportSpeeds,
 		LogDecision:       a.logDecision,
 		ReportEvacuations: func(e scheduler.EvacuationsReported) { a.evacuated.seen.Store(&e) },
 		ObserveDuration: func(measure string, d time.Duration) {
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -253,6 +253,7 @@
 			Machines: a.Settings.MachineService != "",
 		},
 		Epoch: epoch, LeadingSince: a.Now(), ConfirmedAt: a.Now(), JobsUnread: !a.parts.allRead(),
+		InheritedSpeeds: a.readSpeeds(ctx),
 	}
 	if sent := a.lastConfirmed.Load(); sent != nil {
 		s.ConfirmedAt = *sent
@@ -272,6 +273,7 @@
 	cancel()
 	a.evacuated.seen.Store(nil)
 	following.Wait()
+	a.countSpeeds(0, 0)
 	now := a.Now()
 	l.WithError(err).WithFields(logrus.Fields{
 		"after-ms": now.Sub(began).Milliseconds(), "released": a.releasedAt.Load() != nil, "unconfirmed-ms": now.Sub(s.ConfirmedAt).Milliseconds(),
