node: keep clients within the memory and descriptors of their VM

Nothing bounded what the clients of a listener hold together. Package internal/node/budgeter now divides limits.memoryMb and limits.maxFds among the listeners (callers 25 % of the memory, other VMs 10, metrics 3, readiness 2; 60 % stay with the process) and decides which connection may be charged and which ones are closed when room is short: idle ones first, then those with the longest time without progress, never one whose request was read completely. Package internal/node/acceptor applies it to net/http: connections get kernel buffers of 16 KB, heads are charged by bytes and lines before they are parsed, bodies in pieces before they are read, and bodies and responses have deadlines by progress. What does not fit within a second gets 503 with Retry-After (a body) or loses its connection. All listeners of schedule and serve use it.

To charge a body's declared size at once was not tried: clients that declare a body and send nothing would take the share.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/connector"
+	"github.com/lacewingdoor/lacewingdoor/internal/node/budgeter"
 	"github.com/lacewingdoor/lacewingdoor/router"
 )
 
@@ -111,12 +112,15 @@
 	}
 	var b []byte
 	var err error
-	if r.ContentLength >= 0 {
+	if r.ContentLength >= 0 && r.ContentLength <= budgeter.Piece { // larger bodies get memory as they arrive
 		b = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(r.Body, b)
 	} else {
 		b, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
 	}
+	if errors.Is(err, budgeter.ErrNoRoom) {
+		return nil, tooManyRequests(r)
+	}
 	if err != nil {
 		return nil, refusal(CodeIncompleteBody, "read body", err)
 	}
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -12,9 +12,11 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/registrar"
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
+	"github.com/lacewingdoor/lacewingdoor/internal/node/acceptor"
 	"github.com/lacewingdoor/lacewingdoor/internal/node/commander"
 	"github.com/lacewingdoor/lacewingdoor/internal/node/gatekeeper"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
@@ -48,6 +50,9 @@
 	commander  *commander.Commander
 	gatekeeper *gatekeeper.Gatekeeper
 	metrics    *recorder.Recorder
+	acceptors  []*acceptor.Acceptor // of all listeners, set before they serve
+
+	answerLines *rate.Limiter // of log lines for answers other than 200
 
 	config         atomic.Pointer[gatekeeper.Config]
 	storeDownSince atomic.Int64 // Unix time in milliseconds when the current outage of the store began, 0 if there is none
@@ -107,6 +112,7 @@
 	}
 	a.store = a.relayer.StoreClient()
 	a.metrics = recorder.New()
+	a.answerLines = rate.NewLimiter(answerLineRate, answerLineBurst)
 	a.executors = &platform.Executors{Client: a.client, CallFailed: a.recordCallFailure}
 	a.registrar = registrar.New()
 	a.registrar.Malformed = a.logMalformed
--- a/internal/node/assembler/listen.go
+++ b/internal/node/assembler/listen.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/registrar"
+	"github.com/lacewingdoor/lacewingdoor/internal/node/budgeter"
 	"github.com/lacewingdoor/lacewingdoor/platform"
 	"github.com/lacewingdoor/lacewingdoor/recorder"
 )
@@ -19,6 +19,10 @@
 const (
 	headerTimeout     = 3 * time.Second         // the platform's own limit for a request's header
 	callerIdleTimeout = 15 * time.Second        // the platform's own limit for idle connections
+	idleTimeout       = 60 * time.Second        // of other clients; above the intervals at which they call
+	answerLineRate    = 100                     // log lines a second for answers other than 200; a day of high load has fewer
+	answerLineBurst   = 1000                    // an outage of the store refuses this many at once
+	maxHeadBytes      = 16 << 10                // of requests by other clients, whose heads are a few hundred bytes
 	loadBalancerDelay = 2300 * time.Millisecond // the load balancer checks every second and removes a VM after two failed checks
 	killMargin        = 700 * time.Millisecond  // before the platform kills the process
 	maxStoreOutage    = time.Second             // then callers are better served by a VM that reaches the store
@@ -34,24 +38,24 @@
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET "+platform.PathReady, a.handleReady)
 	metrics := http.NewServeMux()
-	metrics.Handle("GET /metrics", a.metrics)
+	metrics.HandleFunc("GET /metrics", a.serveMetrics)
+	shares := budgeter.Divide(budgeter.Limits{MemoryMB: a.Settings.MemoryMB, Descriptors: a.Settings.Descriptors})
 	for _, v := range []struct {
 		name, address string
 		server        *http.Server
+		share         budgeter.Share
 	}{
-		{"callers", a.Settings.Callers, callerServer},
-		{"readiness", a.Settings.Readiness, &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout}},
-		{"other VMs", a.Settings.Peers, &http.Server{Handler: a.relayer.Handler(), ReadHeaderTimeout: headerTimeout}},
-		{"metrics", a.Settings.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
+		{"callers", a.Settings.Callers, callerServer, shares.Callers},
+		{"readiness", a.Settings.Readiness, &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}, shares.Readiness},
+		{"other VMs", a.Settings.Peers, &http.Server{Handler: a.relayer.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}, shares.VMs},
+		{"metrics", a.Settings.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}, shares.Metrics},
 	} {
 		if v.address == "" {
 			continue
 		}
-		var c net.ListenConfig
-		c.SetMultipathTCP(false)
-		l, err := c.Listen(ctx, "tcp", v.address)
+		l, err := a.acceptor(v.name, v.share, v.server == callerServer).Listen(ctx, v.address, v.server)
 		if err != nil {
-			return nil, fmt.Errorf("listen for %s at %s: %w", v.name, v.address, err)
+			return nil, err
 		}
 		g.Go(func() error {
 			if err := v.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -100,6 +104,10 @@
 	if x.Method == http.MethodGet && x.Status == http.StatusOK {
 		return // successful reads are frequent and change nothing
 	}
+	if x.Status != http.StatusOK && !a.answerLines.AllowN(a.Now(), 1) {
+		a.metrics.Count("answers-not-logged", 1)
+		return
+	}
 	a.log("answer").WithFields(logrus.Fields{
 		"job": x.Job, "method": x.Method, "queue": x.Target.Route.Name, "organisation": x.Target.Organisation,
 		"version": x.Target.Version, "status": x.Status, "verdict": x.Answer.Verdict, "reason": x.Answer.Reason,
--- a/internal/responder/configuration.go
+++ b/internal/responder/configuration.go
@@ -31,7 +31,7 @@
 	d := json.NewDecoder(q.Body)
 	d.DisallowUnknownFields()
 	if err := d.Decode(&c); err != nil {
-		return refuser.NewNotRun(http.StatusBadRequest, "bad-change", err.Error())
+		return bodyProblem(err, "bad-change")
 	}
 	if c.ID == "" {
 		return refuser.NewNotRun(http.StatusBadRequest, "bad-change", "id: is missing")
--- a/internal/responder/jobs.go
+++ b/internal/responder/jobs.go
@@ -23,7 +23,7 @@
 	d := json.NewDecoder(q.Body)
 	d.DisallowUnknownFields()
 	if err := d.Decode(&b); err != nil {
-		return refuser.NewNotRun(http.StatusBadRequest, "bad-job", err.Error())
+		return bodyProblem(err, "bad-job")
 	}
 	now := r.Now()
 	j, err := newJob(r.Config(), o, b)
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/decoder"
+	"github.com/lacewingdoor/lacewingdoor/internal/node/budgeter"
 	"github.com/lacewingdoor/lacewingdoor/internal/refuser"
 	"github.com/lacewingdoor/lacewingdoor/publisher"
 	"github.com/lacewingdoor/lacewingdoor/reducer"
@@ -86,6 +88,14 @@
 	}
 }
 
+// bodyProblem returns the problem of a body that can't be decoded.
+func bodyProblem(err error, code string) *refuser.ProblemError {
+	if errors.Is(err, budgeter.ErrNoRoom) {
+		return refuser.NewNotRun(http.StatusServiceUnavailable, "too-many-requests", err.Error()).WithRetryAfter(time.Second)
+	}
+	return refuser.NewNotRun(http.StatusBadRequest, code, err.Error())
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -101,7 +101,7 @@
 		Handler:           s.closeWhenLeaving(m),
 		ConnState:         s.connections.stateChanged,
 		Protocols:         protocols(),
-		HTTP2:             &http.HTTP2Config{SendPingTimeout: callerPingInterval},
+		HTTP2:             http2Config(http.HTTP2Config{SendPingTimeout: callerPingInterval}),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
@@ -113,9 +113,10 @@
 	return &http.Server{
 		Handler:           s.peerHandler(),
 		Protocols:         protocols(),
-		HTTP2:             &http.HTTP2Config{SendPingTimeout: peerPingInterval, PingTimeout: peerPingTimeout},
+		HTTP2:             http2Config(http.HTTP2Config{SendPingTimeout: peerPingInterval, PingTimeout: peerPingTimeout}),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxPeerHeaderBytes,
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/lacewingdoor/lacewingdoor/heartbeater"
 	"github.com/lacewingdoor/lacewingdoor/internal/connector"
 	"github.com/lacewingdoor/lacewingdoor/internal/forwarder"
+	"github.com/lacewingdoor/lacewingdoor/internal/node/acceptor"
 	"github.com/lacewingdoor/lacewingdoor/internal/runner"
 	"github.com/lacewingdoor/lacewingdoor/limiter"
 	"github.com/lacewingdoor/lacewingdoor/publisher"
@@ -76,7 +77,10 @@
 	runner    *runner.Runner
 
 	connections connectionTracker
-	sender      *forwarder.Sender
+
+	callersAcceptor, peersAcceptor *acceptor.Acceptor
+
+	sender *forwarder.Sender
 }
 
 // Run serves until ctx ends, and then shuts down gracefully: it finishes every
@@ -143,6 +147,7 @@
 		Post:    func(e reducer.Event) { s.post(eventMessage{e}) },
 	}
 	s.prepareRouting()
+	s.prepareAcceptors()
 	s.view.Store(&view{
 		self:     s.Settings.VM,
 		control:  s.newControl(),
@@ -167,8 +172,10 @@
 	for _, f := range s.loops() {
 		g.Go(func() error { f(runCtx); return nil })
 	}
-	g.Go(func() error { return serveError("callers", callerHTTP.Serve(callers)) })
-	g.Go(func() error { return serveError("entry VMs", peerHTTP.Serve(peers)) })
+	g.Go(func() error {
+		return serveError("callers", callerHTTP.Serve(s.callersAcceptor.Wrap(callers, callerHTTP)))
+	})
+	g.Go(func() error { return serveError("entry VMs", peerHTTP.Serve(s.peersAcceptor.Wrap(peers, peerHTTP))) })
 	if s.Started != nil {
 		s.Started(callers.Addr().String(), s.peersAddress)
 	}
