node: report what clients hold in metrics and bound the lines

Operators need to see when a VM closes connections, and an attack must not fill the log. The metrics have the bytes and connections that the clients of each listener hold, the requests that found no room and the connections closed by listener and reason. Of what net/http logs itself only panics are passed on, one a second, as each malformed request causes a line. Measured: with a clock that stands still, 19 closed connections give one report (TestReportsAreBounded); package tests pass.

--- a/internal/node/acceptor/acceptor.go
+++ b/internal/node/acceptor/acceptor.go
@@ -3,16 +3,20 @@
 package acceptor
 
 import (
+	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"log"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/lacewingdoor/lacewingdoor/internal/node/budgeter"
 )
 
@@ -85,7 +89,7 @@
 			next(c, state)
 		}
 	}
-	s.ErrorLog = log.New(io.Discard, "", 0) // net/http writes a line for each malformed request and failed Accept
+	s.ErrorLog = log.New(&panicLog{}, "", log.LstdFlags)
 	return &listener{Listener: l, acceptor: a}
 }
 
@@ -103,6 +107,28 @@
 	}
 }
 
+// panicLog passes on the panics of handlers, at most one a second, of what net/http logs.
+// Clients can cause the other lines.
+type panicLog struct{ rate.Sometimes }
+
+// Write implements [io.Writer].
+func (p *panicLog) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte("panic serving")) {
+		p.Interval = reportInterval
+		p.Do(func() { _, _ = os.Stderr.Write(b) })
+	}
+	return len(b), nil
+}
+
+// Gauges returns what the clients hold at present, by the name of the metric.
+func (a *Acceptor) Gauges() map[string]int64 {
+	held, connections := a.Held()
+	return map[string]int64{"held-bytes-" + a.metric(): held, "connections-" + a.metric(): int64(connections)}
+}
+
+// metric returns the name of the listener in the names of metrics.
+func (a *Acceptor) metric() string { return strings.ReplaceAll(strings.ToLower(a.Name), " ", "-") }
+
 // Held returns the bytes that the clients hold by the budgeter's charges, and the number of
 // connections.
 func (a *Acceptor) Held() (int64, int) {
@@ -169,7 +195,7 @@
 			delete(a.conns, c.ID)
 			v = append(v, x)
 			a.closed[c.Reason]++
-			a.Count("connections-closed-"+string(c.Reason), 1)
+			a.countClosed(c.Reason)
 		}
 	}
 	return v
@@ -181,9 +207,13 @@
 	}
 }
 
+func (a *Acceptor) countClosed(r budgeter.Reason) {
+	a.Count("connections-closed-"+a.metric()+"-"+string(r), 1)
+}
+
 // recordClosed records that a connection was closed and reports at most once a second.
 func (a *Acceptor) recordClosed(r budgeter.Reason) {
-	a.Count("connections-closed-"+string(r), 1)
+	a.countClosed(r)
 	a.mu.Lock()
 	a.closed[r]++
 	a.mu.Unlock()
@@ -221,7 +251,7 @@
 			return nil
 		}
 		if !open || now.After(end) {
-			a.Count("requests-without-room-"+a.Name, 1)
+			a.Count("requests-without-room-"+a.metric(), 1)
 			return budgeter.ErrNoRoom
 		}
 	}
--- a/internal/node/acceptor/acceptor_test.go
+++ b/internal/node/acceptor/acceptor_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,7 +15,6 @@
 
 	"github.com/lacewingdoor/lacewingdoor/internal/node/acceptor"
 	"github.com/lacewingdoor/lacewingdoor/internal/node/budgeter"
-	"github.com/lacewingdoor/lacewingdoor/recorder"
 )
 
 const waitTimeout = 30 * time.Second // generous, so that only a fault exceeds it
@@ -23,7 +23,7 @@
 func start(t *testing.T, s budgeter.Share, h http.HandlerFunc) (string, *acceptor.Acceptor, *http.Server) {
 	t.Helper()
 	a := &acceptor.Acceptor{
-		Name: "callers", Share: s, Refusal: true, Count: recorder.New().Count, Now: time.Now,
+		Name: "callers", Share: s, Refusal: true, Count: func(string, int64) {}, Now: time.Now,
 		Report: func(map[budgeter.Reason]int) {},
 	}
 	p := new(http.Protocols)
@@ -171,3 +171,35 @@
 		return strings.HasPrefix(string(b), "HTTP/1.1 503 ") && strings.Contains(string(b), "Retry-After: 1\r\n")
 	})
 }
+
+// Guards against a log line for each connection that is closed: while the clock stands still
+// there is one report, and the metrics have all of them.
+func TestReportsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var reports, closed atomic.Int64
+	now := time.Now()
+	a := &acceptor.Acceptor{
+		Name: "other VMs", Share: budgeter.Share{Bytes: 1 << 20, Connections: 1}.WithBuffer(4 << 10),
+		Now:    func() time.Time { return now },
+		Report: func(map[budgeter.Reason]int) { reports.Add(1) },
+		Count: func(name string, n int64) {
+			if name == "connections-closed-other-vms-too-many" {
+				closed.Add(n)
+			}
+		},
+	}
+	server := &http.Server{Handler: http.HandlerFunc(echo), ReadHeaderTimeout: time.Minute}
+	l, err := a.Listen(t.Context(), "127.0.0.1:0", server)
+	is.NoErr(err)
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	const connections = 20
+	for range connections {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+	}
+	waitUntil(t, "all connections but one are closed", func() bool { return closed.Load() == connections-1 })
+	is.Equal(reports.Load(), int64(1))
+	is.Equal(a.Gauges()["connections-other-vms"], int64(1))
+}
--- a/internal/node/assembler/acceptors.go
+++ b/internal/node/assembler/acceptors.go
@@ -28,9 +28,8 @@
 // serveMetrics serves the metrics with the present holdings of the listeners.
 func (a *Assembler) serveMetrics(w http.ResponseWriter, q *http.Request) {
 	for _, x := range a.acceptors {
-		bytes, connections := x.Held()
-		for name, n := range map[string]int64{"held-bytes-" + x.Name: bytes, "connections-" + x.Name: int64(connections)} {
-			a.metrics.Count(name, n-a.metrics.Counter(name))
+		for name, n := range x.Gauges() {
+			a.metrics.Set(name, n)
 		}
 	}
 	a.metrics.ServeHTTP(w, q)
--- a/internal/node/assembler/listen.go
+++ b/internal/node/assembler/listen.go
@@ -19,7 +19,7 @@
 const (
 	headerTimeout     = 3 * time.Second         // the platform's own limit for a request's header
 	callerIdleTimeout = 15 * time.Second        // the platform's own limit for idle connections
-	idleTimeout       = 60 * time.Second        // of other clients; above the intervals at which they call
+	idleTimeout       = 60 * time.Second        // of readiness checks and metrics; other VMs keep idle connections without a limit
 	answerLineRate    = 100                     // log lines a second for answers other than 200; a day of high load has fewer
 	answerLineBurst   = 1000                    // an outage of the store refuses this many at once
 	maxHeadBytes      = 16 << 10                // of requests by other clients, whose heads are a few hundred bytes
@@ -47,7 +47,7 @@
 	}{
 		{"callers", a.Settings.Callers, callerServer, shares.Callers},
 		{"readiness", a.Settings.Readiness, &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}, shares.Readiness},
-		{"other VMs", a.Settings.Peers, &http.Server{Handler: a.relayer.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}, shares.VMs},
+		{"other VMs", a.Settings.Peers, &http.Server{Handler: a.relayer.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes}, shares.VMs},
 		{"metrics", a.Settings.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}, shares.Metrics},
 	} {
 		if v.address == "" {
--- a/internal/server/acceptors.go
+++ b/internal/server/acceptors.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// serveMetrics serves the metrics with what the clients hold at present.
+func (s *Server) serveMetrics(w http.ResponseWriter, q *http.Request) {
+	for _, x := range []*acceptor.Acceptor{s.callersAcceptor, s.peersAcceptor} {
+		for name, n := range x.Gauges() {
+			s.recorder.Set(name, n)
+		}
+	}
+	s.recorder.ServeHTTP(w, q)
+}
+
 // maxDescriptors returns how many files the process may open, 0 if that is unknown.
 func maxDescriptors() int {
 	var l syscall.Rlimit
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -175,7 +175,7 @@
 		Control:         s.controlState,
 		Configuration:   s.configuration,
 		LeaderJobs:      s.jobsFromLeader,
-		Metrics:         s.recorder,
+		Metrics:         http.HandlerFunc(s.serveMetrics),
 		Now:             s.Now,
 		CheckGuarantees: s.checkGuarantees,
 		Status:          s.status,
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -68,6 +68,13 @@
 // Count adds n to a counter.
 func (r *Recorder) Count(name string, n int64) { r.counters.Add(name, n) }
 
+// Set sets a counter that can also fall.
+func (r *Recorder) Set(name string, n int64) {
+	v := new(expvar.Int)
+	v.Set(n)
+	r.counters.Set(name, v)
+}
+
 // Counter returns the value of a counter.
 func (r *Recorder) Counter(name string) int64 {
 	if v, ok := r.counters.Get(name).(*expvar.Int); ok {
