node: charge jobs until they are stored, and leave room for callers

Bodies of jobs are charged 8 times. Jobs that are accepted over a longer time have no bound yet: docs/issues/hostile-clients.md.

--- a/hostile_test.go
+++ b/hostile_test.go
@@ -102,6 +102,37 @@
 	}
 }
 
+// Guards against accepted jobs that together exceed the memory of a VM.
+func TestHostileAcceptedJobs(t *testing.T) {
+	v := startHostileVM(t)
+	v.attack(hostileAttack{"jobs-of-largest-size", 400, sendLargeJob}, v.callers)
+}
+
+// Guards against limits that ordinary callers reach: on the smallest VM each of 200 that call
+// at the same time, some with bodies of the largest legal size, is answered by each request.
+func TestOrdinaryCallersAreServed(t *testing.T) {
+	const callers, requests, largeEach = 200, 3, 10
+	v := startLimitedVM(t, 144, 3075)
+	var wait sync.WaitGroup
+	for i := range callers {
+		wait.Go(func() {
+			client := &http.Client{Timeout: waitTimeout, Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			body := platformstandin.Job("10ms", 1, false)
+			if i%largeEach == 0 {
+				body = string(legalBody())
+			}
+			for k := range requests {
+				path := fmt.Sprintf("/slow/%016x", i*requests+k+1)
+				if status, answer := platformstandin.Call(client, http.MethodPost, v.callers, path, platformstandin.Key, body); status != http.StatusOK {
+					t.Errorf("caller %d got %d: %s", i, status, answer)
+				}
+			}
+		})
+	}
+	wait.Wait()
+}
+
 // hostileProgram builds the program without the race detector, which multiplies its memory,
 // and returns its path.
 func hostileProgram(t *testing.T) string {
@@ -121,6 +152,11 @@
 }
 
 func startHostileVM(t *testing.T) *hostileVM {
+	return startLimitedVM(t, hostileMemoryMB, hostileMaxFDs)
+}
+
+// startLimitedVM starts an entry VM with the given limits.
+func startLimitedVM(t *testing.T, memoryMB, maxFDs int) *hostileVM {
 	store := platformstandin.NewStore()
 	store.Put("keyed.op", "config", bytes.Replace(platformstandin.Configuration(1, platformstandin.Key),
 		[]byte(`"maxBodyBytes":10000`), fmt.Appendf(nil, `"maxBodyBytes":%d`, hostileMaxBody), 1))
@@ -138,7 +174,7 @@
 	ip, port, _ := net.SplitHostPort(v.metrics)
 	n, _ := strconv.Atoi(port)
 	settings["ip"], settings["internalPorts"] = ip, []int{n, n}
-	settings["limits"] = map[string]any{"memoryMb": hostileMemoryMB, "maxFds": hostileMaxFDs, "cpuShare": 1}
+	settings["limits"] = map[string]any{"memoryMb": memoryMB, "maxFds": maxFDs, "cpuShare": 1}
 	b, _ = json.Marshal(settings)
 	name := filepath.Join(t.TempDir(), "settings.json")
 	if err := os.WriteFile(name, b, 0o600); err != nil {
@@ -315,6 +351,20 @@
 	return nil
 }
 
+// sendLargeJob submits a job whose spec takes the largest legal size.
+func sendLargeJob(c net.Conn, i int) error {
+	spec := strings.Repeat("s", hostileMaxBody-len(platformstandin.Job("", 1, false)))
+	b := platformstandin.Job(spec, 1, false)
+	if err := sendHead(c, i, "Content-Length: "+strconv.Itoa(len(b))); err != nil {
+		return err
+	}
+	if _, err := c.Write([]byte(b)); err != nil {
+		return err
+	}
+	_, err := c.Read(make([]byte, 1)) // the connection stays open until the response
+	return err
+}
+
 // sendChunks sends a chunked body of the largest legal size without its last bytes.
 func sendChunks(c net.Conn, i, size int) error {
 	if err := sendHead(c, i, "Transfer-Encoding: chunked"); err != nil {
--- a/internal/node/acceptor/acceptor_test.go
+++ b/internal/node/acceptor/acceptor_test.go
@@ -68,7 +68,7 @@
 	}{{name: "HTTP/1"}, {name: "HTTP/1 chunked", chunked: true}, {name: "HTTP/2", http2: true}, {name: "HTTP/2 chunked", http2: true, chunked: true}} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			address, a, _ := start(t, budgeter.Share{Bytes: 2 << 20, Connections: 10}.WithBuffer(16<<10), echo)
+			address, a, _ := start(t, budgeter.Share{Bytes: 2 << 20, Connections: 10, BodyFactor: 3}.WithBuffer(16<<10), echo)
 			p := new(http.Protocols)
 			p.SetHTTP1(!c.http2)
 			p.SetUnencryptedHTTP2(c.http2)
@@ -101,7 +101,7 @@
 func TestRequestInFlightIsNotCutOff(t *testing.T) {
 	is := is.New(t)
 	begun, release := make(chan struct{}), make(chan struct{})
-	address, _, server := start(t, budgeter.Share{Bytes: 1 << 20, Connections: 2}.WithBuffer(4<<10), func(w http.ResponseWriter, q *http.Request) {
+	address, _, server := start(t, budgeter.Share{Bytes: 1 << 20, Connections: 2, BodyFactor: 3}.WithBuffer(4<<10), func(w http.ResponseWriter, q *http.Request) {
 		_, _ = io.ReadAll(q.Body)
 		close(begun)
 		<-release
@@ -143,7 +143,7 @@
 func TestRefusals(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
-	address, _, _ := start(t, budgeter.Share{Bytes: 256 << 10, Connections: 1}.WithBuffer(4<<10), func(w http.ResponseWriter, q *http.Request) {
+	address, _, _ := start(t, budgeter.Share{Bytes: 256 << 10, Connections: 1, BodyFactor: 3}.WithBuffer(4<<10), func(w http.ResponseWriter, q *http.Request) {
 		if q.URL.Path == "/hold" {
 			<-release
 		}
--- a/internal/node/acceptor/body.go
+++ b/internal/node/acceptor/body.go
@@ -66,7 +66,8 @@
 	if r.left > 0 {
 		p = p[:min(int64(len(p)), r.left)]
 	}
-	charged := int64(len(p)) * budgeter.BodyFactor
+	factor := int64(r.conn.acceptor.Share.BodyFactor)
+	charged := int64(len(p)) * factor
 	if r.left == 0 {
 		charged = 0 // only the end is to be read
 	}
@@ -79,7 +80,7 @@
 	if r.left > 0 {
 		r.left -= int64(n)
 	}
-	kept := min(charged, int64(n)*budgeter.BodyFactor)
+	kept := min(charged, int64(n)*factor)
 	r.charged += kept
 	r.conn.acceptor.with(func(_ time.Time, b *budgeter.Budgeter) { b.Refund(r.conn.id, charged-kept) })
 	if errors.Is(err, io.EOF) {
--- a/internal/node/assembler/listen.go
+++ b/internal/node/assembler/listen.go
@@ -17,9 +17,13 @@
 )
 
 const (
-	headerTimeout     = 3 * time.Second         // the platform's own limit for a request's header
-	callerIdleTimeout = 15 * time.Second        // the platform's own limit for idle connections
-	idleTimeout       = 60 * time.Second        // of readiness checks and metrics; other VMs keep idle connections without a limit
+	headerTimeout     = 3 * time.Second  // the platform's own limit for a request's header
+	callerIdleTimeout = 15 * time.Second // the platform's own limit for idle connections
+	idleTimeout       = 60 * time.Second // of readiness checks and metrics; other VMs keep idle connections without a limit
+	// jobBodyFactor is the memory that a submission takes per byte of its body until it is
+	// stored: the body, the decoded job, its record, the record in wire format, which grows by
+	// doubling, the copy of the HTTP client, and the record as it is read back.
+	jobBodyFactor     = 8
 	answerLineRate    = 100                     // log lines a second for answers other than 200; a day of high load has fewer
 	answerLineBurst   = 1000                    // an outage of the store refuses this many at once
 	maxHeadBytes      = 16 << 10                // of requests by other clients, whose heads are a few hundred bytes
@@ -40,6 +44,7 @@
 	metrics := http.NewServeMux()
 	metrics.HandleFunc("GET /metrics", a.serveMetrics)
 	shares := budgeter.Divide(budgeter.Limits{MemoryMB: a.Settings.MemoryMB, Descriptors: a.Settings.Descriptors})
+	shares.Callers = shares.Callers.WithBodyFactor(jobBodyFactor)
 	for _, v := range []struct {
 		name, address string
 		server        *http.Server
--- a/internal/node/budgeter/budgeter.go
+++ b/internal/node/budgeter/budgeter.go
@@ -34,6 +34,10 @@
 	slowGrace = time.Second            // a request of the usual size arrives within this time at any rate
 	minRate   = 32 << 10               // bytes per second; a body of 262 KB takes 8 s, longer than its caller waits
 
+	// requestPercent is what heads and bodies may take of the memory. The rest is left to
+	// connections, so that a VM that is short of room for bodies still accepts callers.
+	requestPercent = 67
+
 	// scanInterval bounds the cost of searching for connections to close: a search visits
 	// each connection, and under attack each byte received would cause one.
 	scanInterval = 10 * time.Millisecond
@@ -76,7 +80,7 @@
 // Open admits a new connection. The returned connections have to be closed.
 func (b *Budgeter) Open(now time.Time, id uint64) ([]Closing, bool) {
 	n := b.share.connectionBytes()
-	closing, ok := b.makeRoom(now, id, n, 1)
+	closing, ok := b.makeRoom(now, id, shortage{bytes: b.held + n - b.share.Bytes, connections: len(b.connections) + 1 - b.share.Connections})
 	if ok {
 		b.connections[id] = &connection{held: n, phaseSince: now, lastProgress: now}
 		b.held += n
@@ -91,7 +95,11 @@
 	if b.connections[id] == nil {
 		return nil, false
 	}
-	closing, ok := b.makeRoom(now, id, n, 0)
+	requests := b.share.Bytes * requestPercent / 100
+	if n > requests {
+		return nil, false
+	}
+	closing, ok := b.makeRoom(now, id, shortage{bytes: b.held + n - b.share.Bytes, requests: b.requests() + n - requests})
 	if ok {
 		b.connections[id].held += n
 		b.held += n
@@ -147,27 +155,51 @@
 	}
 }
 
-// makeRoom removes connections until n bytes and the given number of connections fit. It
-// removes none if that would not suffice.
-func (b *Budgeter) makeRoom(now time.Time, id uint64, n int64, connections int) ([]Closing, bool) {
-	excess := b.held + n - b.share.Bytes
-	surplus := len(b.connections) + connections - b.share.Connections
-	if excess <= 0 && surplus <= 0 {
+// requests returns the bytes charged for requests, without those for connections.
+func (b *Budgeter) requests() int64 {
+	return b.held - int64(len(b.connections))*b.share.connectionBytes()
+}
+
+// shortage is by how much something does not fit.
+type shortage struct {
+	bytes       int64
+	requests    int64 // bytes for requests
+	connections int
+}
+
+func (s shortage) none() bool { return s.bytes <= 0 && s.requests <= 0 && s.connections <= 0 }
+
+// helps reports whether the shortage falls if a connection with the given bytes for its
+// request is closed.
+func (s shortage) helps(requests int64) bool {
+	return s.bytes > 0 || s.connections > 0 || requests > 0
+}
+
+// makeRoom removes connections until there is no shortage. It removes none if that would
+// not suffice.
+func (b *Budgeter) makeRoom(now time.Time, id uint64, s shortage) ([]Closing, bool) {
+	if s.none() {
 		return nil, true
 	}
-	if n > b.share.Bytes || now.Before(b.scanAfter) {
+	if now.Before(b.scanAfter) {
 		return nil, false
 	}
 	var closing []Closing
 	for _, v := range b.candidates(now, id) {
-		if excess <= 0 && surplus <= 0 {
+		held := b.connections[v.ID].held
+		requests := held - b.share.connectionBytes()
+		if s.none() {
 			break
 		}
+		if !s.helps(requests) {
+			continue
+		}
 		closing = append(closing, v)
-		excess -= b.connections[v.ID].held
-		surplus--
+		s.bytes -= held
+		s.requests -= requests
+		s.connections--
 	}
-	if excess > 0 || surplus > 0 {
+	if !s.none() {
 		b.scanAfter = now.Add(scanInterval)
 		return nil, false
 	}
--- a/internal/node/budgeter/budgeter_test.go
+++ b/internal/node/budgeter/budgeter_test.go
@@ -18,8 +18,9 @@
 	is.True(v.Callers.Connections+v.VMs.Connections+v.Readiness.Connections+v.Metrics.Connections <= (3075-200)*60/100)
 	is.True(v.Callers.Connections >= 500)
 	const head, line = 1 << 20, 64
-	is.True(v.Callers.Bytes > head*HeadFactor+head/line*LineBytes)
-	is.True(v.Callers.Bytes > 20*262_144*BodyFactor)
+	requests := v.Callers.Bytes * requestPercent / 100
+	is.True(requests > head*HeadFactor+head/line*LineBytes)
+	is.True(requests > 20*262_144*int64(v.Callers.BodyFactor))
 	is.True(v.Readiness.Connections >= 30)
 	is.Equal(Divide(Limits{}), Divide(Limits{MemoryMB: defaultMemoryMB, Descriptors: defaultDescriptors}))
 }
@@ -115,6 +116,9 @@
 		}
 		sum += c.held
 	}
+	if r := b.requests(); r < 0 || r > b.share.Bytes*requestPercent/100 {
+		t.Fatalf("requests hold %d bytes of %d", r, b.share.Bytes)
+	}
 	if sum != b.held || sum > b.share.Bytes || len(b.connections) > b.share.Connections {
 		t.Fatalf("%d bytes are held, the connections hold %d, of %d; %d connections of %d", b.held, sum, b.share.Bytes, len(b.connections), b.share.Connections)
 	}
--- a/internal/node/budgeter/share.go
+++ b/internal/node/budgeter/share.go
@@ -17,8 +17,9 @@
 
 	HeadFactor = 2   // memory per byte of a head: the line and the value
 	LineBytes  = 128 // memory per line of a head: entries of the header map, which grow by doubling
-	BodyFactor = 3   // memory per byte of a body: the buffer, its predecessor while it grows, and the decoded data
-	Piece      = 16 << 10
+
+	defaultBodyFactor = 3        // memory per byte of a body: the buffer, its predecessor while it grows, and the decoded data
+	Piece             = 16 << 10 // bytes of a body or a response that are transferred at once
 )
 
 // Limits are the limits of a VM.
@@ -31,6 +32,7 @@
 type Share struct {
 	Bytes       int64
 	Connections int
+	BodyFactor  int // memory per byte of a body until its request has been handled
 	Buffer      int // bytes that the kernel may hold in each direction of a connection, and that were not read or not sent
 }
 
@@ -38,6 +40,12 @@
 // buffer counts, as its client can fill it at any time.
 func (s Share) connectionBytes() int64 { return processBytes + kernelFactor*int64(s.Buffer) }
 
+// WithBodyFactor returns a share whose bodies are charged more or less.
+func (s Share) WithBodyFactor(n int) Share {
+	s.BodyFactor = n
+	return s
+}
+
 // WithBuffer returns a share whose connections have larger or smaller buffers.
 func (s Share) WithBuffer(n int) Share {
 	s.Buffer = n
@@ -81,7 +89,8 @@
 	}
 	share := func(memory, descriptors int) Share {
 		bytes := int64(l.MemoryMB) << 20 * int64(memory) / 100
-		return Share{Bytes: bytes, Connections: max(0, l.Descriptors-fileDescriptors) * descriptors / 100}.WithBuffer(defaultBuffer)
+		n := max(0, l.Descriptors-fileDescriptors) * descriptors / 100
+		return Share{Bytes: bytes, Connections: n, BodyFactor: defaultBodyFactor}.WithBuffer(defaultBuffer)
 	}
 	return Shares{
 		Callers:   share(callerPercent, callerDescriptors),
