relayer: let the routes of topics fail separately

A partial outage takes single partitions of single topics. The routes were kept by number of the partition alone, so a failing partition 0 of the jobs took away the direct route to the claims and to the progress: the leader could not renew and was replaced in the outage. Routes are now kept by topic and partition, probes read the failing partition from its last offset, and a recovery wakes the tailer of its own topic only.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -117,7 +117,6 @@
 		Now:           a.Now,
 		Recovered:     a.notePartRecovered,
 		ProbeInterval: a.probeInterval,
-		ProbedTopic:   platform.WireTopic(registrar.TopicJobs),
 	}
 	a.store = a.relayer.StoreClient()
 	a.metrics = recorder.New()
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -75,7 +75,7 @@
 		return nil
 	})
 	g.Go(func() error {
-		a.relayer.Probe(ctx, platform.WireTopic(topicPeers))
+		a.relayer.Probe(ctx)
 		return nil
 	})
 }
@@ -101,7 +101,7 @@
 		Wait:         wait,
 		Now:          a.Now,
 		Pause:        pause,
-		Recovered:    a.parts.awaitZeroRecovery,
+		Recovered:    func() <-chan struct{} { return a.parts.awaitRecoveryOf(topic) },
 	}
 }
 
--- a/internal/node/assembler/parts.go
+++ b/internal/node/assembler/parts.go
@@ -22,19 +22,19 @@
 // parts is what this VM knows of the partitions of the topic of jobs. It is safe for concurrent
 // use where it takes its lock itself.
 type parts struct {
-	mu            sync.Mutex
-	partitioner   partitioner.Partitioner
-	recovered     signal            // a partition answers again
-	zeroRecovered signal            // partition 0 does
-	changed       signal            // it may be time to read other partitions
-	down          map[string]bool   // topics whose partition 0 can't be read
-	failedAt      time.Time         // when partition 0 was last known to fail
-	answeredAt    time.Time         // when another partition last answered
-	readSince     map[int]time.Time // by partition, start of the last read that succeeded
-	recordAt      map[int]time.Time // by partition, when a record was last read
-	boundaries    map[int]int64     // in a term, by partition: offset up to which an earlier leader may have read
-	inTerm        int               // partitions that the present leader has to read, 0 for no term
-	reported      reportedParts
+	mu             sync.Mutex
+	partitioner    partitioner.Partitioner
+	recovered      signal             // a partition answers again
+	topicRecovered map[string]*signal // by topic: its partition 0 does
+	changed        signal             // it may be time to read other partitions
+	down           map[string]bool    // topics whose partition 0 can't be read
+	failedAt       time.Time          // when partition 0 was last known to fail
+	answeredAt     time.Time          // when another partition last answered
+	readSince      map[int]time.Time  // by partition, start of the last read that succeeded
+	recordAt       map[int]time.Time  // by partition, when a record was last read
+	boundaries     map[int]int64      // in a term, by partition: offset up to which an earlier leader may have read
+	inTerm         int                // partitions that the present leader has to read, 0 for no term
+	reported       reportedParts
 }
 
 // reportedParts is what was logged last.
@@ -117,15 +117,17 @@
 	p.wake()
 }
 
-// notePartRecovered records that a partition answers again.
-func (a *Assembler) notePartRecovered(part int) {
+// notePartRecovered records that a partition of a topic answers again.
+func (a *Assembler) notePartRecovered(name string) {
 	p := &a.parts
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.partitioner.RecordReadable(a.Now(), part)
+	if topic, part := accessor.SplitPartition(name); topic == platform.WireTopic(registrar.TopicJobs) {
+		p.partitioner.RecordReadable(a.Now(), part)
+	}
 	p.recovered.close()
-	if part == 0 {
-		p.zeroRecovered.close()
+	if c, ok := p.topicRecovered[name]; ok {
+		c.close()
 	}
 }
 
@@ -136,11 +138,19 @@
 	return p.recovered.await()
 }
 
-// awaitZeroRecovery returns a channel that is closed when partition 0 answers again.
-func (p *parts) awaitZeroRecovery() <-chan struct{} {
+// awaitRecoveryOf returns a channel that is closed when partition 0 of a topic answers again.
+func (p *parts) awaitRecoveryOf(topic string) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.zeroRecovered.await()
+	if p.topicRecovered == nil {
+		p.topicRecovered = map[string]*signal{}
+	}
+	c, ok := p.topicRecovered[topic]
+	if !ok {
+		c = &signal{}
+		p.topicRecovered[topic] = c
+	}
+	return c.await()
 }
 
 // signal tells all who wait for it at once.
--- a/internal/node/assembler/peers.go
+++ b/internal/node/assembler/peers.go
@@ -106,9 +106,9 @@
 	}
 }
 
-// logDirectAccess logs whether this VM reaches the store directly.
-func (a *Assembler) logDirectAccess(direct bool) {
-	l := a.log("reach").WithField("store", a.Settings.Store)
+// logDirectAccess logs whether this VM reaches a topic of the store directly.
+func (a *Assembler) logDirectAccess(topic string, direct bool) {
+	l := a.log("reach").WithField("store", a.Settings.Store).WithField("topic", topic)
 	if direct {
 		l.Info("direct access to the store has recovered")
 		return
--- a/internal/store/relayer/partition_test.go
+++ b/internal/store/relayer/partition_test.go
@@ -33,6 +33,21 @@
 	is.Equal(other.calls, 2)
 }
 
+// Guards against renewals of the leadership that are not sent because another topic fails: the
+// store may lose a partition of one topic and serve the partition of the same number of others.
+func TestRoutesOfTopicsFailSeparately(t *testing.T) {
+	is := is.New(t)
+	r, own, other := newRelayerPair(t)
+	own.err, other.err = accessor.ErrNotDone, accessor.ErrNotDone
+	_, err := r.StoreClient().Append(t.Context(), accessor.Append{Topic: "jobs"})
+	is.True(errors.Is(err, accessor.ErrNotDone))
+	own.err = nil
+	calls := other.calls
+	_, err = r.StoreClient().Append(t.Context(), accessor.Append{Topic: "leader"})
+	is.NoErr(err)
+	is.Equal(other.calls, calls) // the direct route was used
+}
+
 // A peer of an older version would use partition 0 for any partition. It must not get such
 // calls, and they are certainly not done there.
 func TestOlderPeerGetsNoCallsToOtherPartitions(t *testing.T) {
@@ -73,7 +88,7 @@
 			}
 		},
 		Peers:         func() []string { return []string{"peer"} },
-		DirectChanged: func(bool) {},
+		DirectChanged: func(string, bool) {},
 		Now: func() time.Time {
 			now = now.Add(time.Millisecond)
 			return now
--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -17,42 +17,40 @@
 type Relayer struct {
 	Direct        accessor.Client
 	Peer          func(address string) accessor.Client
-	Peers         func() []string   // addresses of other entry VMs
-	DirectChanged func(direct bool) // called when the direct route to partition 0 fails or recovers
+	Peers         func() []string                 // addresses of other entry VMs
+	DirectChanged func(topic string, direct bool) // called when the direct route to partition 0 of a topic fails or recovers
 	Now           func() time.Time
 
-	// Recovered is called when a call to a partition is answered after others were not; nil for
-	// none.
-	Recovered func(part int)
+	// Recovered is called when a call to a partition of a topic is answered after others were
+	// not; nil for none.
+	Recovered func(partition string)
 
-	// ProbeInterval returns the time between two probes of the direct route to partition 0; nil
-	// for a default.
+	// ProbeInterval returns the time between two probes of the direct route to partition 0 of a
+	// topic; nil for a default.
 	ProbeInterval func() time.Duration
 
-	// ProbedTopic is the topic whose partitions other than 0 are probed while the direct route
-	// to them fails.
-	ProbedTopic string
-
 	mu     sync.Mutex
-	routes map[int]*partitionRoutes // by partition: the store may lose some of them only
+	routes map[string]*partitionRoutes // by name of the partition: the store may lose single partitions of single topics
 }
 
-// partitionRoutes are the routes to one partition of all topics.
+// partitionRoutes are the routes to one partition of a topic.
 type partitionRoutes struct {
 	selector   RouteSelector
 	lastAnswer map[string]time.Time // by route, time of the last answered call
 	failing    bool                 // the last result of a call was a failure
+	calledAt   time.Time            // of the last call
+	nextOffset int64                // from which the last read asked for records; a probe from there gets few
 }
 
 // partition returns the routes to a partition. r.mu must be held.
-func (r *Relayer) partition(part int) *partitionRoutes {
+func (r *Relayer) partition(name string) *partitionRoutes {
 	if r.routes == nil {
-		r.routes = map[int]*partitionRoutes{}
+		r.routes = map[string]*partitionRoutes{}
 	}
-	p, ok := r.routes[part]
+	p, ok := r.routes[name]
 	if !ok {
 		p = &partitionRoutes{lastAnswer: map[string]time.Time{}}
-		r.routes[part] = p
+		r.routes[name] = p
 	}
 	return p
 }
@@ -71,6 +69,7 @@
 		Read: func(ctx context.Context, topic string, from int64, wait time.Duration) ([]accessor.Record, int64, error) {
 			var records []accessor.Record
 			var end int64
+			r.noteOffset(topic, from)
 			err := r.tryRoutes(topic, func(x accessor.Client) (err error) {
 				records, end, err = x.Read(ctx, topic, from, wait)
 				return err
@@ -93,10 +92,11 @@
 
 // tryRoutes tries one route after the other until the store answers. If all fail and
 // one attempt may have been carried out, it returns the error of that attempt.
-func (r *Relayer) tryRoutes(topic string, do func(accessor.Client) error) error {
-	_, part := accessor.SplitPartition(topic)
+func (r *Relayer) tryRoutes(name string, do func(accessor.Client) error) error {
 	r.mu.Lock()
-	routes := r.partition(part).selector.Candidates(r.Now(), r.Peers())
+	p := r.partition(name)
+	p.calledAt = r.Now()
+	routes := p.selector.Candidates(p.calledAt, r.Peers())
 	r.mu.Unlock()
 	if len(routes) == 0 {
 		return errNoRoute
@@ -114,43 +114,52 @@
 			return err // cancelled by the caller; says nothing about the route
 		}
 		if accessor.Answered(err) {
-			r.recordResult(part, w, true)
+			r.recordResult(name, w, true)
 			return err
 		}
-		if r.answeredSince(part, w, sent) {
+		if r.answeredSince(name, w, sent) {
 			return lessCertain(result, err) // the route works; only this response was lost
 		}
 		if errors.Is(err, errUnreachable) {
-			r.recordUnreachable(part, w)
+			r.recordUnreachable(w)
 		} else {
-			r.recordResult(part, w, false)
+			r.recordResult(name, w, false)
 		}
 		result = lessCertain(result, err)
-		if i == len(routes)-1 && errors.Is(result, accessor.ErrNotDone) && !slices.Contains(routes, Direct) && r.DirectWorks(part) {
+		if i == len(routes)-1 && errors.Is(result, accessor.ErrNotDone) && !slices.Contains(routes, Direct) && r.DirectWorks(name) {
 			routes = append(routes, Direct) // it recovered during the call
 		}
 	}
 	return result
 }
 
-// recordUnreachable records a failure to connect to a peer.
-func (r *Relayer) recordUnreachable(part int, peer string) {
+// noteOffset records from where a partition is read.
+func (r *Relayer) noteOffset(name string, from int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.partition(name).nextOffset = from
+}
+
+// recordUnreachable records a failure to connect to a peer, which holds for all partitions.
+func (r *Relayer) recordUnreachable(peer string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.partition(part).selector.RecordUnreachable(r.Now(), peer)
+	for _, p := range r.routes {
+		p.selector.RecordUnreachable(r.Now(), peer)
+	}
 }
 
 // answeredSince reports whether another call on the route to the partition was answered after
 // the given time.
-func (r *Relayer) answeredSince(part int, route string, sent time.Time) bool {
+func (r *Relayer) answeredSince(name, route string, sent time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.partition(part).lastAnswer[route].After(sent)
+	return r.partition(name).lastAnswer[route].After(sent)
 }
 
-func (r *Relayer) recordResult(part int, route string, worked bool) {
+func (r *Relayer) recordResult(name, route string, worked bool) {
 	r.mu.Lock()
-	p := r.partition(part)
+	p := r.partition(name)
 	if worked {
 		p.lastAnswer[route] = r.Now()
 	}
@@ -161,28 +170,24 @@
 	p.failing = !worked
 	r.mu.Unlock()
 	if recovered && r.Recovered != nil {
-		r.Recovered(part)
+		r.Recovered(name)
 	}
-	if before != after && part == 0 {
-		r.DirectChanged(!after)
+	if topic, part := accessor.SplitPartition(name); before != after && part == 0 {
+		r.DirectChanged(topic, !after)
 	}
 }
 
 // Probe runs until the context ends. While the direct route to a partition fails, it probes the
-// route with small reads of a topic, so that no caller has to wait for the route.
-func (r *Relayer) Probe(ctx context.Context, topic string) {
+// route with small reads, so that no caller has to wait for the route.
+func (r *Relayer) Probe(ctx context.Context) {
 	var probes sync.WaitGroup
 	defer probes.Wait()
 	for sleeper.Sleep(ctx, r.probeInterval()) == nil {
-		for _, part := range r.dueProbes() {
-			name := topic
-			if part != 0 {
-				name = accessor.Partition(r.ProbedTopic, part)
-			}
+		for name, from := range r.dueProbes() {
 			probes.Go(func() {
-				_, _, err := r.Direct.Read(ctx, name, 0, 0)
+				_, _, err := r.Direct.Read(ctx, name, from, 0)
 				if ctx.Err() == nil {
-					r.recordResult(part, Direct, accessor.Answered(err))
+					r.recordResult(name, Direct, accessor.Answered(err))
 				}
 			})
 		}
@@ -197,28 +202,35 @@
 	return r.ProbeInterval()
 }
 
-// dueProbes returns the partitions whose direct route is to be probed now, and delays their
-// next probes.
-func (r *Relayer) dueProbes() []int {
+// dueProbes returns the partitions whose direct route is to be probed now, with the offsets to
+// read from, and delays their next probes. A partition without calls is not probed: the next
+// call tries its direct route again.
+func (r *Relayer) dueProbes() map[string]int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var due []int
-	for part, p := range r.routes {
-		if p.selector.ProbeDue(r.Now()) {
-			interval := r.probeInterval()
-			if part != 0 {
-				interval = otherProbeInterval
-			}
-			p.selector.ProbeStarted(r.Now(), interval)
-			due = append(due, part)
+	now := r.Now()
+	due := map[string]int64{}
+	for name, p := range r.routes {
+		if !p.selector.ProbeDue(now) {
+			continue
+		}
+		if now.Sub(p.calledAt) > maxProbedIdle {
+			p.selector.RecordResult(now, Direct, true)
+			continue
+		}
+		interval := r.probeInterval()
+		if _, part := accessor.SplitPartition(name); part != 0 {
+			interval = otherProbeInterval
 		}
+		p.selector.ProbeStarted(now, interval)
+		due[name] = p.nextOffset
 	}
 	return due
 }
 
 // DirectWorks reports whether the last attempt on the direct route to a partition succeeded.
-func (r *Relayer) DirectWorks(part int) bool {
+func (r *Relayer) DirectWorks(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.partition(part).selector.DirectFailed()
+	return !r.partition(name).selector.DirectFailed()
 }
--- a/internal/store/relayer/relayer_test.go
+++ b/internal/store/relayer/relayer_test.go
@@ -53,7 +53,7 @@
 	now := time.Unix(1_000_000, 0)
 	own, other := &fakeStore{}, &fakeStore{}
 	noPeers := func() []string { return nil }
-	changed := func(bool) {}
+	changed := func(string, bool) {}
 	remote := &relayer.Relayer{Direct: other.client(), Peers: noPeers, DirectChanged: changed, Now: func() time.Time { return now }}
 	server := httptest.NewServer(remote.Handler())
 	t.Cleanup(server.Close)
@@ -200,11 +200,11 @@
 					return 0, accessor.ErrNotDone
 				}}
 			},
-			Peers: func() []string { return []string{"gone"} }, DirectChanged: func(bool) {}, Now: time.Now,
+			Peers: func() []string { return []string{"gone"} }, DirectChanged: func(string, bool) {}, Now: time.Now,
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var g sync.WaitGroup
-		g.Go(func() { r.Probe(ctx, "t") })
+		g.Go(func() { r.Probe(ctx) })
 		_, err := r.StoreClient().Append(ctx, accessor.Append{})
 		is.True(errors.Is(err, accessor.ErrNotDone))
 		time.Sleep(2 * time.Second) // until the peer may be tried again
--- a/internal/store/relayer/route.go
+++ b/internal/store/relayer/route.go
@@ -10,6 +10,7 @@
 const (
 	probeInterval      = 300 * time.Millisecond  // between two probes of the direct route
 	otherProbeInterval = time.Second             // of partitions other than 0, which others replace
+	maxProbedIdle      = 20 * time.Second        // after the last call to a partition, in which it is probed; longer than any long poll
 	peerRetryDelay     = 1500 * time.Millisecond // before a peer whose call failed is tried again
 	maxDoublings       = 5                       // of the retry delay of an unreachable peer, up to 48 s: it may be gone for good
 	maxPeersPerCall    = 2                       // limits the attempts of a failing call
--- a/internal/store/relayer/wire.go
+++ b/internal/store/relayer/wire.go
@@ -128,7 +128,7 @@
 func (r *Relayer) Handler() http.Handler {
 	m := http.NewServeMux()
 	handleUnary(m, procedureAppend, func(ctx context.Context, q *accessor.Append) response {
-		if !r.directWorksFor(q.Topic) {
+		if !r.DirectWorks(q.Topic) {
 			return newResponse(accessor.ErrNotDone)
 		}
 		offset, err := r.Direct.Append(ctx, *q)
@@ -137,7 +137,7 @@
 		return a
 	})
 	handleUnary(m, procedureRead, func(ctx context.Context, q *readRequest) response {
-		if !r.directWorksFor(q.Topic) {
+		if !r.DirectWorks(q.Topic) {
 			return newResponse(accessor.ErrNotDone)
 		}
 		records, end, err := r.Direct.Read(ctx, q.Topic, q.From, time.Duration(q.WaitMS)*time.Millisecond)
@@ -146,7 +146,7 @@
 		return a
 	})
 	handleUnary(m, procedureNewest, func(ctx context.Context, q *newestRequest) response {
-		if !r.directWorksFor(q.Topic) {
+		if !r.DirectWorks(q.Topic) {
 			return newResponse(accessor.ErrNotDone)
 		}
 		records, end, err := r.Direct.Newest(ctx, q.Topic)
@@ -157,13 +157,6 @@
 	return m
 }
 
-// directWorksFor reports whether the last attempt on the direct route to the partition of a name
-// succeeded.
-func (r *Relayer) directWorksFor(name string) bool {
-	_, part := accessor.SplitPartition(name)
-	return r.DirectWorks(part)
-}
-
 func handleUnary[Q any](m *http.ServeMux, procedure string, do func(context.Context, *Q) response) {
 	for _, p := range []string{procedure, procedure + partitionSuffix} {
 		m.Handle(p, connect.NewUnaryHandler(p, func(ctx context.Context, q *connect.Request[Q]) (*connect.Response[response], error) {
