scheduler: let urgent gangs wait for a rack as long as crossing racks costs

An urgent gang that needs one rack crossed racks after a second, which takes three times as long and then mostly misses the objective, although a rack often becomes free sooner. It now waits for twice its declared duration, the time that crossing costs, at least a second. Within the guarantee of its organisation, which bounds the time to its start, the wait stays at a second.

--- a/internal/jobs/profiler/record_test.go
+++ b/internal/jobs/profiler/record_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
+
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
@@ -47,7 +48,7 @@
 func TestMalformedRecords(t *testing.T) {
 	many := map[string]profiler.Entry{}
 	for i := range 100 {
-		many[fmt.Sprint(i)] = profiler.Entry{Log: 0.1, Weight: 1}
+		many[strconv.Itoa(i)] = profiler.Entry{Log: 0.1, Weight: 1}
 	}
 	long, err := json.Marshal(profiler.Record{Workers: many})
 	is.New(t).NoErr(err)
--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/placer"
 )
@@ -124,9 +125,9 @@
 
 // mayCrossRacks reports whether a gang that prefers one rack may be spread over
 // several: no rack is large enough even when nothing but long-running tasks runs there, or
-// an urgent job has waited for urgentRackWait.
+// an urgent job has waited for rackWait.
 func (p *pass) mayCrossRacks(u unit, r placer.Request) bool {
-	if u.job.urgent() && !u.step.blockedSince.IsZero() && p.now.Sub(u.step.blockedSince) >= urgentRackWait {
+	if u.job.urgent() && !u.step.blockedSince.IsZero() && p.now.Sub(u.step.blockedSince) >= p.rackWait(u, r) {
 		return true
 	}
 	if u.step.rackCheckedAt.IsZero() || p.now.Sub(u.step.rackCheckedAt) >= rackCheckInterval {
@@ -139,3 +140,13 @@
 	}
 	return !u.step.rackFits
 }
+
+// rackWait returns for how long an urgent gang waits for one rack: by default as long as crossing
+// racks would delay its end, but within the guarantee of its organisation, which bounds the
+// time to its start, no longer than urgentRackWait.
+func (p *pass) rackWait(u unit, r placer.Request) time.Duration {
+	if p.withinGuarantee(u, r) {
+		return urgentRackWait
+	}
+	return max(urgentRackWait, (crossRackFactor-1)*time.Duration(u.step.EstimateMS)*time.Millisecond)
+}
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -11,7 +11,8 @@
 const (
 	lateFactor      = 3               // objectives after which the completion of a job has no value
 	avoidFailedTime = 2 * time.Second // a step that has waited for longer may use workers again on which it failed
-	urgentRackWait  = time.Second     // an urgent gang that has waited for longer gives up the rack constraint
+	urgentRackWait  = time.Second     // an urgent gang within a guarantee that has waited for longer gives up the rack constraint
+	crossRackFactor = 3               // by which gangs that should have one rack take longer on several
 
 	// Which racks are large enough for a gang changes only with the usable workers.
 	rackCheckInterval = 500 * time.Millisecond
--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -138,8 +138,7 @@
 // yet, and reports whether all of them have one then. If no resources can be added to the
 // reserved ones, all are chosen anew.
 func (p *pass) freeResources(u unit, r placer.Request, missing int) bool {
-	need := r.Tasks * u.step.Need.Accelerators
-	withinGuarantee := p.urgentAccelerators[u.job.Organisation]+need <= p.s.config.Guaranteed[u.job.Organisation]
+	withinGuarantee := p.withinGuarantee(u, r)
 	if p.knownNotToBeFreed(u, r, withinGuarantee) {
 		u.step.searchFailedAt = p.now
 		return false
@@ -179,6 +178,12 @@
 	return true
 }
 
+// withinGuarantee reports whether an urgent unit stays within the guarantee of its organisation.
+func (p *pass) withinGuarantee(u unit, r placer.Request) bool {
+	need := r.Tasks * u.step.Need.Accelerators
+	return p.urgentAccelerators[u.job.Organisation]+need <= p.s.config.Guaranteed[u.job.Organisation]
+}
+
 // failedSearch is a search for runs to stop for an urgent request that found none.
 type failedSearch struct {
 	failedRequest
