--- a/soak_test.go
+++ b/soak_test.go
@@ -36,6 +36,10 @@
 	soakJobs          = 30
 )
 
+// soakSpeeds are the speeds of executors in turn, in percent: schedulers must keep all rules when
+// run times differ by up to a factor of two.
+var soakSpeeds = []int{100, 55, 120, 120}
+
 // soakClockRates are the clock rates of executors in percent; clocks may run 2 % slow.
 var soakClockRates = []int{100, 99, 98}
 
@@ -136,6 +140,7 @@
 	for i := range soakExecutors {
 		x := platformstandin.NewExecutor()
 		x.ClockPercent = soakClockRates[clocks.IntN(len(soakClockRates))]
+		x.SpeedPercent = soakSpeeds[i%len(soakSpeeds)]
 		x.Started = func(task string) { s.checkStart(i, task) }
 		x.EndReported = s.recordAcknowledged
 		x.Crashed = func(task string) { s.recordCrash(i, task) }
