--- a/internal/jobs/profiler/record_test.go
+++ b/internal/jobs/profiler/record_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-
 	"math"
 	"math/rand/v2"
 	"strconv"
