scheduler: count lost work by cause in core-seconds

A Decision has an amount by which its counter grows. Members of a gang that end because one end stands for all, and work saved in a checkpoint, are not counted.

--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -71,6 +71,7 @@
 		if j, st, _ := s.findTask(p.task); st != nil && st.Gang {
 			s.stopGang(now, j, p.task.Step, p.run)
 		}
+		p.blameStop(wasteLapsed)
 		s.stopRun(now, w, p)
 	case OutcomeUnsent, OutcomeReplaced:
 		p.crashed = false
--- a/internal/jobs/scheduler/event.go
+++ b/internal/jobs/scheduler/event.go
@@ -200,6 +200,7 @@
 type Decision struct {
 	Message string
 	Counter string // metric that counts such decisions, empty for none
+	Amount  int64  // by which the metric grows, 0 for 1
 	Job     string
 	Worker  string
 	Task    TaskID // valid where Run is not 0
@@ -212,12 +213,13 @@
 
 // Keys of details that several decisions share.
 const (
-	detailAfterMS = "after-ms"
-	detailMachine = "machine"
-	detailOutcome = "outcome"
-	detailRuns    = "runs"
-	detailStep    = "job-step" // "step" is the step of the program that logs
-	detailWave    = "wave"
+	detailAfterMS     = "after-ms"
+	detailCoreSeconds = "core-seconds"
+	detailMachine     = "machine"
+	detailOutcome     = "outcome"
+	detailRuns        = "runs"
+	detailStep        = "job-step" // "step" is the step of the program that logs
+	detailWave        = "wave"
 )
 
 func (Hold) isEffect()       {}
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -109,7 +109,9 @@
 	state      taskState
 	worker     string
 	run        int64
-	checkpoint string // newest one
+	checkpoint string    // newest one
+	savedRun   int64     // run that wrote it, 0 if this leader has not seen that
+	savedAt    time.Time // when it was first reported
 	abandoned  abandonment
 	failures   []int64 // runs that failed
 	copyWorker string  // worker of a concurrent second run
--- a/internal/jobs/scheduler/lasting.go
+++ b/internal/jobs/scheduler/lasting.go
@@ -37,6 +37,7 @@
 	}
 	s.logDecision(Decision{Message: "run is moved off a departing worker", Job: p.task.Job, Task: p.task, Run: p.run, Worker: w.ID})
 	if st.Gang {
+		s.blameGangStop(p, wasteMoved)
 		s.stopGang(now, j, p.task.Step, p.run)
 		return
 	}
@@ -100,6 +101,7 @@
 			logged = true
 			s.logDecision(Decision{Message: "fillers are stopped for a serving task", Job: j.ID, Worker: w.ID})
 		}
+		p.blameStop(wastePreempted)
 		s.stopRun(now, w, p)
 	}
 }
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -155,7 +155,7 @@
 			p.percent, p.progressedAt = r.Percent, now
 		}
 		if _, st, t := s.findTask(r.Task); t != nil && r.Checkpoint != "" && t.run == r.Run {
-			st.primary(r.Task.Index).checkpoint = r.Checkpoint
+			st.primary(r.Task.Index).noteCheckpoint(now, r.Run, r.Checkpoint)
 		}
 	}
 	if len(listed) < len(w.order) {
--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -174,8 +174,12 @@
 		return false
 	}
 	u.step.reserved, u.step.reservedAt = at, p.now
+	cause := wastePreempted
+	if withinGuarantee {
+		cause = wastePreemptedGuarantee
+	}
 	for _, v := range victims {
-		p.evict(u, v)
+		p.evict(u, v, cause)
 	}
 	return true
 }
@@ -213,7 +217,7 @@
 }
 
 // evict stops a run, or its gang.
-func (p *pass) evict(u unit, v placer.Borrower) {
+func (p *pass) evict(u unit, v placer.Borrower, cause wasteCause) {
 	id := parseUnit(v.Job)
 	j, st, t := p.s.findTask(id)
 	if t == nil || t.state != taskPlaced || p.isStopping(id, t) {
@@ -221,7 +225,12 @@
 	}
 	st.primary(id.Index).preemptions++
 	p.markStopping(v)
-	p.s.logDecision(Decision{Message: "run is preempted by an urgent job", Job: j.ID, Task: id, Run: t.run, Details: Details{"for": u.job.ID, "core-seconds": int(v.Cost)}})
+	p.s.logDecision(Decision{Message: "run is preempted by an urgent job", Job: j.ID, Task: id, Run: t.run, Details: Details{"for": u.job.ID, detailCoreSeconds: int(v.Cost), "cause": cause}})
+	if w, ok := p.s.workers[t.worker]; ok {
+		if r, ok := w.runs[placementKey{id, t.run}]; ok {
+			p.s.blameGangStop(r, cause)
+		}
+	}
 	if st.Gang {
 		p.s.stopGang(p.now, j, id.Step, t.run)
 		return
--- a/internal/jobs/scheduler/script_test.go
+++ b/internal/jobs/scheduler/script_test.go
@@ -100,6 +100,7 @@
 			w.unreadJob = ""
 			w.feed(e)
 		},
+		"save-every": func(d time.Duration) { w.saveInterval = d },
 		"release": func() {
 			w.releasedEpoch = w.epoch
 			w.feed(scheduler.Released{})
@@ -197,6 +198,12 @@
 		}
 		return nil
 	}
+	c["amount"] = func(counter string, least, most int) error {
+		if n := w.amounts[counter]; n < least || n > most {
+			return fmt.Errorf("the sum is %d", n)
+		}
+		return nil
+	}
 	c["logged"] = func(want int, words ...string) error {
 		if n := w.logged[strings.Join(words, " ")]; n != want {
 			return fmt.Errorf("it was logged %d times", n)
--- a/internal/jobs/scheduler/stall.go
+++ b/internal/jobs/scheduler/stall.go
@@ -137,6 +137,7 @@
 	st.movedOnce = true
 	p.s.logDecision(Decision{Message: "stalled run is moved", Job: j.ID, Task: r.task, Run: r.run, Worker: w.ID, Details: Details{"percent": r.percent, "still-ms": p.now.Sub(r.progressedAt).Milliseconds()}})
 	if st.Gang {
+		p.s.blameGangStop(r, wasteMoved)
 		p.s.stopGang(p.now, j, r.task.Step, r.run)
 		return
 	}
--- a/internal/jobs/scheduler/upkeep.go
+++ b/internal/jobs/scheduler/upkeep.go
@@ -235,6 +235,7 @@
 	s.touch(w)
 	for _, p := range w.sortedRuns() {
 		if _, st, t := s.findTask(p.task); t != nil && st.Checkpoints && !st.LongRunning {
+			p.blameStop(wasteMoved)
 			s.stopRun(now, w, p)
 		}
 	}
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -25,6 +25,7 @@
 	outage          bool      // other workers crashed then for another cause
 	level           quarantiner.Level
 	stopping        bool
+	stopCause       wasteCause // why it is being stopped, if that does not follow from its job
 	serving         bool
 	filler          bool
 	stopSentAt      time.Time // time of the last stop
@@ -339,6 +340,7 @@
 // loseRun removes a run that its worker no longer has and requeues its task. The
 // other members of a gang are stopped.
 func (s *Scheduler) loseRun(now time.Time, w *worker, p *placement, reason string) {
+	s.countLostWaste(now, w, p)
 	s.removeRun(w, p)
 	s.placementDue = true
 	j, st, t := s.findTask(p.task)
--- a/internal/jobs/scheduler/worker_test.go
+++ b/internal/jobs/scheduler/worker_test.go
@@ -144,3 +144,11 @@
 		}
 	}
 }
+
+// checkpointOf returns the newest checkpoint of a run, empty for none.
+func (w *world) checkpointOf(id scheduler.TaskID, r *fakeRun) string {
+	if w.saveInterval == 0 || !w.taskStep(id).Checkpoints || r.total-r.remaining < w.saveInterval {
+		return ""
+	}
+	return fmt.Sprintf("%d-%d", r.run, (r.total-r.remaining)/w.saveInterval)
+}
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -64,6 +64,7 @@
 	replaced     map[string]bool              // workers whose address another worker has
 	machinesDown bool                         // the list of machines is not available
 	counters     map[string]int               // of decisions
+	amounts      map[string]int               // sums of the amounts of decisions, by counter
 	logged       map[string]int               // decisions, by message
 	waits        map[string]scheduler.Details // last line about waiting tasks, by job
 
@@ -78,6 +79,8 @@
 	loans           scheduler.Loans     // as stored
 	moves, listings int
 
+	saveInterval time.Duration // of work between two checkpoints, 0 for no checkpoints
+
 	schedule struct { // of the next submitted job
 		times           int
 		delay, interval time.Duration
@@ -97,7 +100,7 @@
 		allowed: map[string]bool{}, ackedTasks: map[scheduler.TaskID]bool{}, lastStarts: map[scheduler.TaskID]time.Time{}, unreachable: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, answersLost: map[string]bool{},
 		config:    scheduler.Config{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Pools: map[string]bool{}},
 		unmovable: map[string]bool{}, doomed: map[string]bool{}, deadly: map[string]time.Duration{}, crashes: map[scheduler.TaskID]int{}, laterStarts: map[scheduler.TaskID]int{},
-		replaced: map[string]bool{}, counters: map[string]int{}, logged: map[string]int{}, waits: map[string]scheduler.Details{}, cancelled: map[string]bool{}, deleted: map[string]bool{}, faulty: map[string]bool{},
+		replaced: map[string]bool{}, counters: map[string]int{}, amounts: map[string]int{}, logged: map[string]int{}, waits: map[string]scheduler.Details{}, cancelled: map[string]bool{}, deleted: map[string]bool{}, faulty: map[string]bool{},
 	}
 	w.began = w.now
 	w.startLeader()
@@ -224,6 +227,7 @@
 		}
 	case scheduler.Decision:
 		w.counters[f.Counter]++
+		w.amounts[f.Counter] += int(f.Amount)
 		w.logged[f.Message]++
 		w.noteWait(f)
 		if n, ok := f.Details["alone"].(int); ok && n > 0 {
@@ -432,7 +436,7 @@
 		if w.taskStep(id).LongRunning {
 			percent = 100 // it is ready
 		}
-		e.Running = append(e.Running, scheduler.Running{Task: id, Run: r.run, Percent: percent, Measure: v.tailMS(w)})
+		e.Running = append(e.Running, scheduler.Running{Task: id, Run: r.run, Percent: percent, Measure: v.tailMS(w), Checkpoint: w.checkpointOf(id, r)})
 	}
 	w.deliverAfter(2*time.Millisecond, e)
 }
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -171,7 +171,7 @@
 	}
 	e.WithFields(logrus.Fields(n.Details)).Info(n.Message)
 	if n.Counter != "" {
-		a.metrics.Count(n.Counter, 1)
+		a.metrics.Count(n.Counter, max(1, n.Amount))
 	}
 }
 
