--- a/internal/jobs/scheduler/day_test.go
+++ b/internal/jobs/scheduler/day_test.go
@@ -90,6 +90,8 @@
 	began  time.Duration // when it, or its whole gang, began to work
 	total  time.Duration // of its work
 	works  bool
+	saved  time.Duration // work of the task in its newest checkpoint
+	before time.Duration // work of the task that earlier runs had saved
 }
 
 type dayWorker struct {
@@ -99,6 +101,7 @@
 	lastEnd int64
 	hold    *scheduler.Hold // the open one
 	holdAt  time.Duration
+	speed   float64 // relative to the declared durations
 }
 
 type dayJob struct {
@@ -108,9 +111,19 @@
 	size    float64       // core-seconds
 	started time.Duration // of its first task, negative before
 	done    time.Duration // negative before
+	ended   map[int]bool  // tasks that have succeeded
+	factors []float64     // of the work of each task, nil if all are the same
 	members map[int64][]*dayRun
 }
 
+// taskWork returns the work of a task.
+func (j *dayJob) taskWork(index int) time.Duration {
+	if j.factors == nil {
+		return j.work
+	}
+	return time.Duration(float64(j.work) * j.factors[index])
+}
+
 // day simulates a leader and its workers in virtual time. With a speed, the decisions and
 // calls of the leader take time: events that arrive meanwhile wait.
 type day struct {
@@ -129,14 +142,17 @@
 	cpu                                       time.Duration // of Reduce
 	looks, starts, stops, passes, preemptions int
 	onEffects                                 func(now time.Duration, events []scheduler.Event, effects []scheduler.Effect)
+	wasted                                    map[string]float64 // core-seconds of lost work, by counter
+	attempts                                  map[scheduler.TaskID]int
+	saveInterval, restoreTime                 time.Duration // of checkpoints, 0 for none
 }
 
 func newDay(workers int) *day {
-	d := &day{start: time.Unix(1_000_000, 0), workers: map[string]*dayWorker{}, jobs: map[string]*dayJob{}}
+	d := &day{start: time.Unix(1_000_000, 0), workers: map[string]*dayWorker{}, jobs: map[string]*dayJob{}, wasted: map[string]float64{}, attempts: map[scheduler.TaskID]int{}}
 	d.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: 10 * time.Second}, Epoch: 1, LeadingSince: d.start, ConfirmedAt: d.start.Add(time.Hour), LastInheritedOffset: -1}
 	var all []scheduler.WorkerInfo
 	for i := range workers {
-		w := &dayWorker{runs: map[scheduler.TaskID]*dayRun{}, info: scheduler.WorkerInfo{
+		w := &dayWorker{speed: 1, runs: map[scheduler.TaskID]*dayRun{}, info: scheduler.WorkerInfo{
 			ID: fmt.Sprintf("w%04d", i), Address: fmt.Sprintf("w%04d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/12), StartedMS: 1,
 			Capacity: placer.Resources{MilliCores: 128000, MemoryMB: 524288, Accelerators: 8},
 		}}
@@ -193,7 +209,7 @@
 	step.Need.Accelerators = c.sizes[r.IntN(len(c.sizes))]
 	work := time.Duration(float64(c.work) * (0.7 + 0.6*r.Float64()))
 	step.EstimateMS = int(float64(work.Milliseconds()) * (0.8 + 0.4*r.Float64()))
-	j := &dayJob{class: c, work: work, started: -1, done: -1, members: map[int64][]*dayRun{}, job: scheduler.Job{
+	j := &dayJob{class: c, work: work, started: -1, done: -1, ended: map[int]bool{}, members: map[int64][]*dayRun{}, job: scheduler.Job{
 		ID: id, Queue: c.name, Organisation: "o" + strconv.Itoa(r.IntN(24)), QueueConfig: c.queue,
 		AcceptedMS: d.start.Add(at).UnixMilli(), Steps: []scheduler.Step{step},
 	}}
@@ -282,6 +298,7 @@
 		if f.Message == "run is preempted by an urgent job" {
 			d.preemptions++
 		}
+		d.wasted[f.Counter] += float64(f.Amount)
 	default:
 	}
 }
@@ -318,7 +335,7 @@
 		if r.works {
 			percent = min(99, int(100*(d.now-r.began)/r.total))
 		}
-		e.Running = append(e.Running, scheduler.Running{Task: t, Run: r.start.Run, Percent: percent})
+		e.Running = append(e.Running, scheduler.Running{Task: t, Run: r.start.Run, Percent: percent, Checkpoint: d.checkpoint(r)})
 	}
 	slices.SortFunc(e.Running, func(a, b scheduler.Running) int { return compareTasks(a.Task, b.Task) })
 	w.hold = nil
@@ -328,14 +345,15 @@
 func (d *day) startRun(f scheduler.Start) {
 	j, w := d.jobs[f.Task.Job], d.workers[f.Worker]
 	d.post(d.now+time.Millisecond, scheduler.StartResult{Start: f, Outcome: scheduler.OutcomeDone, ClockMS: d.clock()})
-	r := &dayRun{start: f, worker: w}
+	r := &dayRun{start: f, worker: w, saved: savedWork(f.Checkpoint), before: savedWork(f.Checkpoint)}
 	w.runs[f.Task] = r
+	d.attempts[f.Task]++
 	if j.started < 0 {
 		j.started = d.now
 	}
 	step := j.job.Steps[0]
 	if !step.Gang {
-		d.work([]*dayRun{r}, j.work)
+		d.work([]*dayRun{r}, 1)
 		return
 	}
 	j.members[f.Run] = append(j.members[f.Run], r)
@@ -343,21 +361,29 @@
 	if len(members) < step.Tasks {
 		return
 	}
-	work := j.work
+	factor := 1
 	for _, m := range members {
 		if step.SameRack && m.worker.info.Rack != w.info.Rack {
-			work = 3 * j.work
+			factor = 3
 		}
 	}
-	d.work(members, work)
+	d.work(members, factor)
 }
 
-// work lets runs that belong together work until their end.
-func (d *day) work(all []*dayRun, work time.Duration) {
+// work lets runs that belong together work until their end, which is that of the slowest.
+func (d *day) work(all []*dayRun, factor int) {
+	j := d.jobs[all[0].start.Task.Job]
+	longest := time.Duration(0)
 	for _, r := range all {
-		r.began, r.total, r.works = d.now, work, true
+		left := max(0, j.taskWork(r.start.Task.Index)-r.before)
+		r.began, r.works = d.now, true
+		r.total = max(time.Millisecond, time.Duration(float64(left*time.Duration(factor))/r.worker.speed))
+		if r.before > 0 {
+			r.total += d.restoreTime
+		}
+		longest = max(longest, r.total)
 	}
-	d.do(d.now+work, func() {
+	d.do(d.now+longest, func() {
 		for _, r := range all {
 			if v, ok := r.worker.runs[r.start.Task]; !ok || v != r {
 				return // one of them was stopped
@@ -365,20 +391,42 @@
 		}
 		for _, r := range all {
 			d.end(r, scheduler.EndReasonDone)
+			j.ended[r.start.Task.Index] = true
+		}
+		if len(j.ended) == j.job.Steps[0].Tasks {
+			j.done = d.now
 		}
-		j := d.jobs[all[0].start.Task.Job]
-		j.done = d.now
 	})
 }
 
+// checkpoint returns the newest checkpoint of a run.
+func (d *day) checkpoint(r *dayRun) string {
+	if d.saveInterval > 0 && r.works && d.jobs[r.start.Task.Job].job.Steps[0].Checkpoints {
+		ran := min(d.now-r.began, r.total)
+		work := time.Duration(float64(ran-ran%d.saveInterval) / float64(r.total) * float64(d.jobs[r.start.Task.Job].taskWork(r.start.Task.Index)-r.before))
+		r.saved = max(r.saved, r.before+work)
+	}
+	if r.saved == 0 {
+		return ""
+	}
+	return r.saved.String()
+}
+
+// savedWork returns the work in a checkpoint.
+func savedWork(checkpoint string) time.Duration {
+	work, _ := time.ParseDuration(checkpoint) // 0 without a checkpoint
+	return work
+}
+
 func (d *day) end(r *dayRun, reason scheduler.EndReason) {
 	w := r.worker
 	if v, ok := w.runs[r.start.Task]; !ok || v != r {
 		return
 	}
+	saved := d.checkpoint(r)
 	delete(w.runs, r.start.Task)
 	w.lastEnd++
-	w.ends = append(w.ends, scheduler.End{Number: w.lastEnd, Task: r.start.Task, Run: r.start.Run, Reason: reason})
+	w.ends = append(w.ends, scheduler.End{Number: w.lastEnd, Task: r.start.Task, Run: r.start.Run, Reason: reason, Checkpoint: saved})
 	if w.hold != nil {
 		d.answer(w)
 	}
@@ -425,23 +473,25 @@
 	return all[len(all)/2], all[len(all)*95/100]
 }
 
+// benchmarkSetting returns a number from the environment.
+func benchmarkSetting(name string, value float64) float64 {
+	if v, err := strconv.ParseFloat(os.Getenv(name), 64); err == nil {
+		return v
+	}
+	return value
+}
+
 // BenchmarkDay plays a day of label rendering. It reports the processor time of Reduce for
 // a second of the day, calls, and what callers got. LOAD and SURGE scale the jobs, SPEED
 // and CALL_US give the leader a share of a processor and calls a cost.
 func BenchmarkDay(b *testing.B) {
-	setting := func(name string, value float64) float64 {
-		if v, err := strconv.ParseFloat(os.Getenv(name), 64); err == nil {
-			return v
-		}
-		return value
-	}
 	for _, workers := range []int{50, 350, 1100} {
 		b.Run(strconv.Itoa(workers), func(b *testing.B) {
 			const length, tail = 20 * time.Second, 25 * time.Second
 			for b.Loop() {
 				d := newDay(workers)
-				d.speed, d.callCost = setting("SPEED", 0), time.Duration(setting("CALL_US", 0))*time.Microsecond
-				d.submitJobs(uint64(setting("SEED", 1)), length, setting("LOAD", 1), setting("SURGE", 1))
+				d.speed, d.callCost = benchmarkSetting("SPEED", 0), time.Duration(benchmarkSetting("CALL_US", 0))*time.Microsecond
+				d.submitJobs(uint64(benchmarkSetting("SEED", 1)), length, benchmarkSetting("LOAD", 1), benchmarkSetting("SURGE", 1))
 				d.run(length + tail)
 				runtime.GC()
 				half, most := d.startTimes()
