--- a/internal/jobs/scheduler/dayshape_test.go
+++ b/internal/jobs/scheduler/dayshape_test.go
@@ -36,10 +36,10 @@
 
 // The unevenness of tasks in docs/HARD-LOAD.md.
 const (
-	taskSpread     = 0.3  // by which tasks of a step differ in length
-	stragglerShare = 0.03 // of the tasks
-	stragglerTimes = 7    // as long as others
-	remoteFactor   = 3    // of rack-bound gangs on several racks
+	shapeTaskSpread     = 0.3  // by which tasks of a step differ in length
+	shapeStragglerShare = 0.03 // of the tasks
+	stragglerTimes      = 7    // as long as others
+	remoteFactor        = 3    // of rack-bound gangs on several racks
 )
 
 // hardClasses are the jobs of docs/HARD-LOAD.md for workers with the given capacity.
@@ -174,8 +174,8 @@
 // length returns the work of a task of a job.
 func (v *dayShape) length(j *dayJob, index int) time.Duration {
 	h := rand.New(rand.NewPCG(uint64(len(j.job.ID)), hashOf(j.job.ID)+uint64(index)))
-	f := 1 + taskSpread*(2*h.Float64()-1)
-	if h.Float64() < stragglerShare {
+	f := 1 + shapeTaskSpread*(2*h.Float64()-1)
+	if h.Float64() < shapeStragglerShare {
 		f *= stragglerTimes
 	}
 	return time.Duration(float64(j.work) * f)
@@ -211,10 +211,10 @@
 		m.began, m.works = d.now, true
 		m.total = time.Duration(float64(v.length(j, m.start.Task.Index)) * factor / v.speedOf[m.worker.info.ID])
 		if m.start.Checkpoint != "" {
-			m.saved, _ = strconv.Atoi(m.start.Checkpoint)
+			m.shapeSaved, _ = strconv.Atoi(m.start.Checkpoint)
 			m.began += v.restore
 		}
-		left = max(left, m.began-d.now+m.total*time.Duration(100-m.saved)/100)
+		left = max(left, m.began-d.now+m.total*time.Duration(100-m.shapeSaved)/100)
 	}
 	if v.sharedGang {
 		for _, m := range members {
@@ -233,22 +233,22 @@
 	for _, r := range members {
 		d.end(r, scheduler.EndReasonDone)
 	}
-	j.ended += len(members)
-	if j.ended >= j.job.Steps[0].Tasks {
+	j.endedTasks += len(members)
+	if j.endedTasks >= j.job.Steps[0].Tasks {
 		j.done = d.now
 	}
 }
 
 // percent returns the progress of a run.
-func (d *day) percent(r *dayRun) int {
+func (*dayShape) percent(d *day, r *dayRun) int {
 	if !r.works || d.now < r.began {
-		return r.saved
+		return r.shapeSaved
 	}
-	return min(99, r.saved+int(100*(d.now-r.began)/r.total))
+	return min(99, r.shapeSaved+int(100*(d.now-r.began)/r.total))
 }
 
 // checkpoint returns the checkpoint of a run: the percentage that it had done.
-func (d *day) checkpoint(r *dayRun) string {
+func (*dayShape) savedWork(d *day, r *dayRun) string {
 	if d.shape == nil || !d.jobs[r.start.Task.Job].job.Steps[0].Checkpoints {
 		return ""
 	}
@@ -256,7 +256,7 @@
 	if !r.works || at <= 0 {
 		return r.start.Checkpoint
 	}
-	return strconv.Itoa(min(99, r.saved+int(100*at/r.total)))
+	return strconv.Itoa(min(99, r.shapeSaved+int(100*at/r.total)))
 }
 
 // noteWaste counts the core-seconds that a stopped run loses.
--- a/internal/jobs/scheduler/ends.go
+++ b/internal/jobs/scheduler/ends.go
@@ -22,6 +22,7 @@
 			if e.Reason == EndReasonDone {
 				s.sampleRate(now, w, p, fullPercent)
 			}
+			s.countEndedWaste(now, w, p, e)
 			s.removeRun(w, p)
 		}
 		if _, known := s.jobs[e.Task.Job]; !known {
