scheduler: do not cross racks instead of stopping runs

Two rules disagreed about urgent gangs that find no room in one rack: one let them cross racks at once if stopping others cost more, the other makes them wait for a rack, as crossing triples their time.

--- a/internal/jobs/scheduler/fitting.go
+++ b/internal/jobs/scheduler/fitting.go
@@ -127,9 +127,6 @@
 // several: no rack is large enough even when nothing but long-running tasks runs there, or
 // an urgent job has waited for rackWait.
 func (p *pass) mayCrossRacks(u unit, r placer.Request) bool {
-	if u.step.crossing {
-		return true
-	}
 	if u.job.urgent() && !u.step.blockedSince.IsZero() && p.now.Sub(u.step.blockedSince) >= p.rackWait(u, r) {
 		return true
 	}
--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -141,7 +141,6 @@
 	reserved       []string          // workers on which resources are being freed for a gang or urgent tasks
 	movedOnce      bool              // a stalled run of it was moved
 	dearLogged     bool              // it was logged that stopping runs for it costs too much
-	crossing       bool              // crossing racks costs less than stopping others in one rack
 	rackFits       bool              // at rackCheckedAt, an empty rack was large enough for it
 	rackCheckedAt  time.Time
 	fitsIdle       bool // at idleCheckedAt, it would have fitted on idle workers
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -259,7 +259,7 @@
 
 // startGang starts all tasks of a gang in one run.
 func (p *pass) startGang(u unit, waiting []int, at placer.Placement) {
-	u.step.reserved, u.step.crossing = nil, false
+	u.step.reserved = nil
 	u.step.blockedSince = time.Time{}
 	p.s.lastRun++
 	p.lookFirst = slices.ContainsFunc(at, func(id string) bool { return p.s.needsLook(p.now, p.s.workers[id]) })
--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -14,7 +14,6 @@
 	maxRepeatedSearches = 2      // of them, after one that found nothing
 	maxReservations     = 2      // gangs with reserved resources at a time; more would leave workers idle
 	maxPreemptionCost   = 1200.0 // core-seconds of others' work that an urgent job of mean size may cost outside its guarantee; 3,000 lost 1.7 % more of all work for 0.6 points of the value of urgent jobs
-	crossingCostFactor  = 8.0    // of the work of an urgent gang: what crossing racks, which triples its time, may cost in others' work; 24 lost 1.5 % more of all work for 0.6 points
 
 	searchRetryDelay = 200 * time.Millisecond // after a search that found nothing
 )
@@ -158,13 +157,12 @@
 	if !plan.ok && p.triesAll(u) {
 		p.failedSearches = append(p.failedSearches, failedSearch{failedRequest{u.job.queue.Service, r}, withinGuarantee})
 	}
-	plan = p.cheaperAcrossRacks(u, r, plan, borrowers, until)
 	if !plan.ok || plan.cost > limit {
 		p.logDearStops(u, plan, limit)
 		u.step.searchFailedAt = p.now
 		return false
 	}
-	u.step.reserved, u.step.reservedAt, u.step.crossing = plan.at, p.now, u.step.crossing || plan.crossing
+	u.step.reserved, u.step.reservedAt = plan.at, p.now
 	p.carryOut(u, plan, withinGuarantee, until)
 	return true
 }
@@ -199,26 +197,9 @@
 	p.s.logDecision(Decision{Message: "urgent job waits, as stopping runs costs too much", Job: u.job.ID, Details: Details{detailStep: u.index, detailCoreSeconds: int(plan.cost), "limit": int(limit), detailRuns: len(plan.stopped)}})
 }
 
-// cheaperAcrossRacks returns a plan across racks if a gang that prefers one rack would have to
-// stop much more in it than it takes longer across racks.
-func (p *pass) cheaperAcrossRacks(u unit, r placer.Request, plan stopPlan, borrowers []placer.Borrower, until time.Time) stopPlan {
-	crossing := crossingCostFactor * u.job.declaredWork()
-	if r.Adjacency != placer.AdjacencyRack || (plan.ok && plan.cost <= crossing) {
-		return plan
-	}
-	r.Adjacency = placer.AdjacencyNone
-	other := p.planStops(u, r, r.Tasks, borrowers, plan.cost, until)
-	if !other.ok || (plan.ok && other.cost+crossing >= plan.cost) {
-		return plan
-	}
-	p.s.logDecision(Decision{Message: "urgent gang crosses racks, as stopping runs in one costs more", Job: u.job.ID, Details: Details{detailStep: u.index, detailCoreSeconds: int(other.cost), "one-rack": int(plan.cost)}})
-	other.crossing = true
-	return other
-}
-
 // stopPlan is what has to end for an urgent unit.
 type stopPlan struct {
-	ok, crossing     bool
+	ok               bool
 	at               placer.Placement
 	stopped, awaited []placer.Borrower
 	cost             float64 // of those that are stopped
