store: keep the less certain result of several attempts

A call without an answer, followed by a rejected one on a route that answered other calls meanwhile, was reported as not carried out: tryRoutes returned the later error alone. Attempts now have a type that keeps the least certain error.

--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -69,7 +69,7 @@
 	if len(routes) == 0 {
 		return errNoRoute
 	}
-	var result error
+	var tried attempts
 	for i := 0; i < len(routes); i++ {
 		w := routes[i]
 		x := r.Direct
@@ -86,19 +86,19 @@
 			return err
 		}
 		if r.answeredSince(w, sent) {
-			return err // the route works; only this response was lost
+			return tried.with(err).result() // the route works; only this response was lost
 		}
 		if errors.Is(err, errUnreachable) {
 			r.recordUnreachable(w)
 		} else {
 			r.recordResult(w, false)
 		}
-		result = lessCertain(result, err)
-		if i == len(routes)-1 && errors.Is(result, accessor.ErrNotDone) && !slices.Contains(routes, Direct) && r.DirectWorks() {
+		tried = tried.with(err)
+		if i == len(routes)-1 && errors.Is(tried.result(), accessor.ErrNotDone) && !slices.Contains(routes, Direct) && r.DirectWorks() {
 			routes = append(routes, Direct) // it recovered during the call
 		}
 	}
-	return result
+	return tried.result()
 }
 
 // recordUnreachable records a failure to connect to a peer.
--- a/internal/store/relayer/relayer_test.go
+++ b/internal/store/relayer/relayer_test.go
@@ -134,6 +134,38 @@
 	is.True(errors.Is(err, accessor.ErrNotDone))
 }
 
+// Guards against a submission that is reported as refused although its first attempt may have
+// been carried out: a later one was rejected on a route that answers other calls.
+func TestAnswersOfOtherCallsDoNotMakeAnUncertainCallCertain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	tick := func() time.Time { now = now.Add(time.Millisecond); return now }
+	var r *relayer.Relayer
+	nested := false
+	fail := func(direct bool) func(context.Context, accessor.Append) (int64, error) {
+		return func(ctx context.Context, a accessor.Append) (int64, error) {
+			if a.Topic == "other" {
+				return 1, nil
+			}
+			if direct {
+				return 0, errNoAnswer
+			}
+			nested = true
+			_, err := r.StoreClient().Append(ctx, accessor.Append{Topic: "other"}) // through the same peer
+			is.NoErr(err)
+			return 0, accessor.ErrNotDone
+		}
+	}
+	r = &relayer.Relayer{
+		Direct: accessor.Client{Append: fail(true)}, Peer: func(string) accessor.Client { return accessor.Client{Append: fail(false)} },
+		Peers: func() []string { return []string{"peer"} }, DirectChanged: func(bool) {}, Now: tick,
+	}
+	_, err := r.StoreClient().Append(t.Context(), accessor.Append{Topic: "jobs"})
+	is.True(nested)
+	is.True(errors.Is(err, errNoAnswer))
+	is.True(!errors.Is(err, accessor.ErrNotDone))
+}
+
 // Guards against calls on routes that have just failed, and a direct route that is never
 // probed or used again.
 func TestFailedRoutesAreSkipped(t *testing.T) {
--- a/internal/store/relayer/wire.go
+++ b/internal/store/relayer/wire.go
@@ -55,15 +55,6 @@
 	Records  []accessor.Record `json:"records,omitempty"`
 }
 
-// lessCertain returns the error that says less about the outcome: after ErrNotDone
-// the call was certainly not made, after any other error it may have been.
-func lessCertain(a, b error) error {
-	if a == nil || errors.Is(a, accessor.ErrNotDone) {
-		return b
-	}
-	return a
-}
-
 func newResponse(err error) response {
 	var s *accessor.SequenceError
 	switch {
