node: let a job belong to its queue and its organisation

One function now decides whether a request owns a job; a second submission of an id under another queue is refused with 503 and not stored.

--- a/internal/node/gatekeeper/gatekeeper.go
+++ b/internal/node/gatekeeper/gatekeeper.go
@@ -81,8 +81,8 @@
 // Submit stores a job unless it is stored already. The fields that the caller provides
 // are set in j.
 func (g *Gatekeeper) Submit(ctx context.Context, t Target, j scheduler.Job) Answer {
-	if _, ok := g.Registrar.Get(t.JobID); ok {
-		return Answer{Verdict: VerdictOK, Reason: "the job is already stored"}
+	if e, ok := g.Registrar.Get(t.JobID); ok {
+		return g.repeated(t, e)
 	}
 	if err := j.Validate(); err != nil {
 		return Answer{Verdict: VerdictInvalid, Reason: err.Error()}
@@ -90,6 +90,9 @@
 	j.ID, j.Queue, j.Organisation = t.JobID, t.Route.Name, t.Organisation
 	j.AcceptedMS, j.QueueConfig = g.Now().UnixMilli(), t.Route.Queue
 	err := g.StoreJob(ctx, j)
+	if e, ok := g.Registrar.Get(t.JobID); ok && !g.owns(t, e) {
+		return g.repeated(t, e) // this VM has read the other job meanwhile, whose record counts
+	}
 	return storeAnswer(err)
 }
 
@@ -115,7 +118,7 @@
 		}
 		e, ok = g.Registrar.Get(t.JobID)
 	}
-	if !ok || (e.Job.Organisation != t.Organisation && !t.Route.Public) {
+	if !ok || !g.owns(t, e) {
 		return e, Answer{Verdict: VerdictUnknownJob, Reason: "no such job"}
 	}
 	return e, Answer{Verdict: VerdictOK, State: e.State()}
