scheduler: use a worker only on the basis of its own answers

An entry now needs the fields that an executor's always has (zone, labels and start too), the answer to a hold needs the clock and a list or the start, and a worker at which three answered starts in a row vanish gets none for 4 s, then longer, up to 64 s, until it lists a run. Entries in tests that lacked a required field got it; cases that must be refused are now refused for their own fault only.

--- a/internal/jobs/scheduler/ends.go
+++ b/internal/jobs/scheduler/ends.go
@@ -19,6 +19,7 @@
 		p, ok := w.runs[placementKey{e.Task, e.Run}]
 		s.noteEnds(w)
 		if ok {
+			w.noteListedRun()
 			s.removeRun(w, p)
 		}
 		if _, known := s.jobs[e.Task.Job]; !known {
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -147,6 +147,7 @@
 			p.confirmedAt, p.progressedAt = now, now
 		}
 		p.listedAt, p.measure = now, r.Measure
+		w.noteListedRun()
 		p.crashed = false
 		if !p.outlived && w.answeredAt.Sub(p.confirmedAt) >= quarantiner.Window {
 			s.clearSuspicion(w, p)
@@ -176,6 +177,7 @@
 		switch {
 		case listed[placementKey{p.task, p.run}] || !p.confirmedAbsent(e):
 		case !e.Incomplete:
+			w.noteVanished(now, p)
 			lose(now, w, p, "its worker no longer lists it")
 		case w.listsNoFurtherEnds():
 			s.abandonRun(w, p)
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -97,6 +97,9 @@
 	failedJobs    []string  // jobs of the failed runs
 	excludedUntil time.Time // no new tasks before
 
+	vanishedStarts     int // in a row: accepted, but not listed then
+	vanishedExclusions int // because of them, since it last listed a run
+
 	stalledAt time.Time // when its runs were last seen to stall, zero after progress
 
 	// Membership in the indexes of the scheduler.
--- a/internal/jobs/scheduler/worker_test.go
+++ b/internal/jobs/scheduler/worker_test.go
@@ -27,6 +27,8 @@
 	failing      bool
 	shrunk       bool // its runs exceeded its capacity when that changed: no start may add to them
 	stalled      bool // its runs make no progress
+	swallowed    int  // starts that it accepted and did not carry out
+	swallows     bool // it does so with all starts
 	baseTail     int  // tail latency in milliseconds of a serving task without fillers
 	fillerDelay  int  // additional milliseconds per filler at full pace
 }
@@ -61,6 +63,8 @@
 		e.Outcome = scheduler.OutcomeLate
 	case w.config.Queues[w.jobs[baseJob(f.Task.Job)].Job.Queue].Advice != nil && !w.ticketed(f):
 		e.Outcome = scheduler.OutcomeTicket
+	case v.swallows:
+		v.swallowed++
 	default:
 		if w.ackedTasks[f.Task] {
 			w.violation = fmt.Sprintf("task %v starts after its success was acknowledged", f.Task)
--- a/internal/node/assembler/takeover_evacuation_test.go
+++ b/internal/node/assembler/takeover_evacuation_test.go
@@ -42,7 +42,7 @@
 			case started <- a.evacuated.load().Evacuated("z"):
 			default:
 			}
-			return []accessor.Record{{Key: "x", Value: []byte(`{"service":"s","address":"127.0.0.1:1","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1,"gpu":0},"born":1}`)}}, 1, nil
+			return []accessor.Record{{Key: "x", Value: []byte(`{"service":"s","address":"127.0.0.1:1","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1,"gpu":0},"labels":["a","r1"],"born":1}`)}}, 1, nil
 		},
 	}
 	a.commander.Hold = func(_ context.Context, h scheduler.Hold, _ time.Duration) scheduler.HoldResult {
