scheduler: keep leading when single workers reject the fencing token

Workers of a service that no configuration and no job names are not called any more. The rejection of one worker makes it unreachable for this leader, which keeps its runs as on a silent worker and asks it again at growing intervals. Most of the workers that accepted the token, or all of them from the start, still end the leadership, as does the topic of claims.

--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -49,6 +49,7 @@
 		return
 	}
 	s.touch(w)
+	e = s.noteRejectedStart(now, w, e)
 	w.noteStartAnswer(now, p, e)
 	if e.ClockMS != 0 && !w.restartedSince(e.Start.DecidedAt) {
 		if w.clockWentBack { // by a restart: the deadlines that were sent refer to another clock
@@ -112,6 +113,8 @@
 		p.stopAnsweredAt = now
 	case OutcomeUnknown, OutcomeUnsent:
 		s.noteFailedCall(now, w, e.Outcome)
+	case OutcomeFenced:
+		s.noteRejection(now, w)
 	default:
 	}
 }
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -61,7 +61,7 @@
 		case w.unresponsiveSince.Equal(w.callFailedAt):
 			pause = 0 // a single call may have got lost
 		}
-		at = w.callFailedAt.Add(pause)
+		at = w.callFailedAt.Add(max(pause, w.rejectedPause()))
 	}
 	switch {
 	case !w.fenced || !w.unresponsiveSince.IsZero() || w.lookDue:
@@ -90,14 +90,8 @@
 	s.touch(w)
 	switch e.Outcome {
 	case OutcomeDone:
-	case OutcomeReplaced:
-		s.workerReplaced(now, w)
-		return
 	default:
-		if w.unresponsiveSince.IsZero() {
-			s.logDecision(Decision{Message: "worker does not answer", Worker: w.ID, Details: Details{detailOutcome: e.Outcome, detailRuns: len(w.runs)}})
-		}
-		s.noteFailedCall(now, w, e.Outcome)
+		s.handleFailedHold(now, w, e.Outcome)
 		return
 	}
 	if e.StartedMS != 0 && e.StartedMS < w.StartedMS {
@@ -119,6 +113,7 @@
 		w.leaseDeadlineMS = max(w.leaseDeadlineMS, e.ClockMS+s.Settings.Lease.Milliseconds())
 	}
 	w.fenced, w.endsMissing = true, e.Incomplete
+	w.acceptedBy()
 	w.ackedEnd = max(w.ackedEnd, e.Ack)
 	w.noteAnswerTime(e)
 	w.clockWentBack = false
@@ -131,6 +126,21 @@
 	}
 }
 
+// handleFailedHold handles a hold without a report of the worker.
+func (s *Scheduler) handleFailedHold(now time.Time, w *worker, o Outcome) {
+	switch o {
+	case OutcomeReplaced:
+		s.workerReplaced(now, w)
+	case OutcomeFenced:
+		s.noteRejection(now, w)
+	default:
+		if w.unresponsiveSince.IsZero() {
+			s.logDecision(Decision{Message: "worker does not answer", Worker: w.ID, Details: Details{detailOutcome: o, detailRuns: len(w.runs)}})
+		}
+		s.noteFailedCall(now, w, o)
+	}
+}
+
 // reconcileRuns compares the runs that a worker lists with the expected ones.
 func (s *Scheduler) reconcileRuns(now time.Time, w *worker, e HoldResult) {
 	listed := make(map[placementKey]bool, len(e.Running))
--- a/internal/jobs/scheduler/pace.go
+++ b/internal/jobs/scheduler/pace.go
@@ -119,7 +119,7 @@
 
 // handlePaceResult handles the result of a pace change. One without an answer is sent
 // again after the next hold.
-func (s *Scheduler) handlePaceResult(e PaceResult) {
+func (s *Scheduler) handlePaceResult(now time.Time, e PaceResult) {
 	w, ok := s.workers[e.Pace.Worker]
 	if !ok {
 		return
@@ -129,6 +129,9 @@
 		return
 	}
 	p.paceInFlight, p.pace = false, unknownPace
+	if e.Outcome == OutcomeFenced {
+		s.noteRejection(now, w)
+	}
 	if e.Outcome == OutcomeDone {
 		p.pace = e.Pace.Percent
 		return
--- a/internal/jobs/scheduler/recovery.go
+++ b/internal/jobs/scheduler/recovery.go
@@ -69,7 +69,7 @@
 	}
 	var all []string
 	for _, m := range s.machines {
-		if _, ok := s.workers[m.Worker]; !ok && m.Up && m.Worker != "" {
+		if _, ok := s.workers[m.Worker]; !ok && m.Up && m.Worker != "" && !s.foreign.ids[m.Worker] {
 			all = append(all, m.Worker)
 		}
 	}
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -46,6 +46,8 @@
 	storedAt        time.Time
 	storeSoon       bool // a worker or caller waits for the next store
 	evacuations     evacuations
+	foreign         foreignWorkers
+	resigned        bool      // Resign was emitted
 	coldUntil       time.Time // from when on no worker is cold
 	waves           map[int]*wave
 	machines        map[string]Machine // as listed last, nil before the first list
@@ -116,8 +118,9 @@
 	case Cancelled:
 		s.cancel(now, e.Job)
 	case WorkersListed:
-		s.updateWorkers(now, e.Workers)
+		s.updateWorkers(now, s.ownWorkers(now, e.Workers))
 	case ConfigChanged:
+		s.nameServices(now, e.Config)
 		s.configure(e.Config)
 	case HoldResult:
 		s.handleHoldResult(now, e)
@@ -126,7 +129,7 @@
 	case StopResult:
 		s.handleStopResult(now, e)
 	case PaceResult:
-		s.handlePaceResult(e)
+		s.handlePaceResult(now, e)
 	case AdviceResult:
 		s.handleAdviceResult(now, e)
 	case MachinesListed:
@@ -192,6 +195,7 @@
 	if _, ok := s.jobs[e.Job.ID]; ok {
 		return
 	}
+	s.nameService(now, e.Job.QueueConfig.Service)
 	j := newJob(e.Job, e.Offset)
 	j.unconfirmedSince = s.unconfirmedSince(now)
 	if q, ok := s.config.Queues[j.Queue]; ok {
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -97,6 +97,9 @@
 	failedJobs    []string  // jobs of the failed runs
 	excludedUntil time.Time // no new tasks before
 
+	accepted   bool // this instance has accepted the fencing token of this leader
+	rejections int  // of that token, since it last accepted it
+
 	vanishedStarts     int // in a row: accepted, but not listed then
 	vanishedExclusions int // because of them, since it last listed a run
 
@@ -297,6 +300,7 @@
 	w.StartedMS = born
 	w.instanceSince = now
 	w.fenced = false
+	w.forgetRejections()
 	w.unconfirmedSince = s.unconfirmedSince(now)
 	w.orphanEnds = nil
 	s.setStalled(w, time.Time{})
--- a/internal/node/commander/commander.go
+++ b/internal/node/commander/commander.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// Lead runs the scheduler until the context ends, or until a worker or the store reports
+// Lead runs the scheduler until the context ends, or until workers or the store report
 // a newer leader. initial returns the first events; it is called once Post accepts events.
 func (c *Commander) Lead(ctx context.Context, s *scheduler.Scheduler, initial func() []scheduler.Event) error {
 	x, cancel := context.WithCancelCause(ctx)
@@ -224,6 +224,8 @@
 			c.LogDecision(f)
 		case scheduler.EvacuationsReported:
 			c.ReportEvacuations(f)
+		case scheduler.Resign:
+			l.cancel(ErrLeadershipLost)
 		case scheduler.Hold:
 			switch {
 			case f.Unheard && c.crowded():
@@ -250,7 +252,7 @@
 	c.mu.Unlock()
 	e := c.Hold(l.ctx, h.At(c.Now()), margin)
 	c.observe(l.ctx, e.Outcome)
-	c.postResult(l, e, e.Outcome)
+	c.postTo(l, e)
 }
 
 // StartRun starts a run. A start without an answer is sent again, as it may have been lost or
@@ -335,14 +337,14 @@
 		began := c.Now()
 		e := c.StartRun(l.ctx, f)
 		c.ObserveDuration("start", c.Now().Sub(began))
-		c.postResult(l, e, e.Outcome)
+		c.postTo(l, e)
 	case scheduler.Stop:
 		e := c.Stop(l.ctx, f, c.margin())
 		c.observe(l.ctx, e.Outcome)
-		c.postResult(l, e, e.Outcome)
+		c.postTo(l, e)
 	case scheduler.Pace:
 		e := c.Pace(l.ctx, f)
-		c.postResult(l, e, e.Outcome)
+		c.postTo(l, e)
 	case scheduler.Advise:
 		c.postTo(l, c.Advise(l.ctx, f))
 	case scheduler.ListMachines:
@@ -365,11 +367,3 @@
 		l.deleteJobs(l.ctx, f.Jobs)
 	}
 }
-
-func (c *Commander) postResult(l *leadership, e scheduler.Event, o scheduler.Outcome) {
-	if o == scheduler.OutcomeFenced {
-		l.cancel(ErrLeadershipLost)
-		return
-	}
-	c.postTo(l, e)
-}
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -297,3 +297,41 @@
 	is.True(errors.Is(err, context.Canceled)) // by the attempt for the second machine
 	is.Equal(begun, []string{"m1", "m2"})
 }
+
+// Guards against a leadership that ends because one worker, which may belong to another system,
+// rejects its fencing token, and against one that goes on although all workers do.
+func TestFencedWorkersEndTheLeadershipOnlyTogether(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		workers []string
+		want    error
+	}{
+		{"one of two", []string{"w1", "x1"}, context.DeadlineExceeded},
+		{"all", []string{"x1", "x2"}, commander.ErrLeadershipLost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+			defer cancel()
+			x := &commander.Commander{
+				Hold: func(_ context.Context, h scheduler.Hold, _ time.Duration) scheduler.HoldResult {
+					e := scheduler.HoldResult{Worker: h.Worker, Sent: time.Now(), Outcome: scheduler.OutcomeDone, ClockMS: time.Now().UnixMilli(), StartedMS: 1}
+					if h.Worker[0] == 'x' {
+						e.Outcome = scheduler.OutcomeFenced
+					}
+					return e
+				},
+				LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
+			}
+			s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+			err := x.Lead(ctx, s, func() []scheduler.Event {
+				var all []scheduler.WorkerInfo
+				for _, id := range c.workers {
+					all = append(all, scheduler.WorkerInfo{ID: id, Address: id, Service: "s", StartedMS: 1})
+				}
+				return []scheduler.Event{scheduler.WorkersListed{Workers: all}}
+			})
+			is.True(errors.Is(err, c.want))
+		})
+	}
+}
