scheduler: reclaim guarantees from urgent runs and in several passes

Such urgent runs are now the last resort, the latest first; while one is reclaimed, urgent units within guarantees go first, or the stopped task takes the room again. Of a step that is no gang, some tasks get resources now and the others in later passes.

--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -52,7 +52,7 @@
 		s.reportWaits(now, nil)
 		return
 	}
-	units := s.runnableUnits(now)
+	units := s.guaranteedFirst(now, s.runnableUnits(now))
 	if len(units) == 0 && !s.anyStalled(now) && !s.anySpeculative() {
 		s.recordStarvation(now, nil)
 		s.reportWaits(now, nil)
--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -148,7 +148,7 @@
 	}
 	borrowers := p.preemptibleRuns(u, preemptionCost)
 	if withinGuarantee {
-		borrowers = append(slices.Clip(borrowers), p.preemptibleLongRunning(u)...)
+		borrowers = append(slices.Clip(borrowers), p.reclaimable(u)...)
 	}
 	var victims []placer.Borrower
 	var at placer.Placement
@@ -171,6 +171,9 @@
 	}
 	if !ok || (!withinGuarantee && cost > maxPreemptionCost*p.s.relativeValue(u.job)) {
 		u.step.searchFailedAt = p.now
+		if withinGuarantee {
+			p.reclaimPartly(u, r, missing, borrowers)
+		}
 		return false
 	}
 	u.step.reserved, u.step.reservedAt = at, p.now
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -47,6 +47,7 @@
 	storeSoon       bool // a worker or caller waits for the next store
 	evacuations     evacuations
 	foreign         foreignWorkers
+	reclaimedAt     time.Time // of the last search for urgent runs to stop for a guarantee
 	resigned        bool      // Resign was emitted
 	coldUntil       time.Time // from when on no worker is cold
 	waves           map[int]*wave
