scheduler: stop no more fillers than may be missed

Of the long-running fillers of a step at most MaxUnavailable are stopped now; beside those that must stay the serving task starts, and their pace is reduced, as it would otherwise wait for as long as they run.

--- a/internal/jobs/scheduler/lasting.go
+++ b/internal/jobs/scheduler/lasting.go
@@ -88,12 +88,13 @@
 	}
 }
 
-// stopFillers stops the fillers on a worker and keeps others away from it for a while.
+// stopFillers stops the fillers on a worker and keeps others away from it for a while. Of the
+// long-running ones of a step, at most MaxUnavailable are stopped at a time.
 func (s *Scheduler) stopFillers(now time.Time, j *job, w *worker) {
 	w.noFillersUntil = now.Add(fillerExclusionTime)
 	logged := false
 	for _, p := range w.sortedRuns() {
-		if !p.filler || p.stopping {
+		if !p.filler || p.stopping || s.mustStay(p) {
 			continue
 		}
 		if !logged {
@@ -103,3 +104,21 @@
 		s.stopRun(now, w, p)
 	}
 }
+
+// mustStay reports whether a long-running task may not be stopped now, as MaxUnavailable tasks of
+// its step are not ready already.
+func (s *Scheduler) mustStay(p *placement) bool {
+	j, st, _ := s.findTask(p.task)
+	return st != nil && st.LongRunning && s.countUnavailable(j, p.task.Step) >= max(1, st.MaxUnavailable)
+}
+
+// fillersStay reports whether all fillers on a worker must stay for now. A serving task then
+// starts beside them, and their pace is reduced: it would wait for as long as they run.
+func (s *Scheduler) fillersStay(w *worker) bool {
+	for _, p := range w.order {
+		if p.filler && (p.stopping || !s.mustStay(p)) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/jobs/scheduler/pace.go
+++ b/internal/jobs/scheduler/pace.go
@@ -162,7 +162,7 @@
 	case st.Filler:
 		return w.servingRuns == 0 || s.maxTail(w) < raiseTailPercent
 	case st.Serving:
-		return w.fillerRuns == 0
+		return w.fillerRuns == 0 || s.fillersStay(w)
 	default:
 		return true
 	}
