--- a/internal/jobs/scheduler/job.go
+++ b/internal/jobs/scheduler/job.go
@@ -175,6 +175,9 @@
 		if s.Filler {
 			s.Need.MilliCores = 0 // it uses CPU that others leave idle
 		}
+		if s.PerWorker > 0 && s.Need == (placer.Resources{}) {
+			s.Need.MemoryMB = 1 // the limit per worker is enforced through what tasks need
+		}
 		n.steps = append(n.steps, &step{Step: s, tasks: make([]task, s.Tasks), waiting: s.Tasks})
 	}
 	n.criticalPath = n.computeCriticalPath()
