--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -61,6 +61,7 @@
 		if p.confirmedAt.IsZero() {
 			p.confirmedAt, p.progressedAt = now, now
 		}
+		s.noteBegun(p)
 		return
 	}
 	s.logDecision(Decision{Message: "start failed", Job: e.Start.Task.Job, Task: e.Start.Task, Run: e.Start.Run, Worker: w.ID, Details: Details{detailOutcome: e.Outcome}})
--- a/internal/jobs/scheduler/ends.go
+++ b/internal/jobs/scheduler/ends.go
@@ -20,6 +20,7 @@
 		s.noteEnds(w)
 		if ok {
 			w.noteListedRun()
+			s.noteBegun(p)
 			s.removeRun(w, p)
 		}
 		if _, known := s.jobs[e.Task.Job]; !known {
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -156,6 +156,7 @@
 		if p.confirmedAt.IsZero() {
 			p.confirmedAt, p.progressedAt = now, now
 		}
+		s.noteBegun(p)
 		p.listedAt, p.measure = now, r.Measure
 		w.noteListedRun()
 		p.crashed = false
@@ -246,6 +247,14 @@
 	return true
 }
 
+// noteBegun marks the job of a run as running once the worker has accepted its start: a job of
+// which a start was only refused still counts as queued.
+func (s *Scheduler) noteBegun(p *placement) {
+	if j, _, _ := s.findTask(p.task); j != nil {
+		s.markRunning(j)
+	}
+}
+
 // markRunning marks a queued job as running.
 func (s *Scheduler) markRunning(j *job) {
 	if j.state == StateQueued {
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -314,7 +314,6 @@
 	if u.job.urgent() {
 		p.urgentAccelerators[u.job.Organisation] += u.step.Need.Accelerators
 	}
-	s.markRunning(u.job)
 	f := Start{
 		Worker: id, Address: w.Address, Epoch: s.Epoch, Task: task, Run: run,
 		Spec: u.job.Spec, DeadlineMS: deadlineMS, Checkpoint: u.step.primary(index).checkpoint,
--- a/internal/jobs/scheduler/worker_test.go
+++ b/internal/jobs/scheduler/worker_test.go
@@ -29,6 +29,7 @@
 	stalled      bool // its runs make no progress
 	swallowed    int  // starts that it accepted and did not carry out
 	swallows     bool // it does so with all starts
+	unhealthy    bool // it refuses all starts
 	baseTail     int  // tail latency in milliseconds of a serving task without fillers
 	fillerDelay  int  // additional milliseconds per filler at full pace
 }
@@ -63,6 +64,8 @@
 		e.Outcome = scheduler.OutcomeLate
 	case w.config.Queues[w.jobs[baseJob(f.Task.Job)].Job.Queue].Advice != nil && !w.ticketed(f):
 		e.Outcome = scheduler.OutcomeTicket
+	case v.unhealthy:
+		e.Outcome = scheduler.OutcomeUnhealthy
 	case v.swallows:
 		v.swallowed++
 	default:
