scheduler: draw odd entries among sound workers

The new property draws up to eight entries of other systems, and of workers that reject the fencing token at once or later, swallow or refuse starts, are silent, are replaced or have no capacity, beside one to three sound workers.

--- a/internal/jobs/scheduler/worker_test.go
+++ b/internal/jobs/scheduler/worker_test.go
@@ -30,6 +30,7 @@
 	swallowed    int  // starts that it accepted and did not carry out
 	swallows     bool // it does so with all starts
 	unhealthy    bool // it refuses all starts
+	rejects      bool // it rejects the fencing token: another system uses it
 	baseTail     int  // tail latency in milliseconds of a serving task without fillers
 	fillerDelay  int  // additional milliseconds per filler at full pace
 }
@@ -54,9 +55,11 @@
 
 func (v *fakeWorker) start(w *world, f scheduler.Start) scheduler.StartResult {
 	e := scheduler.StartResult{Start: f, Outcome: scheduler.OutcomeDone, ClockMS: v.clock(w.now)}
-	v.extend(f.DeadlineMS)
+	if !v.rejects {
+		v.extend(f.DeadlineMS)
+	}
 	switch {
-	case f.Epoch < v.epoch:
+	case f.Epoch < v.epoch || v.rejects:
 		e.Outcome = scheduler.OutcomeFenced
 	case f.Run <= v.lastOver[f.Task]:
 		e.Outcome = scheduler.OutcomeObsolete
@@ -91,6 +94,9 @@
 }
 
 func (v *fakeWorker) stop(w *world, f scheduler.Stop) scheduler.StopResult {
+	if v.rejects {
+		return scheduler.StopResult{Stop: f, Outcome: scheduler.OutcomeFenced}
+	}
 	v.lastOver[f.Task] = max(v.lastOver[f.Task], f.Run)
 	if r, ok := v.runs[f.Task]; ok && r.run == f.Run && r.stopAt.IsZero() {
 		r.stopAt = w.now.Add(runStopTime)
--- a/internal/jobs/scheduler/world_test.go
+++ b/internal/jobs/scheduler/world_test.go
@@ -41,6 +41,7 @@
 	answersLost    map[string]bool // workers that execute starts but whose answers are lost
 	storeCalls     int
 	holdCalls      int
+	heldBy         map[string]int  // holds, by worker
 	starts         map[string]int  // started runs, by job
 	allowed        map[string]bool // workers that get tickets
 	ticketLifetime time.Duration
@@ -94,7 +95,7 @@
 
 func newWorld() *world {
 	w := &world{
-		now: time.Unix(1_000_000, 0), workers: map[string]*fakeWorker{}, jobs: map[string]scheduler.Submitted{},
+		now: time.Unix(1_000_000, 0), heldBy: map[string]int{}, workers: map[string]*fakeWorker{}, jobs: map[string]scheduler.Submitted{},
 		durations: map[string][]time.Duration{}, starts: map[string]int{}, stored: map[string]scheduler.Progress{}, storeUp: true,
 		allowed: map[string]bool{}, ackedTasks: map[scheduler.TaskID]bool{}, lastStarts: map[scheduler.TaskID]time.Time{}, unreachable: map[string]bool{}, waves: map[int]scheduler.StoreWave{}, answersLost: map[string]bool{},
 		config:    scheduler.Config{Queues: map[string]scheduler.Queue{}, Guaranteed: map[string]int{}, Pools: map[string]bool{}},
@@ -233,6 +234,8 @@
 		}
 	case scheduler.EvacuationsReported:
 		w.evacuation.seen = f
+	case scheduler.Resign:
+		w.deliveries = append(w.deliveries, delivery{at: w.now.Add(worldStep), do: w.startLeader})
 	case scheduler.Decision:
 		w.counters[f.Counter]++
 		w.logged[f.Message]++
@@ -398,6 +401,7 @@
 
 func (w *world) hold(h scheduler.Hold) {
 	w.holdCalls++
+	w.heldBy[h.Worker]++
 	o, ok := w.reachable(h.Worker)
 	if !ok {
 		w.deliverAfter(w.refusalDelay(h.Worker), scheduler.HoldResult{Worker: h.Worker, Sent: w.now, Outcome: o})
@@ -405,6 +409,10 @@
 	}
 	v := w.workers[h.Worker]
 	sent := w.now
+	if v.rejects {
+		w.deliverAfter(2*time.Millisecond, scheduler.HoldResult{Worker: h.Worker, Sent: sent, Outcome: scheduler.OutcomeFenced})
+		return
+	}
 	v.epoch = max(v.epoch, h.Epoch)
 	if h.DeadlineMS > 0 {
 		v.extend(h.DeadlineMS)
