--- a/internal/jobs/scheduler/rejections_test.go
+++ b/internal/jobs/scheduler/rejections_test.go
@@ -28,7 +28,7 @@
 	for _, id := range rejects {
 		w.rejects[id] = true
 	}
-	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, Machines: true}, Epoch: 7, LeadingSince: w.now, LastInheritedOffset: -1}
+	w.s = &scheduler.Scheduler{Settings: scheduler.Settings{Lease: lease, Machines: true}, Epoch: 7, LeadingSince: w.now}
 	w.feed(scheduler.ConfigChanged{Config: scheduler.Config{Queues: map[string]scheduler.Queue{"q": {Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 3, ObjectiveMS: 1000}}}})
 	e := scheduler.MachinesListed{OK: true}
 	var infos []scheduler.WorkerInfo
@@ -75,7 +75,7 @@
 }
 
 func (w *rejectingWorld) submit(tasks int) {
-	w.feed(scheduler.Submitted{Job: scheduler.Job{
+	w.feed(scheduler.Submitted{Offset: 1, Job: scheduler.Job{
 		ID: "j", Queue: "q", Organisation: "o", AcceptedMS: w.now.UnixMilli(), QueueConfig: scheduler.Queue{Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 3, ObjectiveMS: 1000},
 		Steps: []scheduler.Step{{Tasks: tasks, Need: placer.Resources{MilliCores: 1000, MemoryMB: 100, Accelerators: 8}, EstimateMS: 60_000}},
 	}})
--- a/internal/node/commander/commander_test.go
+++ b/internal/node/commander/commander_test.go
@@ -323,7 +323,7 @@
 				},
 				LogDecision: func(scheduler.Decision) {}, ObserveDuration: func(string, time.Duration) {}, Now: time.Now,
 			}
-			s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now(), LastInheritedOffset: -1}
+			s := &scheduler.Scheduler{Epoch: 1, LeadingSince: time.Now()}
 			err := x.Lead(ctx, s, func() []scheduler.Event {
 				var all []scheduler.WorkerInfo
 				for _, id := range c.workers {
