scheduler: resign if no worker accepts the fencing token any more

A second after its claim a leader now resigns if no worker accepts it and most of the listed ones reject it, however few there are: nothing can be lost, and a new claim has a higher token.

--- a/internal/jobs/scheduler/rejections.go
+++ b/internal/jobs/scheduler/rejections.go
@@ -54,7 +54,8 @@
 
 // agreeingRejections returns how many workers reject the fencing token if they prove a newer
 // leader, else 0: several that have accepted it before, and most of all such workers; or most
-// of all workers, if none has accepted it in the time in which one would have.
+// of all workers, if none accepts it in the time in which one would. Then nothing can be lost,
+// and a new claim has a higher token.
 func (s *Scheduler) agreeingRejections(now time.Time) int {
 	listed, accepted, rejecting, lost := 0, 0, 0, 0
 	for _, w := range s.workers {
@@ -74,7 +75,7 @@
 	switch {
 	case lost > 1 && 2*lost > accepted:
 		return lost
-	case accepted == 0 && rejecting > 1 && 2*rejecting > listed && now.Sub(s.LeadingSince) >= soleRejectionTime:
+	case lost == accepted && 2*rejecting > listed && now.Sub(s.LeadingSince) >= soleRejectionTime:
 		return rejecting
 	default:
 		return 0
--- a/internal/jobs/scheduler/rejections_test.go
+++ b/internal/jobs/scheduler/rejections_test.go
@@ -140,4 +140,10 @@
 	is.True(!w.resigned)
 	w.advance(3 * time.Second)
 	is.True(w.resigned)
+	w = newRejectingWorld(map[string]string{"w1": "s"})
+	w.submit(1)
+	w.advance(2 * time.Second)
+	is.Equal(w.starts["w1"], 1)
+	w.feed(scheduler.HoldResult{Worker: "w1", Sent: w.now, Outcome: scheduler.OutcomeFenced}) // the only one
+	is.True(w.resigned)
 }
