--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -49,6 +49,7 @@
 		return
 	}
 	s.touch(w)
+	e = s.noteRejectedStart(now, w, e)
 	w.noteStartAnswer(now, p, e)
 	if e.ClockMS != 0 && !w.restartedSince(e.Start.DecidedAt) {
 		if w.clockWentBack { // by a restart: the deadlines that were sent refer to another clock
@@ -60,6 +61,7 @@
 		if p.confirmedAt.IsZero() {
 			p.confirmedAt, p.progressedAt = now, now
 		}
+		s.noteBegun(p)
 		return
 	}
 	s.logDecision(Decision{Message: "start failed", Job: e.Start.Task.Job, Task: e.Start.Task, Run: e.Start.Run, Worker: w.ID, Details: Details{detailOutcome: e.Outcome}})
@@ -113,6 +115,8 @@
 		p.stopAnsweredAt = now
 	case OutcomeUnknown, OutcomeUnsent:
 		s.noteFailedCall(now, w, e.Outcome)
+	case OutcomeFenced:
+		s.noteRejection(now, w)
 	default:
 	}
 }
--- a/internal/jobs/scheduler/ends.go
+++ b/internal/jobs/scheduler/ends.go
@@ -19,6 +19,8 @@
 		p, ok := w.runs[placementKey{e.Task, e.Run}]
 		s.noteEnds(w)
 		if ok {
+			w.noteListedRun()
+			s.noteBegun(p)
 			if e.Reason == EndReasonDone {
 				s.sampleRate(now, w, p, fullPercent)
 			}
--- a/internal/jobs/scheduler/looks.go
+++ b/internal/jobs/scheduler/looks.go
@@ -61,7 +61,7 @@
 		case w.unresponsiveSince.Equal(w.callFailedAt):
 			pause = 0 // a single call may have got lost
 		}
-		at = w.callFailedAt.Add(pause)
+		at = w.callFailedAt.Add(max(pause, w.rejectedPause()))
 	}
 	switch {
 	case !w.fenced || !w.unresponsiveSince.IsZero() || w.lookDue:
@@ -90,14 +90,8 @@
 	s.touch(w)
 	switch e.Outcome {
 	case OutcomeDone:
-	case OutcomeReplaced:
-		s.workerReplaced(now, w)
-		return
 	default:
-		if w.unresponsiveSince.IsZero() {
-			s.logDecision(Decision{Message: "worker does not answer", Worker: w.ID, Details: Details{detailOutcome: e.Outcome, detailRuns: len(w.runs)}})
-		}
-		s.noteFailedCall(now, w, e.Outcome)
+		s.handleFailedHold(now, w, e.Outcome)
 		return
 	}
 	if e.StartedMS != 0 && e.StartedMS < w.StartedMS {
@@ -119,6 +113,7 @@
 		w.leaseDeadlineMS = max(w.leaseDeadlineMS, e.ClockMS+s.Settings.Lease.Milliseconds())
 	}
 	w.fenced, w.endsMissing = true, e.Incomplete
+	w.acceptedBy()
 	w.ackedEnd = max(w.ackedEnd, e.Ack)
 	w.noteAnswerTime(e)
 	w.clockWentBack = false
@@ -131,6 +126,21 @@
 	}
 }
 
+// handleFailedHold handles a hold without a report of the worker.
+func (s *Scheduler) handleFailedHold(now time.Time, w *worker, o Outcome) {
+	switch o {
+	case OutcomeReplaced:
+		s.workerReplaced(now, w)
+	case OutcomeFenced:
+		s.noteRejection(now, w)
+	default:
+		if w.unresponsiveSince.IsZero() {
+			s.logDecision(Decision{Message: "worker does not answer", Worker: w.ID, Details: Details{detailOutcome: o, detailRuns: len(w.runs)}})
+		}
+		s.noteFailedCall(now, w, o)
+	}
+}
+
 // reconcileRuns compares the runs that a worker lists with the expected ones.
 func (s *Scheduler) reconcileRuns(now time.Time, w *worker, e HoldResult) {
 	listed := make(map[placementKey]bool, len(e.Running))
@@ -146,7 +156,9 @@
 		if p.confirmedAt.IsZero() {
 			p.confirmedAt, p.progressedAt = now, now
 		}
+		s.noteBegun(p)
 		p.listedAt, p.measure = now, r.Measure
+		w.noteListedRun()
 		p.crashed = false
 		if !p.outlived && w.answeredAt.Sub(p.confirmedAt) >= quarantiner.Window {
 			s.clearSuspicion(w, p)
@@ -177,6 +189,7 @@
 		switch {
 		case listed[placementKey{p.task, p.run}] || !p.confirmedAbsent(e):
 		case !e.Incomplete:
+			w.noteVanished(now, p)
 			lose(now, w, p, "its worker no longer lists it")
 		case w.listsNoFurtherEnds():
 			s.abandonRun(w, p)
@@ -235,6 +248,14 @@
 	return true
 }
 
+// noteBegun marks the job of a run as running once the worker has accepted its start: a job of
+// which a start was only refused still counts as queued.
+func (s *Scheduler) noteBegun(p *placement) {
+	if j, _, _ := s.findTask(p.task); j != nil {
+		s.markRunning(j)
+	}
+}
+
 // markRunning marks a queued job as running.
 func (s *Scheduler) markRunning(j *job) {
 	if j.state == StateQueued {
--- a/internal/jobs/scheduler/place.go
+++ b/internal/jobs/scheduler/place.go
@@ -55,7 +55,7 @@
 		s.reportWaits(now, nil)
 		return
 	}
-	units := s.runnableUnits(now)
+	units := s.guaranteedFirst(now, s.runnableUnits(now))
 	if len(units) == 0 && !s.anyStalled(now) && !s.anySpeculative() {
 		s.recordStarvation(now, nil)
 		s.reportWaits(now, nil)
@@ -305,7 +305,6 @@
 	if u.job.urgent() {
 		p.urgentAccelerators[u.job.Organisation] += u.step.Need.Accelerators
 	}
-	s.markRunning(u.job)
 	f := Start{
 		Worker: id, Address: w.Address, Epoch: s.Epoch, Task: task, Run: run,
 		Spec: u.job.Spec, DeadlineMS: deadlineMS, Checkpoint: u.step.primary(index).checkpoint,
--- a/internal/jobs/scheduler/preempt.go
+++ b/internal/jobs/scheduler/preempt.go
@@ -151,7 +151,7 @@
 	limit := maxPreemptionCost * p.s.relativeValue(u.job)
 	if withinGuarantee {
 		limit = math.Inf(1)
-		borrowers = append(slices.Clip(borrowers), p.preemptibleLongRunning(u)...)
+		borrowers = append(slices.Clip(borrowers), p.reclaimable(u)...)
 	}
 	plan := p.planStops(u, r, missing, borrowers, limit, until)
 	if !plan.ok && p.triesAll(u) {
@@ -160,6 +160,9 @@
 	if !plan.ok || plan.cost > limit {
 		p.logDearStops(u, plan, limit)
 		u.step.searchFailedAt = p.now
+		if withinGuarantee {
+			p.reclaimPartly(u, r, missing, borrowers)
+		}
 		return false
 	}
 	u.step.reserved, u.step.reservedAt = plan.at, p.now
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -49,6 +49,9 @@
 	storedAt        time.Time
 	storeSoon       bool // a worker or caller waits for the next store
 	evacuations     evacuations
+	foreign         foreignWorkers
+	reclaimedAt     time.Time // of the last search for urgent runs to stop for a guarantee
+	resigned        bool      // Resign was emitted
 	coldUntil       time.Time // from when on no worker is cold
 	waves           map[int]*wave
 	machines        map[string]Machine // as listed last, nil before the first list
@@ -125,8 +128,9 @@
 	case Cancelled:
 		s.cancel(now, e.Job)
 	case WorkersListed:
-		s.updateWorkers(now, e.Workers)
+		s.updateWorkers(now, s.ownWorkers(now, e.Workers))
 	case ConfigChanged:
+		s.nameServices(now, e.Config)
 		s.configure(e.Config)
 	case HoldResult:
 		s.handleHoldResult(now, e)
@@ -135,7 +139,7 @@
 	case StopResult:
 		s.handleStopResult(now, e)
 	case PaceResult:
-		s.handlePaceResult(e)
+		s.handlePaceResult(now, e)
 	case AdviceResult:
 		s.handleAdviceResult(now, e)
 	case MachinesListed:
@@ -199,6 +203,7 @@
 	if _, ok := s.jobs[e.Job.ID]; ok {
 		return
 	}
+	s.nameService(now, e.Job.QueueConfig.Service)
 	j := newJob(e.Job, e.Inherited)
 	j.unconfirmedSince = s.unconfirmedSince(now)
 	if q, ok := s.config.Queues[j.Queue]; ok {
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -101,6 +101,12 @@
 	excludedUntil time.Time // no new tasks before
 
 	speed     workerSpeed
+	accepted   bool // this instance has accepted the fencing token of this leader
+	rejections int  // of that token, since it last accepted it
+
+	vanishedStarts     int // in a row: accepted, but not listed then
+	vanishedExclusions int // because of them, since it last listed a run
+
 	stalledAt time.Time // when its runs were last seen to stall, zero after progress
 
 	// Membership in the indexes of the scheduler.
@@ -299,6 +305,7 @@
 	w.StartedMS = born
 	w.instanceSince = now
 	w.fenced = false
+	w.forgetRejections()
 	w.unconfirmedSince = s.unconfirmedSince(now)
 	w.orphanEnds = nil
 	s.setStalled(w, time.Time{})
--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -101,7 +101,7 @@
 	if len(routes) == 0 {
 		return errNoRoute
 	}
-	var result error
+	var tried attempts
 	for i := 0; i < len(routes); i++ {
 		w := routes[i]
 		x := r.Direct
@@ -118,19 +118,19 @@
 			return err
 		}
 		if r.answeredSince(name, w, sent) {
-			return lessCertain(result, err) // the route works; only this response was lost
+			return tried.with(err).result() // the route works; only this response was lost
 		}
 		if errors.Is(err, errUnreachable) {
 			r.recordUnreachable(w)
 		} else {
 			r.recordResult(name, w, false)
 		}
-		result = lessCertain(result, err)
-		if i == len(routes)-1 && errors.Is(result, accessor.ErrNotDone) && !slices.Contains(routes, Direct) && r.DirectWorks(name) {
+		tried = tried.with(err)
+		if i == len(routes)-1 && errors.Is(tried.result(), accessor.ErrNotDone) && !slices.Contains(routes, Direct) && r.DirectWorks(name) {
 			routes = append(routes, Direct) // it recovered during the call
 		}
 	}
-	return result
+	return tried.result()
 }
 
 // noteOffset records from where a partition is read.
