scheduler: handle failed starts in a function of their own

The merged handling of start results had 41 statements where the linter allows 40. The part after a start that was not accepted moves into its own function; nothing else changes, and the linter reports no issue.

--- a/internal/jobs/scheduler/commands.go
+++ b/internal/jobs/scheduler/commands.go
@@ -64,6 +64,11 @@
 		s.noteBegun(p)
 		return
 	}
+	s.handleFailedStart(now, w, p, e)
+}
+
+// handleFailedStart handles the result of a start that was not accepted.
+func (s *Scheduler) handleFailedStart(now time.Time, w *worker, p *placement, e StartResult) {
 	s.logDecision(Decision{Message: "start failed", Job: e.Start.Task.Job, Task: e.Start.Task, Run: e.Start.Run, Worker: w.ID, Details: Details{detailOutcome: e.Outcome}})
 	switch e.Outcome {
 	case OutcomeUnknown:
--- a/internal/jobs/scheduler/worker.go
+++ b/internal/jobs/scheduler/worker.go
@@ -100,7 +100,7 @@
 	failedJobs    []string  // jobs of the failed runs
 	excludedUntil time.Time // no new tasks before
 
-	speed     workerSpeed
+	speed      workerSpeed
 	accepted   bool // this instance has accepted the fencing token of this leader
 	rejections int  // of that token, since it last accepted it
 
