relayer: take a lost answer for no failure of a topic's route

With routes kept by topic, a read whose answer was lost took away the direct route to its topic, although other topics were answered on it meanwhile; states that callers read were late.

--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -29,8 +29,9 @@
 	// topic; nil for a default.
 	ProbeInterval func() time.Duration
 
-	mu     sync.Mutex
-	routes map[string]*partitionRoutes // by name of the partition: the store may lose single partitions of single topics
+	mu         sync.Mutex
+	routes     map[string]*partitionRoutes // by name of the partition: the store may lose single partitions of single topics
+	lastAnswer map[string]time.Time        // by route, time of the last answered call to any partition
 }
 
 // partitionRoutes are the routes to one partition of a topic.
@@ -117,7 +118,7 @@
 			r.recordResult(name, w, true)
 			return err
 		}
-		if r.answeredSince(name, w, sent) {
+		if r.answeredSince(name, w, sent, err) {
 			return tried.with(err).result() // the route works; only this response was lost
 		}
 		if errors.Is(err, errUnreachable) {
@@ -149,19 +150,27 @@
 	}
 }
 
-// answeredSince reports whether another call on the route to the partition was answered after
-// the given time.
-func (r *Relayer) answeredSince(name, route string, sent time.Time) bool {
+// answeredSince reports whether the route has answered another call since the given time, so that
+// a failure says nothing about it. A call that was refused is compared with calls to the same
+// partition only, as the store may lose it alone; a call without an answer with all calls, as
+// answers get lost on routes that work.
+func (r *Relayer) answeredSince(name, route string, sent time.Time, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.partition(name).lastAnswer[route].After(sent)
+	if errors.Is(err, accessor.ErrNotDone) {
+		return r.partition(name).lastAnswer[route].After(sent)
+	}
+	return r.lastAnswer[route].After(sent)
 }
 
 func (r *Relayer) recordResult(name, route string, worked bool) {
 	r.mu.Lock()
 	p := r.partition(name)
 	if worked {
-		p.lastAnswer[route] = r.Now()
+		if r.lastAnswer == nil {
+			r.lastAnswer = map[string]time.Time{}
+		}
+		p.lastAnswer[route], r.lastAnswer[route] = r.Now(), r.Now()
 	}
 	before := p.selector.DirectFailed()
 	p.selector.RecordResult(r.Now(), route, worked)
