soak: ask for a job in its own queue

Since jobs belong to a queue, a request in another queue is answered as for an unknown job. It now asks where the job was submitted; the check itself is unchanged.

--- a/soak_test.go
+++ b/soak_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -124,6 +125,7 @@
 
 // soakJob is the state of a job as its caller knows it.
 type soakJob struct {
+	queue     string // path of the queue that it was submitted to, /slow/ if empty
 	tasks     int
 	accepted  bool
 	uncertain bool // a submission that was not accepted may have been stored
@@ -422,6 +424,7 @@
 	time.Sleep(time.Duration(r.Int64N(int64(*soakSpan))))
 	j := &soakJob{tasks: 1 + r.IntN(5)}
 	id, queue := fmt.Sprintf("%016x", i+1), []string{"/slow/", "/fast/"}[r.IntN(2)]
+	j.queue = queue
 	s.mu.Lock()
 	s.jobs[id] = j
 	s.mu.Unlock()
@@ -484,6 +487,9 @@
 	})
 }
 
+// path returns the path of a job. A job is known in its own queue only.
+func (j *soakJob) path(id string) string { return cmp.Or(j.queue, "/slow/") + id }
+
 func (s *soak) jobEnds(id string, want []string) bool {
 	limit := soakSettleTimeout
 	if *soakBreak == "lost" {
@@ -491,7 +497,7 @@
 	}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for _, v := range s.vms {
-			a := soakCall(http.MethodGet, v.callers, "/slow/"+id, "")
+			a := soakCall(http.MethodGet, v.callers, s.jobs[id].path(id), "")
 			for _, w := range want {
 				if strings.Contains(a.body, `"`+w+`"`) {
 					return true
