tests: submit whole jobs of legal size until a VM runs out of memory

Clients that submit legal jobs one after the other make a VM run out of memory, whether it accepts the jobs or only reads them: nothing bounds what is accepted. Nine crowds of 20 clients against one VM of 96 MB that leads, and against two VMs of the sizes of the deployments (144 and 536 MB), of which the small one leads and the large one accepts.

--- a/hostile_test.go
+++ b/hostile_test.go
@@ -30,6 +30,9 @@
 	hostileMissing  = 19      // bytes by which an unfinished body is short
 )
 
+// hostileOtherKey is the key of an organisation that does not take part in attacks.
+const hostileOtherKey = "key-of-another-organisation"
+
 // Times of the clients; no check depends on them.
 const (
 	hostileClientTime = 6 * time.Second       // after which a client stops sending and holds its connection
@@ -148,6 +151,7 @@
 	t                                  *testing.T
 	callers, readiness, peers, metrics string
 	process                            *exec.Cmd
+	proxy                              *platformstandin.StoreProxy // its access to the store
 	exited                             chan struct{}
 }
 
@@ -157,13 +161,26 @@
 
 // startLimitedVM starts an entry VM with the given limits.
 func startLimitedVM(t *testing.T, memoryMB, maxFDs int) *hostileVM {
-	store := platformstandin.NewStore()
-	store.Put("keyed.op", "config", bytes.Replace(platformstandin.Configuration(1, platformstandin.Key),
-		[]byte(`"maxBodyBytes":10000`), fmt.Appendf(nil, `"maxBodyBytes":%d`, hostileMaxBody), 1))
-	server := httptest.NewServer(&platformstandin.StoreProxy{Store: store})
+	return startVMOfStore(t, "vm0", platformstandin.NewStore(), memoryMB, maxFDs)
+}
+
+// hostileConfiguration returns a configuration with the largest legal bodies and two organisations.
+func hostileConfiguration() []byte {
+	b := bytes.Replace(platformstandin.Configuration(1, platformstandin.Key),
+		[]byte(`"maxBodyBytes":10000`), fmt.Appendf(nil, `"maxBodyBytes":%d`, hostileMaxBody), 1)
+	return bytes.Replace(b, []byte(`"tenants":[`), fmt.Appendf(nil, `"tenants":[{"name":"other","apiKeys":[%q],"guaranteed":{"gpu":8}},`, hostileOtherKey), 1)
+}
+
+// startVMOfStore starts an entry VM that uses a store.
+func startVMOfStore(t *testing.T, vm string, store *platformstandin.Store, memoryMB, maxFDs int) *hostileVM {
+	if store.Get("keyed.op", "config") == nil {
+		store.Put("keyed.op", "config", hostileConfiguration())
+	}
+	proxy := &platformstandin.StoreProxy{Store: store}
+	server := httptest.NewServer(proxy)
 	t.Cleanup(server.Close)
-	v := &hostileVM{t: t, callers: freeAddress(t), readiness: freeAddress(t), peers: freeAddress(t), metrics: freeAddress(t), exited: make(chan struct{})}
-	b, err := platformstandin.SettingsFile("vm0", server.Listener.Addr().String(), v.callers, v.readiness, v.peers, 4*time.Second)
+	v := &hostileVM{t: t, proxy: proxy, callers: freeAddress(t), readiness: freeAddress(t), peers: freeAddress(t), metrics: freeAddress(t), exited: make(chan struct{})}
+	b, err := platformstandin.SettingsFile(vm, server.Listener.Addr().String(), v.callers, v.readiness, v.peers, 4*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -237,16 +254,8 @@
 // descriptors stay within the limits. Bytes that the process has not read count as its
 // memory. The returned function closes the clients' connections.
 func watchHostile(t *testing.T, pid int, a hostileAttack, address string, memoryMB, maxFDs int) func() {
-	ctx, stop := context.WithCancel(context.Background())
-	var peakMemory, peakFDs int
-	var sampler, clients sync.WaitGroup
-	sampler.Go(func() {
-		for ctx.Err() == nil {
-			peakMemory = max(peakMemory, residentKB(pid, "VmRSS:")+unreadKB(address))
-			peakFDs = max(peakFDs, descriptors(pid))
-			time.Sleep(hostileSample)
-		}
-	})
+	check := sampleHostile(t, pid, address, memoryMB, maxFDs)
+	var clients sync.WaitGroup
 	conns := make([]net.Conn, a.clients)
 	for i := range conns {
 		clients.Go(func() {
@@ -261,16 +270,7 @@
 	}
 	clients.Wait()
 	time.Sleep(hostileHold)
-	stop()
-	sampler.Wait()
-	peakMemory = max(peakMemory, residentKB(pid, "VmHWM:"))
-	t.Logf("peak memory %d KB of %d, descriptors %d of %d", peakMemory, memoryMB<<10, peakFDs, maxFDs)
-	if peakMemory > memoryMB<<10 {
-		t.Errorf("resident memory and unread bytes reached %d KB, limit %d KB", peakMemory, memoryMB<<10)
-	}
-	if peakFDs >= maxFDs {
-		t.Errorf("the process used up its descriptors: %d open, limit %d", peakFDs, maxFDs)
-	}
+	check()
 	return func() {
 		for _, c := range conns {
 			if c != nil {
@@ -280,6 +280,34 @@
 	}
 }
 
+// sampleHostile watches the memory and the descriptors of a process. The returned function ends
+// that and checks that both have stayed within the limits.
+func sampleHostile(t *testing.T, pid int, address string, memoryMB, maxFDs int) func() {
+	ctx, stop := context.WithCancel(context.Background())
+	var peakMemory, peakFDs int
+	var sampler sync.WaitGroup
+	sampler.Go(func() {
+		for ctx.Err() == nil {
+			peakMemory = max(peakMemory, residentKB(pid, "VmRSS:")+unreadKB(address))
+			peakFDs = max(peakFDs, descriptors(pid))
+			time.Sleep(hostileSample)
+		}
+	})
+	return func() {
+		t.Helper()
+		stop()
+		sampler.Wait()
+		peakMemory = max(peakMemory, residentKB(pid, "VmHWM:"))
+		t.Logf("peak memory %d KB of %d, descriptors %d of %d", peakMemory, memoryMB<<10, peakFDs, maxFDs)
+		if peakMemory > memoryMB<<10 {
+			t.Errorf("resident memory and unread bytes reached %d KB, limit %d KB", peakMemory, memoryMB<<10)
+		}
+		if peakFDs >= maxFDs {
+			t.Errorf("the process used up its descriptors: %d open, limit %d", peakFDs, maxFDs)
+		}
+	}
+}
+
 // residentKB returns a field of /proc/PID/status.
 func residentKB(pid int, field string) int {
 	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
