admitter: accept only jobs that all VMs and the store can keep

Clients with legal jobs made VMs run out of memory, whether these accepted the jobs or only read them.

Cause: every VM keeps every accepted job until 150 s after its end, the leader with 264 bytes a task and 592 a step, and nothing bounded what is accepted. A body of 4 KB can ask for 2,560,000 tasks, or as many through occurrences.

Each VM now counts what the jobs that it reads take in memory (Job.Footprint) and in the store, in total and by organisation, and refuses what does not fit before it is stored: 413 for a job that never fits, else 503. An organisation may take three times the free room at most, so one cannot take all. Between two reads a VM may add only its part of the free room; a larger job is stored on the condition that nothing else was stored since the last read. Before a refusal the VM reads the stored jobs, as another VM may have accepted the job: a refusal promises that it never runs. States and cancellations are served as before.

The default of 24 MB is a sixth of the smallest VM. A deployment with 29,000 running tasks and 690 jobs counts 13 MB by arithmetic.

Job.Footprint is checked against the allocations of jobs of six shapes.

Ruled out: a limit by rate, as jobs last for hours; refusing without a read, which would be false for a job that another VM has just accepted.

--- a/hostile_jobs_test.go
+++ b/hostile_jobs_test.go
@@ -43,6 +43,7 @@
 	{"long-labels", 20, 200, `{"spec":"10ms","steps":[{"count":1,"requirements":"` + strings.Repeat("l", hostileLabel) + `"}]}`, false},
 	{"many-steps", 20, 1500, manySteps(`{"count":1}`, ""), false},
 	{"many-tasks", 20, 100, manySteps(`{"count":10000}`, ""), false},
+	{"many-tasks-of-one-step", 20, 10, `{"spec":"10ms","steps":[{"count":10000}]}`, false},
 	{"many-occurrences", 20, 100, manySteps(`{"count":1}`, `,"repeatCount":1000,"startAtMs":1,"intervalMs":1`), false},
 	{"many-tasks-of-many-occurrences", 20, 100, manySteps(`{"count":100}`, `,"repeatCount":1000,"startAtMs":4000000000000,"intervalMs":1`), false},
 }
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -5,8 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/node/assembler"
 )
 
 // Exit codes of all commands except diff.
@@ -61,6 +64,7 @@
 		kong.Name("lacewingdoor"),
 		kong.Description("Schedules requests and jobs for organisations that share backend servers."),
 		kong.Writers(stdout, stderr),
+		kong.Vars{"job_memory_mb": strconv.Itoa(assembler.DefaultJobMemoryMB)},
 		kong.Exit(func(n int) { exit = n }),
 	)
 	if err != nil {
--- a/internal/cmd/schedulecmd.go
+++ b/internal/cmd/schedulecmd.go
@@ -17,7 +17,16 @@
 
 // ScheduleCmd runs an entry VM on the users' platform.
 type ScheduleCmd struct {
-	Check bool `help:"Check the settings and exit."`
+	Check       bool `help:"Check the settings and exit."`
+	JobMemoryMB int  `name:"job-memory-mb" help:"Memory in MB that accepted jobs may take on each entry VM. Must be the same on all VMs." default:"${job_memory_mb}"`
+}
+
+// Validate checks the flags.
+func (s *ScheduleCmd) Validate() error {
+	if s.JobMemoryMB < 1 {
+		return fmt.Errorf("--job-memory-mb is %d, want at least 1", s.JobMemoryMB)
+	}
+	return nil
 }
 
 const heapPercent = 70 // percent of the VM's memory available to the heap; the rest is for kernel buffers
@@ -50,7 +59,7 @@
 				Info("settings file checked after SIGHUP; changes take effect at the next restart")
 		}
 	}()
-	a := assembler.Assembler{Settings: settings, Logger: log, Dropped: out.Dropped, Now: time.Now}
+	a := assembler.Assembler{Settings: settings, Logger: log, Dropped: out.Dropped, Now: time.Now, JobMemoryMB: s.JobMemoryMB}
 	if err := a.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("schedule on VM %s: %w", settings.VM, err)
 	}
--- a/internal/jobs/registrar/registrar.go
+++ b/internal/jobs/registrar/registrar.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 
+	"github.com/lacewingdoor/lacewingdoor/internal/jobs/admitter"
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/tailer"
@@ -70,6 +71,11 @@
 	Submitted func(Entry)                               // called for each new job, in the order of its partition
 	Cancelled func(id string)                           // called for each new cancellation
 
+	// Kept is called for each job that is kept, with what it takes, and Removed once it is not
+	// kept any more. They must not call the registrar.
+	Kept    func(id, organisation string, s admitter.Size)
+	Removed func(id string)
+
 	order            sync.Mutex // held while jobs and cancellations are applied and reported; never taken after mu
 	mu               sync.Mutex
 	jobs             map[string]*Entry
@@ -87,6 +93,8 @@
 		Malformed:        func(string, int64, error) {},
 		Submitted:        func(Entry) {},
 		Cancelled:        func(string) {},
+		Kept:             func(string, string, admitter.Size) {},
+		Removed:          func(string) {},
 		jobs:             map[string]*Entry{},
 		unmatched:        map[string]unmatched{},
 		unmatchedCancels: map[string]bool{},
@@ -204,6 +212,7 @@
 	delete(r.unmatched, id)
 	delete(r.unmatchedCancels, id)
 	r.jobs[id] = e
+	r.Kept(id, e.Job.Organisation, SizeOf(e.Job, v))
 	return true
 }
 
@@ -290,6 +299,7 @@
 	}
 	delete(r.jobs, id)
 	delete(r.malformed, id)
+	r.Removed(id)
 }
 
 // withOccurrences returns an entry with the progress of its occurrences.
@@ -445,6 +455,11 @@
 	return accessor.Record{Key: jobPrefix + j.ID, Value: b}, nil
 }
 
+// SizeOf returns what a job takes whose submission is a given record.
+func SizeOf(j scheduler.Job, r accessor.Record) admitter.Size {
+	return admitter.Size{Memory: j.Footprint(), Stored: int64(len(r.Key) + len(r.Value))}
+}
+
 // CancelRecord returns the record of a cancellation in TopicJobs.
 func CancelRecord(id string) accessor.Record {
 	return accessor.Record{Key: cancelPrefix + id, Value: []byte("1")}
--- a/internal/node/assembler/acceptors.go
+++ b/internal/node/assembler/acceptors.go
@@ -25,12 +25,15 @@
 	return x
 }
 
-// serveMetrics serves the metrics with the present holdings of the listeners.
+// serveMetrics serves the metrics with the present holdings of the listeners and of jobs.
 func (a *Assembler) serveMetrics(w http.ResponseWriter, q *http.Request) {
 	for _, x := range a.acceptors {
 		for name, n := range x.Gauges() {
 			a.metrics.Set(name, n)
 		}
 	}
+	for name, n := range a.admission.gauges() {
+		a.metrics.Set(name, n)
+	}
 	a.metrics.ServeHTTP(w, q)
 }
--- a/internal/node/assembler/append.go
+++ b/internal/node/assembler/append.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/registrar"
-	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
 	"github.com/lacewingdoor/lacewingdoor/internal/node/gatekeeper"
 	"github.com/lacewingdoor/lacewingdoor/internal/sleeper"
 	"github.com/lacewingdoor/lacewingdoor/internal/store/accessor"
@@ -89,7 +88,7 @@
 	case partitioner.NotStored:
 		return fmt.Errorf("%w: %w", gatekeeper.ErrNotStored, cause)
 	default:
-		return fmt.Errorf("the result of an append is unknown: %w", cause)
+		return fmt.Errorf("%w: %w", errUnknownResult, cause)
 	}
 }
 
@@ -185,17 +184,6 @@
 	}
 }
 
-func (a *Assembler) storeJob(ctx context.Context, j scheduler.Job) error {
-	r, err := registrar.JobRecord(j)
-	if err != nil {
-		return fmt.Errorf("%w: %w", gatekeeper.ErrNotStored, err)
-	}
-	return a.storeRecords(ctx, []accessor.Record{r}, func() bool {
-		_, ok := a.registrar.Get(j.ID)
-		return ok
-	})
-}
-
 func (a *Assembler) storeCancellation(ctx context.Context, id string) error {
 	return a.storeRecords(ctx, []accessor.Record{registrar.CancelRecord(id)}, func() bool {
 		e, ok := a.registrar.Get(id)
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -39,6 +39,10 @@
 	Dropped  func() int64 // number of dropped log lines
 	Now      func() time.Time
 
+	// JobMemoryMB is the memory that accepted jobs may take on each VM, 0 for the default. It
+	// must be the same on all VMs, and the smallest VM must have room for it.
+	JobMemoryMB int
+
 	instance   string // identifies this process
 	client     *platform.Client
 	store      accessor.Client
@@ -52,6 +56,7 @@
 	registrar  *registrar.Registrar
 	commander  *commander.Commander
 	gatekeeper *gatekeeper.Gatekeeper
+	admission  *admission
 	metrics    *recorder.Recorder
 	acceptors  []*acceptor.Acceptor // of all listeners, set before they serve
 
@@ -124,6 +129,7 @@
 	a.executors = &platform.Executors{Client: a.client, CallFailed: a.recordCallFailure}
 	a.registrar = registrar.New()
 	a.registrar.Malformed = a.logMalformed
+	a.admission = newAdmission(a)
 	a.electorEvents = make(chan electorEvent, electorQueueSize)
 	adviser := &platform.Adviser{Client: a.client, Address: a.Settings.Advice, CallFailed: func(step string, err error) {
 		a.log("advise").WithField("for", step).WithError(err).Warn("placement advice request failed")
@@ -160,6 +166,7 @@
 		Config: a.config.Load, Registrar: a.registrar, Now: a.Now,
 		StoreJob: a.storeJob, StoreCancellation: a.storeCancellation, CatchUpJobs: a.catchUpJobs,
 		RetryAfter:      retryAfter,
+		RoomRetryAfter:  roomRetryAfter,
 		CatchUpProgress: (&progressReader{Read: a.catchUpProgress, Now: a.Now, Failed: a.recordStaleStatus}).read,
 	}
 	if a.numParts() > 1 {
--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -36,6 +36,7 @@
 	adviser        *standin.Adviser
 	vms            []*vm
 	parts          int // partitions of each topic, 0 for a platform that names none
+	jobMemoryMB    int // that accepted jobs may take, 0 for the default
 
 	machineServiceAddress, adviceAddress string
 }
@@ -123,7 +124,7 @@
 	log, lines := logrus.New(), &logBuffer{}
 	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: "05.000", DisableColors: true})
 	log.SetOutput(lines)
-	a := &assembler.Assembler{Settings: v.settings, Logger: log, Dropped: func() int64 { return 0 }, Now: time.Now}
+	a := &assembler.Assembler{Settings: v.settings, Logger: log, Dropped: func() int64 { return 0 }, Now: time.Now, JobMemoryMB: s.jobMemoryMB}
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
 	var once sync.Once
--- a/internal/node/gatekeeper/gatekeeper.go
+++ b/internal/node/gatekeeper/gatekeeper.go
@@ -43,8 +43,12 @@
 	Version      int64  // of the configuration that was applied
 }
 
-// ErrNotStored says that a record was definitely not stored.
-var ErrNotStored = errors.New("not stored")
+// The errors of StoreJob after which the job is definitely not stored.
+var (
+	ErrNotStored = errors.New("not stored")
+	ErrNoRoom    = fmt.Errorf("%w: no room for the job at present", ErrNotStored)
+	ErrTooLarge  = fmt.Errorf("%w: the job is never accepted", ErrNotStored)
+)
 
 const (
 	storeRetryDelay = time.Second // the store usually recovers within seconds
@@ -59,6 +63,7 @@
 	CatchUpJobs       func(context.Context) error                // returns once all jobs are read that were stored in partition 0 before the call
 	CatchUpOtherParts func(context.Context) error                // the same of the other partitions; nil if there are none
 	RetryAfter        func() time.Duration                       // how long to wait before a refused request is retried; nil for storeRetryDelay
+	RoomRetryAfter    func() time.Duration                       // how long to wait for room; nil for RetryAfter
 	CatchUpProgress   func(context.Context) error                // reads the stored progress of jobs, within a short timeout
 	Now               func() time.Time
 }
@@ -105,10 +110,21 @@
 	return g.RetryAfter()
 }
 
+func (g *Gatekeeper) roomRetryAfter() time.Duration {
+	if g.RoomRetryAfter == nil {
+		return g.retryAfter()
+	}
+	return g.RoomRetryAfter()
+}
+
 func (g *Gatekeeper) storeAnswer(err error) Answer {
 	switch {
 	case err == nil:
 		return Answer{Verdict: VerdictOK}
+	case errors.Is(err, ErrTooLarge):
+		return Answer{Verdict: VerdictTooLarge, Reason: err.Error()}
+	case errors.Is(err, ErrNoRoom):
+		return Answer{Verdict: VerdictRefused, Reason: err.Error(), RetryAfter: g.roomRetryAfter()}
 	case errors.Is(err, ErrNotStored):
 		return Answer{Verdict: VerdictRefused, Reason: err.Error(), RetryAfter: g.retryAfter()}
 	default:
