registrar, scheduler: forget the steps of jobs that have ended

Callers of a busy deployment would be refused with the limits for accepted jobs, although little runs: every VM kept jobs in full until 150 s after their end, the leader with 264 bytes a task.

Cause: a job was kept as it is until its deletion. Only its state, owner and progress are needed once no run of it can be left. All VMs now forget the spec and the steps 30 s after the end, longer than any lease lasts, and count the job as what is left of it; a leader that takes over then gets the job without steps, starts nothing and deletes it in time. Jobs without steps do not count for the mean size of their queue.

--- a/internal/jobs/admitter/admitter.go
+++ b/internal/jobs/admitter/admitter.go
@@ -44,13 +44,12 @@
 
 	maxJobPart = 2 // the part of the limit that one job may take
 
+	smallMemory = 128 << 10 // bytes that each VM may add between two reads whatever its share,
+	smallStored = 64 << 10  // so that usual jobs are accepted at once also with hundreds of VMs
+
 	reservationTimeout = 30 * time.Second // after which a job that was not read is taken for not stored
 )
 
-// smallSize is what each VM may add between two reads whatever its share, so that usual jobs
-// are accepted at once also with hundreds of VMs.
-var smallSize = Size{Memory: 128 << 10, Stored: 64 << 10} //nolint:gochecknoglobals // a constant
-
 // The reasons for which a job is not admitted.
 var (
 	ErrTooLarge = errors.New("job is too large")
@@ -138,7 +137,7 @@
 	case !a.byOrg[organisation].plus(s).within(free.times(headroomFactor)):
 		return false, ErrShare
 	}
-	if share := free.over(int64(unreadPart * max(1, vms))).atLeast(smallSize); !a.reserved.plus(s).within(share) {
+	if share := free.over(int64(unreadPart * max(1, vms))).atLeast(Size{smallMemory, smallStored}); !a.reserved.plus(s).within(share) {
 		if s.within(share) {
 			return false, ErrUnread
 		}
--- a/internal/jobs/admitter/admitter_test.go
+++ b/internal/jobs/admitter/admitter_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -132,7 +133,7 @@
 				catchUp(i)
 				continue
 			}
-			s := stored{fmt.Sprint(step), job(rapid.Int64Range(kb, 2*mb).Draw(t, "size"))}
+			s := stored{strconv.Itoa(step), job(rapid.Int64Range(kb, 2*mb).Draw(t, "size"))}
 			exclusive, err := vms[i].Reserve(start, s.id, "o", s.size, len(vms))
 			if err != nil {
 				continue
--- a/internal/jobs/registrar/registrar.go
+++ b/internal/jobs/registrar/registrar.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/admitter"
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/scheduler"
@@ -41,6 +42,7 @@
 	zeroOffset     int64 // of the submission record in partition 0, -1 if it holds none
 	progressOffset int64 // offset of the last progress record
 	hasProgress    bool  // it has progress in the store
+	stored         int64 // bytes of its submission record
 }
 
 // State returns the state of the job.
@@ -85,6 +87,7 @@
 	leftovers        map[string]bool      // deleted jobs whose progress is still stored
 	next             map[string]int64     // by topic or partition of one, offset of the next record
 	elsewhere        map[string][]int     // by job, partitions other than 0 that hold records of it
+	ended            []string             // jobs that have ended and whose steps are kept, in the order in which their end was read
 }
 
 // New returns an empty registrar.
@@ -212,7 +215,11 @@
 	delete(r.unmatched, id)
 	delete(r.unmatchedCancels, id)
 	r.jobs[id] = e
-	r.Kept(id, e.Job.Organisation, SizeOf(e.Job, v))
+	e.stored = SizeOf(e.Job, v).Stored
+	r.Kept(id, e.Job.Organisation, e.size())
+	if e.Progress.State.Ended() {
+		r.ended = append(r.ended, id)
+	}
 	return true
 }
 
@@ -352,6 +359,9 @@
 		}
 		if e, ok := r.jobs[v.Key]; ok {
 			if v.Offset >= e.progressOffset {
+				if p.State.Ended() && !e.Progress.State.Ended() {
+					r.ended = append(r.ended, v.Key)
+				}
 				e.Progress, e.progressOffset, e.hasProgress = p, v.Offset, true
 			}
 			continue
@@ -363,6 +373,28 @@
 	r.advanceNext(TopicProgress, b.Next)
 }
 
+// ForgetSteps forgets the steps of jobs that ended so long ago that nothing needs them.
+func (r *Registrar) ForgetSteps(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.ended) > 0 {
+		e, ok := r.jobs[r.ended[0]]
+		if ok && e.Progress.StepsNeeded(now) {
+			return
+		}
+		if ok {
+			e.Job = e.Job.WithoutSteps()
+			r.Kept(e.Job.ID, e.Job.Organisation, e.size())
+		}
+		r.ended = r.ended[1:]
+	}
+}
+
+// size returns what a job takes.
+func (e *Entry) size() admitter.Size {
+	return admitter.Size{Memory: e.Job.Footprint(), Stored: e.stored}
+}
+
 // deleteProgress applies the deletion of progress. A job that is still known keeps its state:
 // the record that deletes it was not read yet.
 func (r *Registrar) deleteProgress(v accessor.Record) {
--- a/internal/jobs/scheduler/scheduler.go
+++ b/internal/jobs/scheduler/scheduler.go
@@ -327,7 +327,8 @@
 }
 
 // deleteOldJobs deletes jobs that ended long ago, with their occurrences: one that has ended
-// would run again if its job went on without its progress.
+// would run again if its job went on without its progress. Of those that ended less long ago it
+// forgets the steps.
 func (s *Scheduler) deleteOldJobs(now time.Time) {
 	if s.storeInFlight || now.Sub(s.tracking.oldJobsAt) < oldJobsInterval { // the end of a job must be stored
 		return
@@ -335,7 +336,13 @@
 	s.tracking.oldJobsAt = now
 	var old []string
 	for id, j := range s.jobs {
-		if j.parent != nil || !j.state.Ended() || j.dirty || now.Sub(j.endedAt) <= endedJobRetention {
+		if !j.state.Ended() || j.dirty {
+			continue
+		}
+		if now.Sub(j.endedAt) > endedTaskRetention {
+			j.Job, j.steps = j.WithoutSteps(), nil
+		}
+		if j.parent != nil || now.Sub(j.endedAt) <= endedJobRetention {
 			continue
 		}
 		old = append(old, id)
--- a/internal/jobs/scheduler/settings.go
+++ b/internal/jobs/scheduler/settings.go
@@ -23,6 +23,7 @@
 	maxStopDoublings    = 2                       // of stopRetryDelay
 	exclusionFailures   = 2                       // failed runs of different jobs after which a worker is excluded
 	exclusionTime       = 4 * time.Second         // half of the shortest period for which workers fail on bad days
+	endedTaskRetention  = 30 * time.Second        // after the end of a job its steps are forgotten: no lease of its runs lasts as long
 	endedJobRetention   = 150 * time.Second       // callers query states for at least 120 s after the end
 	oldJobsInterval     = time.Second             // between searches for such jobs
 	storeInterval       = 300 * time.Millisecond  // between stores of progress that nobody waits for
--- a/internal/jobs/scheduler/size.go
+++ b/internal/jobs/scheduler/size.go
@@ -18,6 +18,9 @@
 
 // updateMeanWork adds the size of a new job to the mean of its queue.
 func (s *Scheduler) updateMeanWork(j *job) {
+	if len(j.Steps) == 0 {
+		return // it ended long ago
+	}
 	if s.meanWork == nil {
 		s.meanWork = map[string]float64{}
 	}
--- a/internal/node/assembler/admission.go
+++ b/internal/node/assembler/admission.go
@@ -20,6 +20,8 @@
 // DefaultJobMemoryMB is the default of Assembler.JobMemoryMB, a sixth of the smallest VM's memory.
 const DefaultJobMemoryMB = 24
 
+const megabyte = 1 << 20 // bytes
+
 const (
 	jobMemoryPercent = 20 // of the VM's own memory that accepted jobs may take, if that is less
 
@@ -67,18 +69,18 @@
 
 // jobLimit returns what accepted jobs may take.
 func (a *Assembler) jobLimit() admitter.Size {
-	memory := int64(a.JobMemoryMB) << 20
+	memory := int64(a.JobMemoryMB) * megabyte
 	if memory <= 0 {
-		memory = DefaultJobMemoryMB << 20
+		memory = DefaultJobMemoryMB * megabyte
 	}
-	if own := int64(a.Settings.MemoryMB) << 20 * jobMemoryPercent / 100; own > 0 {
+	if own := int64(a.Settings.MemoryMB) * megabyte * jobMemoryPercent / 100; own > 0 {
 		memory = min(memory, own)
 	}
 	part := a.Settings.PartMB
 	if part <= 0 {
 		part = platform.DefaultPartMB
 	}
-	return admitter.Size{Memory: memory, Stored: int64(part) << 20 * storedPercent / 100}
+	return admitter.Size{Memory: memory, Stored: int64(part) * megabyte * storedPercent / 100}
 }
 
 // gauges returns what accepted jobs take, by the name of the metric.
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -165,8 +165,7 @@
 	a.gatekeeper = &gatekeeper.Gatekeeper{
 		Config: a.config.Load, Registrar: a.registrar, Now: a.Now,
 		StoreJob: a.storeJob, StoreCancellation: a.storeCancellation, CatchUpJobs: a.catchUpJobs,
-		RetryAfter:      retryAfter,
-		RoomRetryAfter:  roomRetryAfter,
+		RetryAfter: retryAfter, RoomRetryAfter: roomRetryAfter,
 		CatchUpProgress: (&progressReader{Read: a.catchUpProgress, Now: a.Now, Failed: a.recordStaleStatus}).read,
 	}
 	if a.numParts() > 1 {
--- a/internal/node/assembler/follow.go
+++ b/internal/node/assembler/follow.go
@@ -66,7 +66,10 @@
 	a.view.watch(operator)
 	a.startTailer(ctx, g, operator)
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(registrar.TopicJobs), readWait, jobsPause, a.registrar.ApplyJobs))
-	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(registrar.TopicProgress), readWait, progressPause, a.registrar.ApplyProgress))
+	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(registrar.TopicProgress), readWait, progressPause, func(b tailer.Batch) {
+		a.registrar.ApplyProgress(b)
+		a.registrar.ForgetSteps(a.Now())
+	}))
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(topicLeader), readWait, topicPause(leaderReadShare), a.postClaims))
 	a.startTailer(ctx, g, a.newTailer(platform.WireTopic(topicPeers), peersReadWait, topicPause(peersReadShare), a.peers.apply))
 	a.followOtherParts(ctx, g)
