assembler: reject jobs for good that the store does not take

Callers with a job whose record is longer than the store takes (256 KB) waited for nearly all of their time, got 503 with Retry-After and would have come back for ever. A body of legal size makes such a record with long labels.

Cause: the store's refusal of a record counted as one that may pass, so the append was repeated in all partitions until the caller's deadline.

--- a/internal/node/assembler/admission.go
+++ b/internal/node/assembler/admission.go
@@ -161,7 +161,11 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", gatekeeper.ErrNotStored, err)
 	}
-	exclusive, known, err := a.admission.admit(ctx, j, registrar.SizeOf(j, r))
+	size := registrar.SizeOf(j, r)
+	if limit := a.maxRecord(); size.Stored > limit {
+		return fmt.Errorf("%w: its record has %d bytes, the store takes %d", gatekeeper.ErrTooLarge, size.Stored, limit)
+	}
+	exclusive, known, err := a.admission.admit(ctx, j, size)
 	if err != nil || known {
 		return err
 	}
@@ -180,6 +184,15 @@
 	return err
 }
 
+// maxRecord returns the size of the largest key and value that the store takes as one record.
+func (a *Assembler) maxRecord() int64 {
+	n := a.Settings.RecordSize
+	if n <= 0 {
+		n = platform.DefaultRecordSize
+	}
+	return int64(n) - 1 // the length of the key takes a byte
+}
+
 // storeExclusively stores the record of a job only if no other record was stored in partition 0
 // since this VM read it, so that the job surely fits.
 func (a *Assembler) storeExclusively(ctx context.Context, r accessor.Record, stored func() bool) error {
--- a/internal/node/assembler/admission_test.go
+++ b/internal/node/assembler/admission_test.go
@@ -1,8 +1,10 @@
 package assembler_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -79,3 +81,20 @@
 		`{"spec":"1h","steps":[{"count":10000},{"count":10000},{"count":10000},{"count":10000},{"count":10000}]}`)
 	is.Equal(status, http.StatusRequestEntityTooLarge)
 }
+
+// The store takes no record of more than 256 KB. A job with a longer one was tried again until its
+// caller gave up, and then refused as if it might be accepted later.
+func TestJobThatTheStoreDoesNotTakeIsRejectedForGood(t *testing.T) {
+	is := is.New(t)
+	s := newCluster(t, 0, 0)
+	s.store.Put("keyed.op", "config", bytes.Replace(standin.Configuration(2, standin.Key), []byte(`:10000}`), []byte(`:400000}`), 1))
+	s.startVM("vm0")
+	job := func(label int) string {
+		return `{"spec":"1h","steps":[{"count":1,"requirements":"` + strings.Repeat("l", label) + `"}]}`
+	}
+	status, answer := s.vms[0].call(http.MethodPost, "/slow/0000000000000001", standin.Key, job(262_144))
+	t.Log(answer)
+	is.Equal(status, http.StatusRequestEntityTooLarge)
+	status, _ = s.vms[0].call(http.MethodPost, "/slow/0000000000000002", standin.Key, job(261_000))
+	is.Equal(status, http.StatusOK)
+}
