--- a/hostile_test.go
+++ b/hostile_test.go
@@ -27,6 +27,8 @@
 	hostileMemoryMB = 96
 	hostileMaxFDs   = 500
 	hostileMaxBody  = 262_144 // bytes, limits.maxBodyBytes of the configuration
+	hostileFillers  = 150     // records that other VMs read, 30 MB together
+	hostileFiller   = 200_000 // bytes of one
 	hostileMissing  = 19      // bytes by which an unfinished body is short
 )
 
@@ -105,6 +107,31 @@
 	}
 }
 
+// Guards against calls of other VMs that are answered with whole pages or snapshots of the store,
+// which are held while the client does not read them.
+func TestHostileReadsOfOtherVMs(t *testing.T) {
+	for _, a := range []hostileAttack{
+		{"pages-not-read", 600, func(c net.Conn, _ int) error {
+			return sendPeerRead(c, "/store/read", `{"topic":"keyed.filler","from":0}`)
+		}},
+		{"snapshots-not-read", 600, func(c net.Conn, _ int) error {
+			return sendPeerRead(c, "/store/newest", `{"topic":"keyed.filler"}`)
+		}},
+		{"pages-of-snapshots-not-read", 600, func(c net.Conn, _ int) error {
+			return sendPeerRead(c, "/store/newest", `{"topic":"keyed.filler","paged":true}`)
+		}},
+	} {
+		t.Run(a.name, func(t *testing.T) {
+			store := platformstandin.NewStore()
+			for i := range hostileFillers {
+				store.Put("keyed.filler", strconv.Itoa(i), bytes.Repeat([]byte("f"), hostileFiller))
+			}
+			v := startVMOfStore(t, "vm0", store, smallestMemoryMB, smallestMaxFDs)
+			v.attack(a, v.peers)
+		})
+	}
+}
+
 // Guards against accepted jobs that together exceed the memory of a VM.
 func TestHostileAcceptedJobs(t *testing.T) {
 	v := startHostileVM(t)
@@ -150,6 +177,7 @@
 type hostileVM struct {
 	t                                  *testing.T
 	callers, readiness, peers, metrics string
+	memoryMB, maxFDs                   int
 	process                            *exec.Cmd
 	proxy                              *platformstandin.StoreProxy // its access to the store
 	exited                             chan struct{}
@@ -179,7 +207,7 @@
 	proxy := &platformstandin.StoreProxy{Store: store}
 	server := httptest.NewServer(proxy)
 	t.Cleanup(server.Close)
-	v := &hostileVM{t: t, proxy: proxy, callers: freeAddress(t), readiness: freeAddress(t), peers: freeAddress(t), metrics: freeAddress(t), exited: make(chan struct{})}
+	v := &hostileVM{t: t, proxy: proxy, memoryMB: memoryMB, maxFDs: maxFDs, callers: freeAddress(t), readiness: freeAddress(t), peers: freeAddress(t), metrics: freeAddress(t), exited: make(chan struct{})}
 	b, err := platformstandin.SettingsFile(vm, server.Listener.Addr().String(), v.callers, v.readiness, v.peers, 4*time.Second)
 	if err != nil {
 		t.Fatal(err)
@@ -237,7 +265,7 @@
 // attack runs an attack on one listener and checks the process. The clients hold their
 // connections until the ordinary requests are answered.
 func (v *hostileVM) attack(a hostileAttack, address string) {
-	closeClients := watchHostile(v.t, v.process.Process.Pid, a, address, hostileMemoryMB, hostileMaxFDs)
+	closeClients := watchHostile(v.t, v.process.Process.Pid, a, address, v.memoryMB, v.maxFDs)
 	defer closeClients()
 	v.waitUntil("an ordinary job is accepted", func() bool {
 		return soakCall(http.MethodPost, v.callers, "/fast/00000000000000ff", platformstandin.Job("10ms", 1, false)).status == http.StatusOK
@@ -465,6 +493,12 @@
 	return nil
 }
 
+// sendPeerRead sends a call of another VM, and then reads nothing.
+func sendPeerRead(c net.Conn, path, body string) error {
+	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: vm\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+	return err
+}
+
 // sendPeerBody sends a call of another VM whose body does not end.
 func sendPeerBody(c net.Conn, size int) error {
 	if _, err := fmt.Fprintf(c, "POST /store/append HTTP/1.1\r\nHost: vm\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n{\"x\":\"", size); err != nil {
--- a/internal/node/acceptor/body.go
+++ b/internal/node/acceptor/body.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -43,6 +44,22 @@
 	})
 }
 
+// Charge charges n bytes to the connection of a request, for what its handler holds besides the
+// request. It waits for room and returns an error that wraps budgeter.ErrNoRoom if there is none.
+// The returned function ends the charge.
+func Charge(ctx context.Context, n int64) (release func(), err error) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return func() {}, nil
+	}
+	if err := c.acceptor.charge(c.id, n); err != nil {
+		return nil, err
+	}
+	return func() {
+		c.acceptor.with(func(_ time.Time, b *budgeter.Budgeter) { b.Refund(c.id, n) })
+	}, nil
+}
+
 // refuse answers a request for which there is no room and that was not handled.
 func refuse(w http.ResponseWriter) {
 	w.Header().Set("Retry-After", "1")
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -115,7 +115,9 @@
 	a.client = &platform.Client{Store: a.Settings.Store}
 	a.peers = &peers{self: a.Settings.Peers, seeds: a.Settings.Seeds}
 	a.relayer = &relayer.Relayer{
-		Direct:        (&platform.Store{Client: a.client, Address: a.Settings.Store, LinkMbps: a.Settings.LinkMbps}).StoreClient(),
+		Direct:        a.directStore(0),
+		Served:        a.directStore(relayer.ServedPageKB),
+		Charge:        acceptor.Charge,
 		Peer:          a.peers.client,
 		Peers:         a.peers.list,
 		DirectChanged: a.logDirectAccess,
@@ -173,6 +175,12 @@
 	}
 }
 
+// directStore returns the client that calls the store directly, with a limit of its reads in
+// kilobytes, 0 for the store's own.
+func (a *Assembler) directStore(pageKB int) accessor.Client {
+	return (&platform.Store{Client: a.client, Address: a.Settings.Store, LinkMbps: a.Settings.LinkMbps, PageKB: pageKB}).StoreClient()
+}
+
 // submittedEvent returns the event for a job that was read in the present term, if there is one.
 func (a *Assembler) submittedEvent(e registrar.Entry) scheduler.Submitted {
 	return scheduler.Submitted{
--- a/internal/store/accessor/accessor.go
+++ b/internal/store/accessor/accessor.go
@@ -72,4 +72,36 @@
 	// Newest returns the newest record of each key, and the offset from which Read
 	// returns the records that the snapshot may lack.
 	Newest func(ctx context.Context, topic string) ([]Record, int64, error)
+	// NewestPage returns a page of what Newest returns: the records of keys after the given
+	// one, empty for the first page, and whether more follow. Pages are not a snapshot: the end
+	// offset of the first one counts. Relayer clients have none.
+	NewestPage func(ctx context.Context, topic, after string) (Page, error)
+}
+
+// Page is a page of the newest records of a topic.
+type Page struct {
+	Records []Record
+	End     int64 // offset from which Read returns the records that this page may lack
+	More    bool
+}
+
+// ReadPages returns all records of the pages of a topic, and the end offset of the first one.
+func ReadPages(ctx context.Context, topic string, page func(ctx context.Context, topic, after string) (Page, error)) ([]Record, int64, error) {
+	var all []Record
+	end := int64(-1)
+	after := ""
+	for {
+		p, err := page(ctx, topic, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if end < 0 {
+			end = p.End
+		}
+		all = append(all, p.Records...)
+		if !p.More || len(p.Records) == 0 {
+			return all, end, nil
+		}
+		after = p.Records[len(p.Records)-1].Key
+	}
 }
--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -21,6 +21,14 @@
 	DirectChanged func(topic string, direct bool) // called when the direct route to partition 0 of a topic fails or recovers
 	Now           func() time.Time
 
+	// Served is the direct route for the calls of other VMs, whose responses are smaller; zero for
+	// Direct.
+	Served accessor.Client
+
+	// Charge charges memory to the connection of a call of another VM. The returned function
+	// ends that. Nil for none.
+	Charge func(ctx context.Context, bytes int64) (release func(), err error)
+
 	// Recovered is called when a call to a partition of a topic is answered after others were
 	// not; nil for none.
 	Recovered func(partition string)
--- a/internal/store/relayer/wire.go
+++ b/internal/store/relayer/wire.go
@@ -46,10 +46,24 @@
 	WaitMS int64  `json:"wait-ms"`
 }
 
+// newestRequest asks for a page of the newest records.
 type newestRequest struct {
 	Topic string `json:"topic"`
+	After string `json:"after,omitempty"` // key after which the page begins
+	Paged bool   `json:"paged,omitempty"` // the caller asks for further pages; those of older versions do not
 }
 
+// The memory that the answer to a call takes: the response of the store, the records, and the
+// response to the other VM, with buffers that grow by doubling.
+const (
+	readBytes   = 256 << 10 // of ServedPageKB
+	newestBytes = 6 << 20   // of a page of 1 MB, in base64
+)
+
+// ServedPageKB is the limit of reads for other VMs, in kilobytes. Each VM waits for records of
+// several topics at the same time.
+const ServedPageKB = 64
+
 type response struct {
 	Outcome  outcome           `json:"outcome"`
 	Reason   string            `json:"reason,omitempty"`
@@ -57,6 +71,7 @@
 	Offset   int64             `json:"offset,omitempty"`
 	End      int64             `json:"end,omitempty"`
 	Records  []accessor.Record `json:"records,omitempty"`
+	More     bool              `json:"more,omitempty"` // further pages follow
 }
 
 func newResponse(err error) response {
@@ -118,42 +133,71 @@
 // direct route only, and rejects calls at once while this route fails.
 func (r *Relayer) Handler() http.Handler {
 	m := http.NewServeMux()
-	handleUnary(m, procedureAppend, func(ctx context.Context, q *accessor.Append) response {
+	served := r.Served
+	if served.Append == nil {
+		served = r.Direct
+	}
+	handleUnary(m, procedureAppend, r.charged(0), func(ctx context.Context, q *accessor.Append) response {
 		if !r.DirectWorks(q.Topic) {
 			return newResponse(accessor.ErrNotDone)
 		}
-		offset, err := r.Direct.Append(ctx, *q)
+		offset, err := served.Append(ctx, *q)
 		a := newResponse(err)
 		a.Offset = offset
 		return a
 	})
-	handleUnary(m, procedureRead, func(ctx context.Context, q *readRequest) response {
+	handleUnary(m, procedureRead, r.charged(readBytes), func(ctx context.Context, q *readRequest) response {
 		if !r.DirectWorks(q.Topic) {
 			return newResponse(accessor.ErrNotDone)
 		}
-		records, end, err := r.Direct.Read(ctx, q.Topic, q.From, time.Duration(q.WaitMS)*time.Millisecond)
+		records, end, err := served.Read(ctx, q.Topic, q.From, time.Duration(q.WaitMS)*time.Millisecond)
 		a := newResponse(err)
 		a.Records, a.End = records, end
 		return a
 	})
-	handleUnary(m, procedureNewest, func(ctx context.Context, q *newestRequest) response {
+	handleUnary(m, procedureNewest, r.charged(newestBytes), func(ctx context.Context, q *newestRequest) response {
 		if !r.DirectWorks(q.Topic) {
 			return newResponse(accessor.ErrNotDone)
 		}
-		records, end, err := r.Direct.Newest(ctx, q.Topic)
+		p, err := served.NewestPage(ctx, q.Topic, q.After)
+		if err == nil && p.More && !q.Paged {
+			return newResponse(errUnpaged)
+		}
 		a := newResponse(err)
-		a.Records, a.End = records, end
+		a.Records, a.End, a.More = p.Records, p.End, p.More
 		return a
 	})
 	return m
 }
 
-func handleUnary[Q any](m *http.ServeMux, procedure string, do func(context.Context, *Q) response) {
+// errUnpaged answers VMs of an older version, which take the first page for all records.
+var errUnpaged = fmt.Errorf("%w: the newest records do not fit into one page", accessor.ErrNotDone)
+
+// charged returns a function that wraps a handler: it charges memory to the connection of the
+// call until the response is written.
+func (r *Relayer) charged(bytes int64) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		if bytes == 0 || r.Charge == nil {
+			return next
+		}
+		return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			release, err := r.Charge(q.Context(), bytes)
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+				return
+			}
+			defer release()
+			next.ServeHTTP(w, q)
+		})
+	}
+}
+
+func handleUnary[Q any](m *http.ServeMux, procedure string, wrap func(http.Handler) http.Handler, do func(context.Context, *Q) response) {
 	for _, p := range []string{procedure, procedure + partitionSuffix} {
-		m.Handle(p, connect.NewUnaryHandler(p, func(ctx context.Context, q *connect.Request[Q]) (*connect.Response[response], error) {
+		m.Handle(p, wrap(connect.NewUnaryHandler(p, func(ctx context.Context, q *connect.Request[Q]) (*connect.Response[response], error) {
 			a := do(ctx, q.Msg)
 			return connect.NewResponse(&a), nil
-		}, connect.WithCodec(codec{})))
+		}, connect.WithCodec(codec{}))))
 	}
 }
 
@@ -173,8 +217,10 @@
 			return a.Records, a.End, err
 		},
 		Newest: func(ctx context.Context, topic string) ([]accessor.Record, int64, error) {
-			a, err := callPeer(ctx, newest.to(topic), newestRequest{topic}, 0, address)
-			return a.Records, a.End, err
+			return accessor.ReadPages(ctx, topic, func(ctx context.Context, topic, after string) (accessor.Page, error) {
+				a, err := callPeer(ctx, newest.to(topic), newestRequest{Topic: topic, After: after, Paged: true}, 0, address)
+				return accessor.Page{Records: a.Records, End: a.End, More: a.More}, err
+			})
 		},
 	}
 }
