assembler: let a VM start when the records of jobs take all their room

A VM that started while the store held the records of many jobs that had ended lately ran out of memory, and would have done so at each further start.

Cause: ended jobs count for little memory, so the limit for records decided, 100 MB, and a VM that starts gets all newest records at once. Records may now take no more than the memory that jobs may take, 24 MB.

--- a/hostile_jobs_test.go
+++ b/hostile_jobs_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -174,3 +175,39 @@
 		t.Errorf("the job %s was refused and is stored", r.refused[i])
 	}
 }
+
+// Guards against stored jobs that no VM can read when it starts: all that have ended lately are in
+// its first snapshot.
+func TestHostileStoredJobsAreReadAtTheStart(t *testing.T) {
+	store := fastStore()
+	leader := startVMOfStore(t, "vm0", store, smallestMemoryMB, smallestMaxFDs)
+	limit := leader.metric("jobs-stored-limit-bytes")
+	job, now := `"spec":"`+strings.Repeat("s", hostileMaxSpec)+`","steps":[{"tasks":1,"need":{}}]}`, time.Now().UnixMilli()
+	size := 0
+	for i := 0; size < limit; i++ {
+		id := fmt.Sprintf("%016x", i+1)
+		value := `{"id":"` + id + `","queue":"slow","organisation":"o",` + job
+		store.Put("keyed.jobs", "job/"+id, []byte(value))
+		store.Put("keyed.progress", id, fmt.Appendf(nil, `{"state":"completed","ended-ms":%d}`, now))
+		size += len("job/"+id) + len(value)
+	}
+	next := startVMOfStore(t, "vm1", store, smallestMemoryMB, smallestMaxFDs)
+	check := sampleHostile(t, next.process.Process.Pid, next.callers, smallestMemoryMB, smallestMaxFDs)
+	next.waitUntil("the first job is known", func() bool {
+		return soakCall(http.MethodGet, next.callers, "/slow/0000000000000001", "").status == http.StatusOK
+	})
+	time.Sleep(hostileHold)
+	check()
+}
+
+// metric returns the value of a metric of the VM.
+func (v *hostileVM) metric(name string) int {
+	_, text := platformstandin.Call(http.DefaultClient, http.MethodGet, v.metrics, "/metrics", "", "")
+	var m struct {
+		Counters map[string]int `json:"counters"`
+	}
+	if err := json.Unmarshal([]byte(text), &m); err != nil {
+		v.t.Fatal(err)
+	}
+	return m.Counters[name]
+}
--- a/internal/node/assembler/admission.go
+++ b/internal/node/assembler/admission.go
@@ -25,9 +25,9 @@
 const (
 	jobMemoryPercent = 20 // of the VM's own memory that accepted jobs may take, if that is less
 
-	// storedPercent is the part of a partition's size that accepted jobs may take in the store. The
-	// rest is left to records that were replaced or deleted lately, and to progress. The store
-	// takes two full partitions in total.
+	// storedPercent is the part of a partition's size that accepted jobs may take in the store, at
+	// most: the rest is left to records that were replaced or deleted lately, and to progress. A
+	// VM that starts holds all records at once, so they may also not take more than the memory.
 	storedPercent = 50
 
 	admissionTimeout   = time.Second // of a read before a job is refused; callers wait for 3 s
@@ -80,7 +80,7 @@
 	if part <= 0 {
 		part = platform.DefaultPartMB
 	}
-	return admitter.Size{Memory: memory, Stored: int64(part) * megabyte * storedPercent / 100}
+	return admitter.Size{Memory: memory, Stored: min(memory, int64(part)*megabyte*storedPercent/100)}
 }
 
 // gauges returns what accepted jobs take, by the name of the metric.
