acceptor: charge HTTP/2 requests and bound the wait for their window

Clients of serve that speak HTTP/2 and grant no window for their responses made the daemon exceed its memory, and kept each request for as long as the connection lived.

Cause: only the first request of an HTTP/2 connection was charged, each connection may carry 100, and deadlines for pieces of a response applied to the connection as a whole. Each request is now charged 32 KB until its response was sent, and a client that grants no window for 16 KB within 5 s loses the request. Beyond 10 open requests of a connection one without room is refused at once, as waiting takes memory too, and refusals have no body, for which a window would be needed.

--- a/hostile_serve_test.go
+++ b/hostile_serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -15,6 +16,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 )
 
 // Limits of the daemon under attack, and the bounds of the tests. By default the heap may
@@ -23,6 +26,7 @@
 	hostileServeHeapMB   = 64
 	hostileServeMemoryMB = hostileServeHeapMB + 16
 	hostileServeMaxFDs   = 300
+	hostileStreams       = 100 // requests of one HTTP/2 connection
 )
 
 var serveCallerAttacks = []hostileAttack{
@@ -33,6 +37,8 @@
 	{"empty-lines", 400, sendEmptyLines},
 	{"bodies-of-jobs", 200, func(c net.Conn, _ int) error { return sendJobBody(c, 1_000_000) }},
 	{"responses-not-read", 400, func(c net.Conn, _ int) error { return sendManyRequests(c, "/-/status") }},
+	{"responses-without-window", 400, func(c net.Conn, _ int) error { return sendStreams(c, hostileStreams, "/-/status") }},
+	{"idle-streams", 400, func(c net.Conn, _ int) error { return sendStreams(c, 0, "") }},
 }
 
 var servePeerAttacks = []hostileAttack{
@@ -107,6 +113,39 @@
 	})
 }
 
+// sendStreams sends requests on one HTTP/2 connection and grants no window for the responses, so
+// that their heads are the last that can be sent. It reads what arrives.
+func sendStreams(c net.Conn, n int, path string) error {
+	if _, err := c.Write([]byte(http2.ClientPreface)); err != nil {
+		return err
+	}
+	f := http2.NewFramer(c, c)
+	if err := f.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0}); err != nil {
+		return err
+	}
+	var block bytes.Buffer
+	e := hpack.NewEncoder(&block)
+	for i := range n {
+		block.Reset()
+		for _, h := range []hpack.HeaderField{
+			{Name: ":method", Value: http.MethodGet}, {Name: ":scheme", Value: "http"}, {Name: ":authority", Value: "vm"}, {Name: ":path", Value: path},
+			{Name: "authorization", Value: "Bearer " + operatorKey},
+		} {
+			if err := e.WriteField(h); err != nil {
+				return err
+			}
+		}
+		if err := f.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(2*i + 1), BlockFragment: block.Bytes(), EndStream: true, EndHeaders: true}); err != nil {
+			return err
+		}
+	}
+	for {
+		if _, err := f.ReadFrame(); err != nil {
+			return err
+		}
+	}
+}
+
 // hostileStatus returns the status code of the daemon's status call, 0 without a response.
 func hostileStatus(address string) int {
 	q, _ := http.NewRequest(http.MethodGet, "http://"+address+"/-/status", nil)
--- a/internal/node/acceptor/acceptor.go
+++ b/internal/node/acceptor/acceptor.go
@@ -235,8 +235,11 @@
 
 // charge charges n bytes to a connection. Without room it waits for some time. It fails if
 // there is still none or if the connection was closed.
-func (a *Acceptor) charge(id uint64, n int64) error {
-	for end := a.Now().Add(roomWait); ; time.Sleep(roomInterval) {
+func (a *Acceptor) charge(id uint64, n int64) error { return a.chargeWithin(id, n, roomWait) }
+
+// chargeWithin is charge with another limit of the wait.
+func (a *Acceptor) chargeWithin(id uint64, n int64, wait time.Duration) error {
+	for end := a.Now().Add(wait); ; time.Sleep(roomInterval) {
 		a.mu.Lock()
 		now := a.Now()
 		closing, ok := a.budgeter.Charge(now, id, n)
@@ -250,7 +253,7 @@
 		if ok {
 			return nil
 		}
-		if !open || now.After(end) {
+		if !open || !now.Before(end) {
 			a.Count("requests-without-room-"+a.metric(), 1)
 			return budgeter.ErrNoRoom
 		}
--- a/internal/node/acceptor/body.go
+++ b/internal/node/acceptor/body.go
@@ -23,8 +23,12 @@
 			phase = budgeter.PhaseHandle
 		}
 		if c.http2.Load() {
-			defer c.endStream()
-			if err := c.beginStream(); err != nil {
+			s := &stream{ResponseWriter: w, control: http.NewResponseController(w)}
+			charged, err := c.beginStream()
+			defer func() { c.endStream(charged) }()
+			defer func() { _ = s.FlushError() }() // the response is held until it was sent
+			w = s
+			if err != nil {
 				refuse(w)
 				return
 			}
@@ -60,10 +64,11 @@
 	}, nil
 }
 
-// refuse answers a request for which there is no room and that was not handled.
+// refuse answers a request for which there is no room and that was not handled. The response has
+// no body, for which the client would have to grant a window.
 func refuse(w http.ResponseWriter) {
 	w.Header().Set("Retry-After", "1")
-	http.Error(w, budgeter.ErrNoRoom.Error(), http.StatusServiceUnavailable)
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // body is the body of a request. It must make progress.
--- a/internal/node/acceptor/conn.go
+++ b/internal/node/acceptor/conn.go
@@ -17,6 +17,12 @@
 // can fill at any time. It is charged while the connection has streams.
 const HTTP2ReceiveBuffer = 256 << 10 // bytes
 
+// streamBytes is what a request of an HTTP/2 connection takes while it is handled and its response
+// is sent: goroutines, buffers and headers.
+const streamBytes = 32 << 10
+
+const waitingStreams = 10 // requests of one HTTP/2 connection that may wait for room
+
 // conn is a connection whose requests are charged to the budgeter.
 type conn struct {
 	net.Conn
@@ -66,19 +72,32 @@
 	return c.Conn.Close()
 }
 
-// beginStream records that an HTTP/2 connection begins to handle a request.
-func (c *conn) beginStream() error {
-	if c.streams.Add(1) > 1 {
-		return nil
+// beginStream records that an HTTP/2 connection begins to handle a request. It returns what it
+// charges for that, besides the receive buffer of the connection.
+func (c *conn) beginStream() (charged int64, err error) {
+	n, wait := int64(streamBytes), roomWait
+	switch streams := c.streams.Add(1); {
+	case streams > waitingStreams:
+		wait = 0 // requests that wait take memory as well
+	case streams == 1:
+		c.acceptor.with(func(now time.Time, b *budgeter.Budgeter) { b.Enter(now, c.id, budgeter.PhaseHandle) })
+		n += HTTP2ReceiveBuffer
 	}
-	c.acceptor.with(func(now time.Time, b *budgeter.Budgeter) { b.Enter(now, c.id, budgeter.PhaseHandle) })
-	return c.acceptor.charge(c.id, HTTP2ReceiveBuffer)
+	if err := c.acceptor.chargeWithin(c.id, n, wait); err != nil {
+		return 0, err
+	}
+	return streamBytes, nil
 }
 
-func (c *conn) endStream() {
-	if c.streams.Add(-1) == 0 {
-		c.acceptor.with(func(now time.Time, b *budgeter.Budgeter) { b.Enter(now, c.id, budgeter.PhaseIdle) })
-	}
+// endStream records that the response to a request was sent.
+func (c *conn) endStream(charged int64) {
+	last := c.streams.Add(-1) == 0
+	c.acceptor.with(func(now time.Time, b *budgeter.Budgeter) {
+		b.Refund(c.id, charged)
+		if last {
+			b.Enter(now, c.id, budgeter.PhaseIdle)
+		}
+	})
 }
 
 func headCharge(p []byte) int64 {
