acceptor: serve requests without a body when connections have no room

While many clients pressed, most ordinary callers that asked for the state of a job or cancelled one got 503 ("too many connections to this VM"), although these requests take little and cancellations give room back.

Cause: all connections of a listener share one budget, and a new one is refused before anything of its request is known. Without room a sixteenth of the connections more is now accepted, each for one request without a body, with a head of at most 4 KB that arrives within 50 ms. Others get the refusal as before, and bodies are refused unread.

TestRequestsWithoutBodyAreServedWhileBodiesTakeTheRoom failed before.

Ruled out: a part of the connections kept for such requests, which clients that reconnect would fill.

--- a/internal/node/acceptor/acceptor.go
+++ b/internal/node/acceptor/acceptor.go
@@ -54,6 +54,7 @@
 	budgeter *budgeter.Budgeter
 	conns    map[uint64]*conn
 	lastID   uint64
+	express  int                     // open express connections
 	closed   map[budgeter.Reason]int // since the last report
 	reported time.Time
 }
@@ -178,15 +179,23 @@
 	if ok {
 		return x
 	}
+	if a.openExpress(x) {
+		return x
+	}
 	a.recordClosed(reasonTooMany)
 	if a.Refusal {
-		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-		_, _ = c.Write([]byte(refusalText))
+		refuseConn(c)
 	}
 	_ = c.Close()
 	return nil
 }
 
+// refuseConn answers a connection for which there is no room.
+func refuseConn(c net.Conn) {
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = c.Write([]byte(refusalText))
+}
+
 // remove returns connections that the budgeter has given up.
 func (a *Acceptor) remove(closing []budgeter.Closing) []*conn {
 	var v []*conn
--- a/internal/node/acceptor/body.go
+++ b/internal/node/acceptor/body.go
@@ -22,6 +22,10 @@
 		if q.Body == nil || q.Body == http.NoBody {
 			phase = budgeter.PhaseHandle
 		}
+		if c.express {
+			serveExpress(c, w, q, next)
+			return
+		}
 		if c.http2.Load() {
 			s := &stream{ResponseWriter: w, control: http.NewResponseController(w)}
 			charged, err := c.beginStream()
--- a/internal/node/acceptor/conn.go
+++ b/internal/node/acceptor/conn.go
@@ -31,12 +31,18 @@
 	begun    bool         // a byte was read; used by the reading goroutine only
 	http2    atomic.Bool  // the connection carries many requests, whose bodies are charged by the handler
 	body     atomic.Bool  // the head of the present request was read
+	express  bool         // see openExpress
+	left     int          // bytes that may still be read of an express connection; used by the reading goroutine only
+	closed   bool         // guarded by the acceptor's lock
 	streams  atomic.Int32 // requests of an HTTP/2 connection that are being handled
 }
 
 // Read reads into net/http's buffer, which is charged with the connection. What it read of
 // a head is charged before net/http parses it.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.express {
+		return c.readExpress(p)
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -68,6 +74,10 @@
 	c.acceptor.mu.Lock()
 	c.acceptor.budgeter.Close(c.id)
 	delete(c.acceptor.conns, c.id)
+	if c.express && !c.closed {
+		c.acceptor.express--
+	}
+	c.closed = true
 	c.acceptor.mu.Unlock()
 	return c.Conn.Close()
 }
