assembler: store progress whatever its size

A leader whose jobs had much progress to store at the same time stored nothing any more, acknowledged no end and changed no state: callers saw their jobs stand still. Clients bring this about with jobs of many tasks, within all limits.

Cause: all progress went into one append, and that of a job into one record. The store takes 2 MB and 256 KB; a larger call was repeated for ever. Progress now goes into appends of at most 512 KB. From a record that is still too large the leader leaves out what a later one can do without, with a log line: checkpoints first, then which tasks of a step had runs without proof of their end (all its tasks count then), crashes, and failed runs.

What a leader knows itself is not changed; a task whose failed runs were left out may get its attempts again from the next leader.

--- a/internal/jobs/scheduler/progress.go
+++ b/internal/jobs/scheduler/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/lacewingdoor/lacewingdoor/internal/jobs/quarantiner"
@@ -37,6 +38,34 @@
 	return p
 }
 
+// Reduced returns less of the progress, by level from 0 on, and what it leaves out: first what
+// saves work, then what a later leader has to assume or count anew. After the last level it
+// returns an empty string.
+func (p Progress) Reduced(level int) (smaller Progress, left string) {
+	switch level {
+	case 0:
+		p.Checkpoints, left = nil, "checkpoints"
+	case 1:
+		p.Abandoned, left = abandonedBySteps(p.Abandoned), "which tasks of a step had runs without proof of their end"
+	case 2:
+		p.Suspicions, left = nil, "crashes of workers"
+	case 3: //nolint:mnd // the last level
+		p.Failures, left = nil, "failed runs"
+	}
+	return p, left
+}
+
+// abandonedBySteps returns the highest of the given runs of each step. It then counts for all
+// unfinished tasks of the step.
+func abandonedBySteps(runs map[string]int64) map[string]int64 {
+	all := map[string]int64{}
+	for key, run := range runs {
+		step, _, _ := strings.Cut(key, ".")
+		all[step] = max(all[step], run)
+	}
+	return all
+}
+
 // suspicions returns what is recorded of crashes under unfinished tasks, by key.
 func (j *job) suspicions() map[string]quarantiner.Record {
 	all := map[string]quarantiner.Record{}
--- a/internal/node/assembler/lead.go
+++ b/internal/node/assembler/lead.go
@@ -324,6 +324,11 @@
 
 const writerName = "leader"
 
+const (
+	maxProgressBytes = 512 << 10 // of one append; the store takes 2 MB, and a link of 10 Mbit/s needs 0.4 s for this
+	recordOverhead   = 5         // bytes of a record besides its key and value
+)
+
 // takeOver fences earlier leaders, which can then no longer store progress, and reads all
 // stored progress and jobs.
 func (w *progressWriter) takeOver(ctx context.Context, following *sync.WaitGroup) error {
@@ -380,14 +385,45 @@
 	}
 }
 
+// store stores the progress of jobs, in several appends if it is too much for one. Until all are
+// stored, the scheduler relies on none.
 func (w *progressWriter) store(ctx context.Context, all map[string]scheduler.Progress) error {
 	var records []accessor.Record
+	size := 0
 	for _, id := range slices.Sorted(maps.Keys(all)) {
-		r, err := registrar.ProgressRecord(id, all[id])
+		r, err := w.progressRecord(id, all[id])
 		if err != nil {
 			return err
 		}
+		n := recordOverhead + len(r.Key) + len(r.Value)
+		if size+n > maxProgressBytes && len(records) > 0 {
+			if err := w.append(ctx, records); err != nil {
+				return err
+			}
+			records, size = nil, 0
+		}
 		records = append(records, r)
+		size += n
 	}
 	return w.append(ctx, records)
 }
+
+// progressRecord returns the record of a job's progress. If the store would not take it, it leaves
+// out what a later leader can do without.
+func (w *progressWriter) progressRecord(id string, p scheduler.Progress) (accessor.Record, error) {
+	for level := 0; ; level++ {
+		r, err := registrar.ProgressRecord(id, p)
+		if err != nil {
+			return r, err
+		}
+		if int64(len(r.Key)+len(r.Value)) <= w.assembler.maxRecord() {
+			return r, nil
+		}
+		smaller, left := p.Reduced(level)
+		if left == "" {
+			return r, nil // the store refuses it, and the refusal is logged
+		}
+		w.assembler.log("store").WithField("job", id).WithField("left-out", left).Warn("progress of a job is too large for the store")
+		p = smaller
+	}
+}
