scheduler: reject submissions whose values overflow

Callers could declare durations, sizes and times whose sums and products overflow, and negative limits. A job with the longest estimate counted as one that takes no time: it was due at once and came before jobs of others.

Cause: Validate checks steps, tasks and negative resources only. Stored jobs are read as before.

--- a/internal/jobs/scheduler/validate.go
+++ b/internal/jobs/scheduler/validate.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 const (
 	maxSteps       = 256   // bounds the cost of one submission
@@ -8,6 +11,36 @@
 	maxOccurrences = 1000  // occurrences of one job
 )
 
+// Limits of what a caller may declare. They keep sums and products of the values from overflowing.
+const (
+	maxDuration  = 366 * 24 * time.Hour // of a task, or between two occurrences
+	maxResources = 1 << 40              // millicores, MB or accelerators of a task
+	maxFirstMS   = 1 << 53              // Unix time of the first occurrence
+)
+
+// ValidateSubmission returns an error for a job that must not be accepted. Jobs that are stored
+// need to pass Validate only: an earlier version may have accepted them.
+func (j Job) ValidateSubmission() error {
+	if err := j.Validate(); err != nil {
+		return err
+	}
+	if j.FirstMS < 0 || j.FirstMS > maxFirstMS || j.IntervalMS > maxDuration.Milliseconds() {
+		return fmt.Errorf("job starts at %d ms and every %d ms, want 0 to %d and at most %d", j.FirstMS, j.IntervalMS, int64(maxFirstMS), maxDuration.Milliseconds())
+	}
+	for i, s := range j.Steps {
+		if d := int64(s.EstimateMS); d < 0 || d > maxDuration.Milliseconds() {
+			return fmt.Errorf("step %d declares tasks of %d ms, want 0 to %d", i, d, maxDuration.Milliseconds())
+		}
+		if n := s.Need; max(n.MilliCores, n.MemoryMB, n.Accelerators) > maxResources {
+			return fmt.Errorf("step %d needs more than %d of a resource", i, int64(maxResources))
+		}
+		if s.PerWorker < 0 || s.MaxUnavailable < 0 || s.TargetMS < 0 {
+			return fmt.Errorf("step %d has a negative limit", i)
+		}
+	}
+	return nil
+}
+
 // Validate returns an error for a job that can't be run.
 func (j Job) Validate() error {
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
--- a/internal/node/gatekeeper/gatekeeper.go
+++ b/internal/node/gatekeeper/gatekeeper.go
@@ -91,7 +91,7 @@
 	if e, ok := g.Registrar.Get(t.JobID); ok {
 		return g.repeated(t, e)
 	}
-	if err := j.Validate(); err != nil {
+	if err := j.ValidateSubmission(); err != nil {
 		return Answer{Verdict: VerdictInvalid, Reason: err.Error()}
 	}
 	j.ID, j.Queue, j.Organisation = t.JobID, t.Route.Name, t.Organisation
