--- a/hostile_serve_test.go
+++ b/hostile_serve_test.go
@@ -128,7 +128,10 @@
 	for i := range n {
 		block.Reset()
 		for _, h := range []hpack.HeaderField{
-			{Name: ":method", Value: http.MethodGet}, {Name: ":scheme", Value: "http"}, {Name: ":authority", Value: "vm"}, {Name: ":path", Value: path},
+			{Name: ":method", Value: http.MethodGet},
+			{Name: ":scheme", Value: "http"},
+			{Name: ":authority", Value: "vm"},
+			{Name: ":path", Value: path},
 			{Name: "authorization", Value: "Bearer " + operatorKey},
 		} {
 			if err := e.WriteField(h); err != nil {
--- a/internal/node/acceptor/express.go
+++ b/internal/node/acceptor/express.go
@@ -9,8 +9,8 @@
 // without a body: requests for states and cancellations, which give room back. Others find out at
 // once that there is no room.
 const (
-	expressPart     = 16                     // of the connections of a share, one in so many is added
-	expressHeadSize = 4 << 10                // bytes
+	expressPart     = 16                    // of the connections of a share, one in so many is added
+	expressHeadSize = 4 << 10               // bytes
 	expressHeadTime = 50 * time.Millisecond // the request usually follows the connection within a round trip, 6 ms
 )
 
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -114,17 +114,7 @@
 	a.instance = uuid.NewString()
 	a.client = &platform.Client{Store: a.Settings.Store}
 	a.peers = &peers{self: a.Settings.Peers, seeds: a.Settings.Seeds}
-	a.relayer = &relayer.Relayer{
-		Direct:        a.directStore(0),
-		Served:        a.directStore(relayer.ServedPageKB),
-		Charge:        acceptor.Charge,
-		Peer:          a.peers.client,
-		Peers:         a.peers.list,
-		DirectChanged: a.logDirectAccess,
-		Now:           a.Now,
-		Recovered:     a.notePartRecovered,
-		ProbeInterval: a.probeInterval,
-	}
+	a.relayer = a.newRelayer()
 	a.store = a.relayer.StoreClient()
 	a.metrics = recorder.New()
 	a.answerLines = rate.NewLimiter(answerLineRate, answerLineBurst)
@@ -175,6 +165,20 @@
 	}
 }
 
+func (a *Assembler) newRelayer() *relayer.Relayer {
+	return &relayer.Relayer{
+		Direct:        a.directStore(0),
+		Served:        a.directStore(relayer.ServedPageKB),
+		Charge:        acceptor.Charge,
+		Peer:          a.peers.client,
+		Peers:         a.peers.list,
+		DirectChanged: a.logDirectAccess,
+		Now:           a.Now,
+		Recovered:     a.notePartRecovered,
+		ProbeInterval: a.probeInterval,
+	}
+}
+
 // directStore returns the client that calls the store directly, with a limit of its reads in
 // kilobytes, 0 for the store's own.
 func (a *Assembler) directStore(pageKB int) accessor.Client {
