--- a/hostile_test.go
+++ b/hostile_test.go
@@ -196,7 +196,12 @@
 func hostileConfiguration() []byte {
 	b := bytes.Replace(platformstandin.Configuration(1, platformstandin.Key),
 		[]byte(`"maxBodyBytes":10000`), fmt.Appendf(nil, `"maxBodyBytes":%d`, hostileMaxBody), 1)
-	return bytes.Replace(b, []byte(`"tenants":[`), fmt.Appendf(nil, `"tenants":[{"name":"other","apiKeys":[%q],"guaranteed":{"gpu":8}},`, hostileOtherKey), 1)
+	return withOtherOrganisation(b)
+}
+
+// withOtherOrganisation adds an organisation to a configuration.
+func withOtherOrganisation(config []byte) []byte {
+	return bytes.Replace(config, []byte(`"tenants":[`), fmt.Appendf(nil, `"tenants":[{"name":"other","apiKeys":[%q],"guaranteed":{"gpu":8}},`, hostileOtherKey), 1)
 }
 
 // startVMOfStore starts an entry VM that uses a store.
--- a/soak_test.go
+++ b/soak_test.go
@@ -93,6 +93,8 @@
 	t                 *testing.T
 	faultRand         *rand.Rand // draws the faults; used by one goroutine only
 	seed              uint64
+	args              []string // of the VMs
+	beforeCheck       func()   // called before the final state is checked, nil for nothing
 	dir               string
 	store             *platformstandin.Store
 	storeEndpoints    []*platformstandin.StoreProxy
@@ -134,9 +136,12 @@
 	started   bool
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
+func newSoak(t *testing.T, seed uint64) *soak { return newSoakWith(t, seed) }
+
+// newSoakWith starts everything with further arguments of the VMs.
+func newSoakWith(t *testing.T, seed uint64, args ...string) *soak {
 	s := &soak{
-		t: t, seed: seed, faultRand: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), store: platformstandin.NewStore(),
+		t: t, seed: seed, args: args, faultRand: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), store: platformstandin.NewStore(),
 		acknowledged: map[string]bool{}, jobs: map[string]*soakJob{}, extraRand: rand.New(rand.NewPCG(seed, 9)),
 		crashes: map[string]int{}, laterStarts: map[string]int{}, operatorRand: rand.New(rand.NewPCG(seed, 10)),
 	}
@@ -213,7 +218,7 @@
 
 func (s *soak) configure() {
 	s.configVersion++
-	s.store.Configure(s.configVersion, platformstandin.Key)
+	s.store.Put("keyed.op", "config", withOtherOrganisation(platformstandin.Configuration(s.configVersion, platformstandin.Key)))
 }
 
 func (s *soak) listExecutor(i int, state string) {
@@ -221,7 +226,7 @@
 }
 
 func (s *soak) startVM(v *soakVM) {
-	v.process = exec.Command("lacewingdoor", "schedule")
+	v.process = exec.Command("lacewingdoor", append([]string{"schedule"}, s.args...)...)
 	v.process.Env = append(os.Environ(), "LACEWINGDOOR_SETTINGS="+v.settings)
 	v.process.Stdout, v.process.Stderr = v.log, v.log
 	v.process.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // for the same reason as in startProcess
@@ -327,6 +332,9 @@
 	s.faults = append(s.faults, <-partFaults...)
 	s.clearFaults()
 	callers.Wait()
+	if s.beforeCheck != nil {
+		s.beforeCheck()
+	}
 	s.checkFinalState()
 	s.mu.Lock()
 	defer s.mu.Unlock()
