tests: submit jobs to serve until it runs out of memory

The daemon of serve keeps what it accepts without a bound, like schedule did: 20 clients with payloads of 200 KB had 1,971 jobs accepted and made it take 415 MB (405 MiB), where the test allows 80 MiB for a heap of 64.

--- a/hostile_serve_test.go
+++ b/hostile_serve_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -11,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -18,6 +21,9 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
+
+	"github.com/lacewingdoor/lacewingdoor/internal/responder"
+	"github.com/lacewingdoor/lacewingdoor/publisher"
 )
 
 // Limits of the daemon under attack, and the bounds of the tests. By default the heap may
@@ -63,6 +69,12 @@
 // runHostileServe starts stand-ins of the log and the list and a daemon, and runs an attack
 // on one of its listeners.
 func runHostileServe(t *testing.T, a hostileAttack, listener string) {
+	withHostileServe(t, func(settings string) { attackServe(t, settings, a, listener) })
+}
+
+// withHostileServe starts stand-ins of the log and the list, and calls a function with the
+// settings of a daemon.
+func withHostileServe(t *testing.T, do func(settings string)) {
 	dir := t.TempDir()
 	script := "start log stand-in log\nstart list stand-in list\nhostile\n"
 	if err := os.WriteFile(filepath.Join(dir, "hostile.txtar"), []byte(script), 0o600); err != nil {
@@ -74,7 +86,7 @@
 		b, err := os.ReadFile(name)
 		s.Check(err)
 		s.Check(os.WriteFile(name, fmt.Appendf(b, "[limits]\nmemory-mb = %d\n", hostileServeHeapMB), 0o600))
-		attackServe(t, name, a, listener)
+		do(name)
 	}
 	testscript.RunT(hostileT{t}, p)
 }
@@ -86,23 +98,28 @@
 func (hostileT) Parallel()                            {}
 func (hostileT) Verbose() bool                        { return false }
 
-func attackServe(t *testing.T, settings string, a hostileAttack, listener string) {
-	p := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s serve --settings %s", hostileServeMaxFDs, hostileProgram(t), settings))
+// startHostileServe starts a daemon and returns its process and addresses.
+func startHostileServe(t *testing.T, settings string) (p *exec.Cmd, exited chan struct{}, addresses map[string]string) {
+	p = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s serve --settings %s", hostileServeMaxFDs, hostileProgram(t), settings))
 	p.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // for the same reason as in startProcess
 	out, err := p.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	exited := make(chan struct{})
+	exited = make(chan struct{})
 	startHostile(t, p, exited)
 	line, err := bufio.NewReader(out).ReadString('\n')
 	if err != nil {
 		t.Fatal(err)
 	}
-	var addresses map[string]string
 	if err := json.Unmarshal([]byte(line), &addresses); err != nil {
 		t.Fatal(err)
 	}
+	return p, exited, addresses
+}
+
+func attackServe(t *testing.T, settings string, a hostileAttack, listener string) {
+	p, exited, addresses := startHostileServe(t, settings)
 	status := func() bool { return hostileStatus(addresses["callers"]) == http.StatusOK }
 	waitUntilHostile(t, exited, "the status is answered", status)
 	closeClients := watchHostile(t, p.Process.Pid, a, addresses[listener], hostileServeMemoryMB, hostileServeMaxFDs)
@@ -183,3 +200,51 @@
 	_, err := c.Write([]byte(strings.Repeat("p", size-hostileMissing-len(`{"id":"`))))
 	return err
 }
+
+// Guards against accepted jobs, each of legal size, that together exceed the memory of the daemon.
+func TestHostileJobsOfServe(t *testing.T) {
+	const clients, jobs, payload = 20, 100, 200_000
+	withHostileServe(t, func(settings string) {
+		p, exited, addresses := startHostileServe(t, settings)
+		call := func(path, key string, body any) int {
+			b, err := json.Marshal(body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			q, _ := http.NewRequest(http.MethodPost, "http://"+addresses["callers"]+path, bytes.NewReader(b))
+			q.Header.Set("Authorization", "Bearer "+key)
+			a, err := soakClient.Do(q)
+			if err != nil {
+				return 0
+			}
+			defer func() { _ = a.Body.Close() }()
+			return a.StatusCode
+		}
+		hash := sha256.Sum256([]byte(callerKey))
+		change := publisher.Change{ID: "c", Created: time.Now(), Files: []publisher.FileChange{{Name: "o.toml", Content: fmt.Sprintf(
+			"[organisation.o]\nkey-hashes = [%q]\n[service.s]\norganisation = \"o\"\n[service.s.job]\ntasks = 1\naccelerators = 1\n", hex.EncodeToString(hash[:]))}}}
+		waitUntilHostile(t, exited, "the configuration is published", func() bool { return call(publisher.PathChanges, operatorKey, change) < http.StatusBadRequest })
+		job := func(id string) responder.JobRequest {
+			return responder.JobRequest{ID: id, Service: "s", Payload: strings.Repeat("p", payload)}
+		}
+		check := sampleHostile(t, p.Process.Pid, addresses["callers"], hostileServeMemoryMB, hostileServeMaxFDs)
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		answers := map[int]int{}
+		end := time.Now().Add(hostileJobTime)
+		for i := range clients {
+			group.Go(func() {
+				for n := 0; n < jobs && time.Now().Before(end); n++ {
+					status := call("/-/jobs", callerKey, job(fmt.Sprintf("job-%d-%d", i, n)))
+					mu.Lock()
+					answers[status]++
+					mu.Unlock()
+				}
+			})
+		}
+		group.Wait()
+		check()
+		t.Logf("answers by status: %v", answers)
+		waitUntilHostile(t, exited, "the status is answered", func() bool { return hostileStatus(addresses["callers"]) == http.StatusOK })
+	})
+}
