acceptor: let TestRefusals wait until its first connection is gone

It connected again before the server had let go of the first connection, so that the connection that was to take the only place was refused itself, and nothing was left to refuse others.

--- a/internal/node/acceptor/acceptor_test.go
+++ b/internal/node/acceptor/acceptor_test.go
@@ -149,7 +149,7 @@
 func TestRefusals(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
-	address, _, _ := start(t, budgeter.Share{Bytes: 256 << 10, Connections: 1, BodyFactor: 3}.WithBuffer(4<<10), func(w http.ResponseWriter, q *http.Request) {
+	address, a, _ := start(t, budgeter.Share{Bytes: 256 << 10, Connections: 1, BodyFactor: 3}.WithBuffer(4<<10), func(w http.ResponseWriter, q *http.Request) {
 		if q.URL.Path == "/hold" {
 			<-release
 		}
@@ -160,6 +160,10 @@
 	is.Equal(r.StatusCode, http.StatusServiceUnavailable)
 	is.NoErr(r.Body.Close())
 	http.DefaultClient.CloseIdleConnections()
+	waitUntil(t, "the connection has given its room back", func() bool {
+		_, n := a.Held()
+		return n == 0
+	})
 	c, err := net.Dial("tcp", address)
 	is.NoErr(err)
 	defer func() { _ = c.Close() }()
